Lay out the workspace, the design and the shared vocabulary

Adds the build, format, lint and test scripts, the design page, the core package (time, verdicts, identifiers, request keys, state charts, bounded ring) and the policy model.

Request keys must be UUIDv7: the creation time in the key lets a node refuse a key that is older than the key retention, so that an expired key table entry can never lead to a second execution. Opaque keys were ruled out for that reason.

--- /dev/null
+++ b/packages/core/camphorpin/src/Core/BoundedRing.h
@@ -0,0 +1,99 @@
+#ifndef CAMPHORPIN_SRC_CORE_BOUNDEDRING_H
+#define CAMPHORPIN_SRC_CORE_BOUNDEDRING_H
+
+#include "camphorpin/src/Core/Duration.h"
+
+#include <cassert>
+#include <chrono>
+#include <condition_variable>
+#include <cstddef>
+#include <mutex>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace camphorpin {
+
+/// \class BoundedRing
+/// \brief A first-in first-out queue of fixed capacity that joins threads.
+///
+/// Any number of threads may push and pop. A full ring refuses, so that a slow
+/// consumer never makes a producer wait.
+template <class Element> class BoundedRing {
+public:
+  /// \param Capacity number of elements, greater than zero.
+  explicit BoundedRing(std::size_t Capacity) : Slots(Capacity) {
+    assert(Capacity > 0 && "a ring needs room for one element");
+  }
+
+  /// \returns false if the ring is full or closed; \p Value is then untouched.
+  bool push(Element &&Value) {
+    {
+      const std::lock_guard<std::mutex> Lock(Mutex);
+      if (Closed || Count == Slots.size())
+        return false;
+      Slots[(First + Count) % Slots.size()].emplace(std::move(Value));
+      ++Count;
+    }
+    Filled.notify_one();
+    return true;
+  }
+
+  /// Waits for an element for at most \p Timeout.
+  /// \returns nothing after the timeout, or if the ring is closed and empty.
+  std::optional<Element> pop(Duration Timeout) {
+    std::unique_lock<std::mutex> Lock(Mutex);
+    Filled.wait_for(Lock, std::chrono::microseconds(Timeout.ticks()),
+                    [this] { return Count > 0 || Closed; });
+    return takeFront();
+  }
+
+  /// \returns the first element without waiting, or nothing.
+  std::optional<Element> tryPop() {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    return takeFront();
+  }
+
+  /// Refuses further elements and wakes all waiting threads. Elements that are
+  /// in the ring can still be taken.
+  void close() {
+    {
+      const std::lock_guard<std::mutex> Lock(Mutex);
+      Closed = true;
+    }
+    Filled.notify_all();
+  }
+
+  /// \returns true once close() was called.
+  bool closed() const {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    return Closed;
+  }
+
+  std::size_t size() const {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    return Count;
+  }
+
+private:
+  std::optional<Element> takeFront() {
+    if (Count == 0)
+      return std::nullopt;
+    std::optional<Element> Value = std::move(Slots[First]);
+    Slots[First].reset();
+    First = (First + 1) % Slots.size();
+    --Count;
+    return Value;
+  }
+
+  mutable std::mutex Mutex;
+  std::condition_variable Filled;
+  std::vector<std::optional<Element>> Slots;
+  std::size_t First = 0;
+  std::size_t Count = 0;
+  bool Closed = false;
+};
+
+} // namespace camphorpin
+
+#endif
--- /dev/null
+++ b/packages/core/camphorpin/src/Core/Clock.h
@@ -0,0 +1,57 @@
+#ifndef CAMPHORPIN_SRC_CORE_CLOCK_H
+#define CAMPHORPIN_SRC_CORE_CLOCK_H
+
+#include "camphorpin/src/Core/Instant.h"
+
+namespace camphorpin {
+
+/// \class Clock
+/// \brief The source of time for everything that decides.
+class Clock {
+public:
+  virtual ~Clock() = default;
+
+  /// \returns the current time on a clock that never goes back. It is only
+  /// comparable within one process.
+  virtual Instant now() const = 0;
+
+  /// \returns the wall clock time since the Unix epoch. It may jump, so it only
+  /// serves to date request keys and incarnations.
+  virtual Instant wallNow() const = 0;
+};
+
+/// \class SystemClock
+/// \brief The clocks of the host.
+class SystemClock final : public Clock {
+public:
+  Instant now() const override;
+  Instant wallNow() const override;
+};
+
+/// \class ManualClock
+/// \brief A clock that moves only when it is told to, for virtual time.
+class ManualClock final : public Clock {
+public:
+  /// \param WallOrigin the wall clock time at which now() is zero.
+  explicit ManualClock(Instant WallOrigin = Instant::fromMillis(0))
+      : WallOrigin(WallOrigin) {}
+
+  Instant now() const override { return Current; }
+  Instant wallNow() const override {
+    return WallOrigin + Current.sinceOrigin();
+  }
+
+  /// Moves the clock forward by \p Span, which must not be negative.
+  void advance(Duration Span);
+
+  /// Moves the clock forward to \p Time, which must not be in the past.
+  void advanceTo(Instant Time);
+
+private:
+  Instant WallOrigin;
+  Instant Current;
+};
+
+} // namespace camphorpin
+
+#endif
--- /dev/null
+++ b/packages/core/camphorpin/src/Core/Duration.h
@@ -0,0 +1,79 @@
+#ifndef CAMPHORPIN_SRC_CORE_DURATION_H
+#define CAMPHORPIN_SRC_CORE_DURATION_H
+
+#include <compare>
+#include <cstdint>
+
+namespace camphorpin {
+
+/// \class Duration
+/// \brief A signed span of time in milliseconds.
+///
+/// The resolution is 1/1000 ms, because added latency is measured in fractions
+/// of a millisecond.
+class Duration {
+public:
+  constexpr Duration() = default;
+
+  /// \param Value whole milliseconds.
+  static constexpr Duration millis(std::int64_t Value) {
+    return Duration(Value * TicksPerMilli);
+  }
+
+  /// \param Value whole seconds.
+  static constexpr Duration seconds(std::int64_t Value) {
+    return millis(Value * 1000);
+  }
+
+  /// \param Value milliseconds with a fraction.
+  static constexpr Duration fromMillis(double Value) {
+    return Duration(static_cast<std::int64_t>(Value * TicksPerMilli));
+  }
+
+  /// \param Value thousandths of a millisecond.
+  static constexpr Duration ticks(std::int64_t Value) {
+    return Duration(Value);
+  }
+
+  /// \returns the length in milliseconds with its fraction.
+  constexpr double toMillis() const {
+    return static_cast<double>(Ticks) / TicksPerMilli;
+  }
+
+  /// \returns the length in whole milliseconds, rounded towards zero.
+  constexpr std::int64_t wholeMillis() const { return Ticks / TicksPerMilli; }
+
+  /// \returns the length in thousandths of a millisecond.
+  constexpr std::int64_t ticks() const { return Ticks; }
+
+  constexpr auto operator<=>(const Duration &) const = default;
+
+  constexpr Duration operator+(Duration Other) const {
+    return Duration(Ticks + Other.Ticks);
+  }
+  constexpr Duration operator-(Duration Other) const {
+    return Duration(Ticks - Other.Ticks);
+  }
+  constexpr Duration operator*(double Factor) const {
+    return Duration(
+        static_cast<std::int64_t>(static_cast<double>(Ticks) * Factor));
+  }
+  constexpr Duration operator/(std::int64_t Divisor) const {
+    return Duration(Ticks / Divisor);
+  }
+  constexpr Duration &operator+=(Duration Other) {
+    Ticks += Other.Ticks;
+    return *this;
+  }
+
+private:
+  static constexpr std::int64_t TicksPerMilli = 1000;
+
+  constexpr explicit Duration(std::int64_t Ticks) : Ticks(Ticks) {}
+
+  std::int64_t Ticks = 0;
+};
+
+} // namespace camphorpin
+
+#endif
--- /dev/null
+++ b/packages/core/camphorpin/src/Core/Name.h
@@ -0,0 +1,51 @@
+#ifndef CAMPHORPIN_SRC_CORE_NAME_H
+#define CAMPHORPIN_SRC_CORE_NAME_H
+
+#include <compare>
+#include <cstddef>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace camphorpin {
+
+/// \class Name
+/// \brief A text identifier of one kind, so that kinds cannot be mixed up.
+template <class Kind> class Name {
+public:
+  Name() = default;
+  explicit Name(std::string_view Text) : Text(Text) {}
+
+  std::string_view view() const { return Text; }
+  const std::string &string() const { return Text; }
+  bool empty() const { return Text.empty(); }
+
+  auto operator<=>(const Name &) const = default;
+
+private:
+  std::string Text;
+};
+
+using ServiceName = Name<struct ServiceKind>;
+using OperationName = Name<struct OperationKind>;
+using CallerName = Name<struct CallerKind>;
+using ZoneName = Name<struct ZoneKind>;
+using RegionName = Name<struct RegionKind>;
+using DocumentName = Name<struct DocumentKind>;
+
+/// \brief The longest text a name may have, in bytes.
+inline constexpr std::size_t MaxNameLength = 64;
+
+/// \returns true if \p Text is 1 to MaxNameLength characters out of
+/// [a-zA-Z0-9._-]. A document name may also contain '/'.
+bool isValidName(std::string_view Text, bool AllowSlash = false);
+
+} // namespace camphorpin
+
+template <class Kind> struct std::hash<camphorpin::Name<Kind>> {
+  std::size_t operator()(const camphorpin::Name<Kind> &Value) const {
+    return std::hash<std::string_view>()(Value.view());
+  }
+};
+
+#endif
--- /dev/null
+++ b/packages/core/tests/CoreTest.cpp
@@ -0,0 +1,88 @@
+// Guards the shared vocabulary: identifiers that nodes of different builds must
+// agree on, and parsers that get input from outside.
+#include "camphorpin/Core.h"
+
+#include <criterion/criterion.h>
+#include <memory>
+
+using namespace camphorpin;
+
+Test(RequestKey, parsesItsOwnTextAndKeepsItsCreationTime) {
+  SeededRandom Source(7);
+  const RequestKey Key =
+      RequestKey::make(Instant::fromMillis(1780000000123), Source);
+  const std::optional<RequestKey> Parsed = RequestKey::parse(Key.toString());
+  cr_assert(Parsed.has_value());
+  cr_assert(*Parsed == Key);
+  cr_assert_eq(Key.createdAt().wholeMillis(), 1780000000123);
+}
+
+Test(RequestKey, refusesTextThatIsNotUuidVersion7) {
+  cr_assert_not(RequestKey::parse(""));
+  cr_assert_not(RequestKey::parse("9b2d0f5c-8c1f-4b6e-9f3a-0123456789ab"));
+  cr_assert_not(RequestKey::parse("018f0f5c-8c1f-7b6e-0f3a-0123456789ab"));
+  cr_assert_not(RequestKey::parse("018f0f5c-8c1f-7b6e-9f3a-0123456789ag"));
+  cr_assert_not(RequestKey::parse("018f0f5c08c1f-7b6e-9f3a-0123456789ab"));
+  cr_assert(
+      RequestKey::parse("018F0F5C-8C1F-7B6E-9F3A-0123456789AB").has_value());
+}
+
+// A parent that is executed again must derive the same child keys; otherwise a
+// non-idempotent child runs twice.
+Test(RequestKey, childKeysAreStableAndDistinct) {
+  SeededRandom Source(7);
+  const RequestKey Key = RequestKey::make(Instant::fromMillis(1000), Source);
+  const RequestKey Child = Key.child("lots/reserve", "0");
+  cr_assert(Child == Key.child("lots/reserve", "0"));
+  cr_assert(Child != Key.child("lots/reserve", "1"));
+  cr_assert(Child != Key.child("lots/release", "0"));
+  cr_assert_eq(Child.createdAt().wholeMillis(), 1000);
+  cr_assert(RequestKey::parse(Child.toString()).has_value());
+}
+
+Test(HostAddress, roundTripsAndRefusesMalformedText) {
+  const std::optional<HostAddress> Address =
+      HostAddress::parse("127.0.0.2:7001");
+  cr_assert(Address.has_value());
+  cr_assert_eq(Address->toString(), std::string("127.0.0.2:7001"));
+  for (std::string_view Text :
+       {"", "127.0.0.1", "127.0.0.1:", "127.0.0.256:1", "1.2.3:4",
+        "1.2.3.4:70000", "1.2.3.4:5x", "-1.2.3.4:5", "1..3.4:5"})
+    cr_assert_not(HostAddress::parse(Text).has_value());
+}
+
+Test(Verdict, namesRoundTrip) {
+  for (Verdict Value : {Verdict::Ran, Verdict::NotRun, Verdict::MayHaveRun})
+    cr_assert(parseVerdict(toString(Value)) == Value);
+  cr_assert_not(parseVerdict("maybe").has_value());
+  cr_assert(parseRefusalReason("node-busy") == RefusalReason::NodeBusy);
+  cr_assert(parseRefusalReason("shed") == RefusalReason::Shed);
+}
+
+Test(BoundedRing, refusesWhenFullAndKeepsOrder) {
+  BoundedRing<std::unique_ptr<int>> Ring(2);
+  cr_assert(Ring.push(std::make_unique<int>(1)));
+  cr_assert(Ring.push(std::make_unique<int>(2)));
+  std::unique_ptr<int> Third = std::make_unique<int>(3);
+  cr_assert_not(Ring.push(std::move(Third)));
+  cr_assert(Third != nullptr, "a refused element stays with its owner");
+  cr_assert_eq(**Ring.tryPop(), 1);
+  Ring.close();
+  cr_assert_not(Ring.push(std::make_unique<int>(4)));
+  cr_assert_eq(**Ring.pop(Duration::millis(1)), 2);
+  cr_assert_not(Ring.pop(Duration::millis(1)).has_value());
+}
+
+Test(StateChart, interpretsTransitionsAndRejectsUnknownStates) {
+  const StateChart Chart = StateChart::embedded(
+      R"({ "initial": "alive", // comment
+           "states": ["alive", "suspect"],
+           "transitions": [{"from": "alive", "on": "missed",
+                            "to": "suspect"}] })");
+  const StateChart::State Suspect = Chart.next(Chart.initial(), "missed");
+  cr_assert_eq(Chart.name(Suspect), std::string_view("suspect"));
+  cr_assert_eq(Chart.next(Suspect, "missed"), Suspect);
+  cr_assert(std::holds_alternative<StateChartError>(StateChart::parse(
+      R"({"initial": "x", "states": [], "transitions": []})")));
+  cr_assert(std::holds_alternative<StateChartError>(StateChart::parse("{")));
+}
