Add the public header of admission control

Purpose: the engine needs a stable interface before the controller is finished. Events go in (offer, finished, cancelled, tick, policy changes, drain); start, refuse and cancelRunning come out through AdmissionListener. The state is private to the implementation so that the header stays stable.

finished() takes the time that the call waited for its own calls, because a slow dependency must not shrink the limit of the service above it.

--- /dev/null
+++ b/packages/decision/camphorpin/src/Admission/AdmissionController.h
@@ -0,0 +1,92 @@
+#ifndef CAMPHORPIN_SRC_ADMISSION_ADMISSIONCONTROLLER_H
+#define CAMPHORPIN_SRC_ADMISSION_ADMISSIONCONTROLLER_H
+
+#include "camphorpin/Core.h"
+#include "camphorpin/Policy.h"
+#include "camphorpin/src/Admission/AdmissionListener.h"
+#include "camphorpin/src/Admission/AdmissionRequest.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+
+namespace camphorpin {
+
+/// \class AdmissionController
+/// \brief Decides which calls run on one backend server, and when.
+///
+/// Calls run up to an adaptive concurrency limit. The others wait in a bounded
+/// queue, ordered by rank and then by the creation time of the whole request,
+/// or are refused before they run. See docs/admission.md.
+///
+/// All times that are passed in come from one clock and never go back.
+class AdmissionController {
+public:
+  /// \param Listener must outlive the controller.
+  /// \pre \p Mesh has 1 to MaxRanks ranks; \p Service has at least one slot.
+  AdmissionController(const MeshPolicy &Mesh, const ServicePolicy &Service,
+                      AdmissionListener &Listener, Instant Now);
+  ~AdmissionController();
+  AdmissionController(const AdmissionController &) = delete;
+  AdmissionController &operator=(const AdmissionController &) = delete;
+
+  /// Offers a call. The listener gets its start or refusal now or later.
+  /// \pre no call with this id is queued or running.
+  void offer(const AdmissionRequest &Request, Instant Now);
+
+  /// A started call has ended and its slot is free. Unknown ids are ignored.
+  /// \param Downstream time during which the call waited for calls it made
+  /// itself. It is not held against the backend server.
+  void finished(std::uint64_t Id, AdmissionOutcome Outcome, Instant Now,
+                Duration Downstream = Duration());
+
+  /// Nobody waits for the call any longer. A queued call is refused with
+  /// RefusalReason::Cancelled; for a running call the listener gets
+  /// cancelRunning(). Unknown ids are ignored.
+  void cancelled(std::uint64_t Id, Instant Now);
+
+  /// Refuses queued calls that can no longer meet their deadline and adapts
+  /// limit and shedding level. To be called every 10 to 100 ms.
+  void tick(Instant Now);
+
+  /// Adopts a new policy. Running calls are not interrupted; queued calls
+  /// beyond a smaller queue limit are refused.
+  void applyMeshPolicy(const MeshPolicy &Mesh, Instant Now);
+
+  /// \overload
+  void applyServicePolicy(const ServicePolicy &Service, Instant Now);
+
+  /// The backend server was replaced or restarted: the concurrency limit ramps
+  /// up from the start again. Calls that ran there are still to be finished.
+  void backendRestarted(Instant Now);
+
+  /// Refuses new calls from now on; queued and running calls finish.
+  void drain();
+
+  /// \returns true if no call is queued or running.
+  bool idle() const;
+
+  /// \returns the least urgent rank that is accepted now. It travels back on
+  /// every answer (see UpstreamShedder).
+  Rank sheddingLevel() const;
+
+  /// \returns the number of calls that may run at the same time now.
+  std::uint32_t limit() const;
+
+  /// \returns the number of calls that run.
+  std::size_t running() const;
+
+  /// \returns the number of calls of one rank that run.
+  std::size_t running(Rank Value) const;
+
+  /// \returns the number of calls that wait.
+  std::size_t queued() const;
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> State;
+};
+
+} // namespace camphorpin
+
+#endif
--- /dev/null
+++ b/packages/decision/camphorpin/src/Admission/AdmissionRequest.h
@@ -0,0 +1,52 @@
+#ifndef CAMPHORPIN_SRC_ADMISSION_ADMISSIONREQUEST_H
+#define CAMPHORPIN_SRC_ADMISSION_ADMISSIONREQUEST_H
+
+#include "camphorpin/Core.h"
+
+#include <cstdint>
+#include <string_view>
+
+namespace camphorpin {
+
+/// \class AdmissionRequest
+/// \brief What admission control needs to know of one call.
+struct AdmissionRequest {
+  /// Chosen by the node; unique among the calls that are queued or running.
+  std::uint64_t Id = 0;
+  camphorpin::Rank Rank;
+  bool Idempotent = false;
+  /// Time since the whole request arrived at its ingress node.
+  Duration Age;
+  /// Time that is left until the deadline of the call.
+  Duration Remaining;
+  /// Read only during the offer.
+  std::string_view Caller;
+
+  /// \returns the request for the call with this context. The result refers to
+  /// the caller name in \p Context.
+  static AdmissionRequest from(std::uint64_t Id,
+                               const RequestContext &Context) {
+    return {.Id = Id,
+            .Rank = Context.Rank,
+            .Idempotent = Context.Idempotent,
+            .Age = Context.Age,
+            .Remaining = Context.Remaining,
+            .Caller = Context.Caller.view()};
+  }
+};
+
+/// \brief How a started call ended.
+enum class AdmissionOutcome : std::uint8_t {
+  /// The backend server answered.
+  Completed,
+  /// The backend server failed, or the deadline passed.
+  Failed,
+  /// The backend server refused the call without running it.
+  BackendShed,
+  /// The call ended because it was cancelled.
+  Cancelled,
+};
+
+} // namespace camphorpin
+
+#endif
