Add the admission controller and the upstream shedder

Change: AdmissionState keeps one fair queue per rank (RankQueue), slot time credits for floors (RankShares), smoothed service times per operation class (ServiceTimes), an AIMD concurrency limit and the shedding level. UpstreamShedder refuses calls below the level of the called service.

Ruled out: floors rounded up to whole slots; with 20 slots and three ranks they would take 15% instead of the 5% of the policy. Therefore a floor is a credit in slot time.

--- a/packages/decision/camphorpin/src/Admission/AdmissionController.h
+++ b/packages/decision/camphorpin/src/Admission/AdmissionController.h
@@ -5,6 +5,7 @@
 #include "camphorpin/Policy.h"
 #include "camphorpin/src/Admission/AdmissionListener.h"
 #include "camphorpin/src/Admission/AdmissionRequest.h"
+#include "camphorpin/src/Admission/ConcurrencyLimit.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -12,6 +13,10 @@
 
 namespace camphorpin {
 
+namespace detail {
+class AdmissionState;
+} // namespace detail
+
 /// \class AdmissionController
 /// \brief Decides which calls run on one backend server, and when.
 ///
@@ -26,6 +31,12 @@
   /// \pre \p Mesh has 1 to MaxRanks ranks; \p Service has at least one slot.
   AdmissionController(const MeshPolicy &Mesh, const ServicePolicy &Service,
                       AdmissionListener &Listener, Instant Now);
+
+  /// \overload
+  /// \param Limit replaces the default algorithm, AimdLimit.
+  AdmissionController(const MeshPolicy &Mesh, const ServicePolicy &Service,
+                      AdmissionListener &Listener, Instant Now,
+                      std::unique_ptr<ConcurrencyLimit> Limit);
   ~AdmissionController();
   AdmissionController(const AdmissionController &) = delete;
   AdmissionController &operator=(const AdmissionController &) = delete;
@@ -83,8 +94,7 @@
   std::size_t queued() const;
 
 private:
-  class Impl;
-  std::unique_ptr<Impl> State;
+  std::unique_ptr<detail::AdmissionState> State;
 };
 
 } // namespace camphorpin
--- a/packages/decision/camphorpin/src/Admission/AdmissionRequest.h
+++ b/packages/decision/camphorpin/src/Admission/AdmissionRequest.h
@@ -21,6 +21,8 @@
   Duration Remaining;
   /// Read only during the offer.
   std::string_view Caller;
+  /// Distinguishes operations, which differ in service time.
+  std::uint64_t OperationHash = 0;
 
   /// \returns the request for the call with this context. The result refers to
   /// the caller name in \p Context.
@@ -31,15 +33,16 @@
             .Idempotent = Context.Idempotent,
             .Age = Context.Age,
             .Remaining = Context.Remaining,
-            .Caller = Context.Caller.view()};
+            .Caller = Context.Caller.view(),
+            .OperationHash = stableHash(Context.Operation.view())};
   }
 };
 
 /// \brief How a started call ended.
 enum class AdmissionOutcome : std::uint8_t {
-  /// The backend server answered.
+  /// The backend server answered, other than with an error of its own (5xx).
   Completed,
-  /// The backend server failed, or the deadline passed.
+  /// The backend server failed or answered an error, or the deadline passed.
   Failed,
   /// The backend server refused the call without running it.
   BackendShed,
--- /dev/null
+++ b/packages/decision/camphorpin/src/Admission/AdmissionState.cpp
@@ -0,0 +1,257 @@
+#include "camphorpin/src/Admission/AdmissionState.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+using namespace camphorpin;
+using namespace camphorpin::detail;
+
+AdmissionState::AdmissionState(const MeshPolicy &Mesh,
+                               const ServicePolicy &Service,
+                               AdmissionListener &Listener,
+                               std::unique_ptr<ConcurrencyLimit> Limit)
+    : Listener(Listener), Shares(Mesh), Level(Mesh.Ranks.size()),
+      Limit(std::move(Limit)), Queues(MaxRanks) {
+  setMeshPolicy(Mesh);
+  setServicePolicy(Service);
+}
+
+void AdmissionState::setMeshPolicy(const MeshPolicy &Mesh) {
+  Shares.setPolicy(Mesh);
+  Level.setRanks(Mesh.Ranks.size());
+  Callers.setShares(Mesh.CallerShares);
+}
+
+void AdmissionState::setServicePolicy(const ServicePolicy &Service) {
+  Limit->setSlots(Service.Slots);
+  QueueLimit = Service.QueueLimit;
+  CancelLowerRanks = Service.CancelLowerRanks;
+  evictExcess();
+}
+
+void AdmissionState::restartBackend() {
+  Limit->restart();
+  Times.clear();
+}
+
+CallRecord AdmissionState::makeRecord(const AdmissionRequest &Request,
+                                      Instant Now) {
+  const std::uint8_t LeastUrgent =
+      static_cast<std::uint8_t>(Shares.ranks() - 1);
+  const std::uint8_t Class = ServiceTimes::classOf(Request.OperationHash);
+  const Instant Deadline = Now + Request.Remaining;
+  return {.Age = {.Created = Now - Request.Age, .Id = Request.Id},
+          .Rank = std::min(Request.Rank.index(), LeastUrgent),
+          .OperationClass = Class,
+          .Idempotent = Request.Idempotent,
+          .Deadline = Deadline,
+          .StartTime = Deadline - Times.expected(Class, Now)};
+}
+
+void AdmissionState::offer(const AdmissionRequest &Request, Instant Now) {
+  assert(!Calls.contains(Request.Id) && "the id is already queued or running");
+  CallRecord Call = makeRecord(Request, Now);
+  Level.onOffered(Rank(Call.Rank));
+  if (Draining)
+    return Listener.refuse(Request.Id, RefusalReason::Draining);
+  if (Call.StartTime <= Now)
+    return Listener.refuse(Request.Id, RefusalReason::Deadline);
+  Call.Caller = Callers.acquire(Request.Caller);
+  if (canStartAtOnce(Call.Rank)) {
+    start(Calls.emplace(Request.Id, Call).first->second, Now);
+    return;
+  }
+  if (Now + expectedWait(Call) >= Call.StartTime) {
+    Callers.release(Call.Caller);
+    Level.onRefused(Rank(Call.Rank));
+    return Listener.refuse(Request.Id, RefusalReason::Deadline);
+  }
+  Calls.emplace(Request.Id, Call);
+  enqueue(Call);
+  dispatch(Now);
+  evictExcess();
+  if (Call.Rank == 0)
+    cancelForUrgent();
+}
+
+bool AdmissionState::canStartAtOnce(std::size_t Rank) const {
+  return queued() == 0 && RunningTotal < limit() &&
+         Shares.belowCap(Rank, RunningOf[Rank], limit());
+}
+
+Duration AdmissionState::expectedWait(const CallRecord &Call) const {
+  const double Within = Queues[Call.Rank].aheadOf(
+      {.Age = Call.Age, .Caller = Call.Caller}, Callers.weight(Call.Caller));
+  double Ahead = Within;
+  for (std::size_t Index = 0; Index < Call.Rank; ++Index)
+    Ahead += static_cast<double>(Queues[Index].size());
+  double Rounds =
+      std::max(Ahead / limit(), Within / Shares.capSlots(Call.Rank, limit()));
+  // The floor bounds the wait even behind a flood of more urgent work.
+  const double FloorSlots = Shares.floorSlots(Call.Rank, limit());
+  if (FloorSlots > 0)
+    Rounds = std::min(Rounds, (Within + 1) / FloorSlots);
+  return Times.mean() * Rounds;
+}
+
+void AdmissionState::enqueue(const CallRecord &Call) {
+  Queues[Call.Rank].insert({.Age = Call.Age, .Caller = Call.Caller},
+                           Callers.weight(Call.Caller));
+  LatestStarts.insert({Call.StartTime, Call.Age.Id});
+}
+
+void AdmissionState::dequeue(const CallRecord &Call) {
+  Queues[Call.Rank].erase({.Age = Call.Age, .Caller = Call.Caller});
+  LatestStarts.erase({Call.StartTime, Call.Age.Id});
+}
+
+void AdmissionState::start(CallRecord &Call, Instant Now) {
+  Call.Running = true;
+  Call.StartTime = Now;
+  ++RunningTotal;
+  ++RunningOf[Call.Rank];
+  if (Call.Idempotent)
+    Cancellable[Call.Rank].insert(Call.Age);
+  Listener.start(Call.Age.Id);
+}
+
+void AdmissionState::finished(std::uint64_t Id, AdmissionOutcome Outcome,
+                              Instant Now, Duration Downstream) {
+  const auto Found = Calls.find(Id);
+  if (Found == Calls.end() || !Found->second.Running)
+    return;
+  const CallRecord Call = Found->second;
+  learn(Call, Outcome, Now, Downstream);
+  Calls.erase(Found);
+  Callers.release(Call.Caller);
+  Cancellable[Call.Rank].erase(Call.Age);
+  --RunningTotal;
+  --RunningOf[Call.Rank];
+  if (Call.CancelSent) {
+    --CancelsTotal;
+    --CancelsOf[Call.Rank];
+  }
+  dispatch(Now);
+}
+
+void AdmissionState::learn(const CallRecord &Call, AdmissionOutcome Outcome,
+                           Instant Now, Duration Downstream) {
+  if (Outcome == AdmissionOutcome::BackendShed)
+    return Limit->onBackendShed(RunningTotal, Now);
+  if (Outcome == AdmissionOutcome::Cancelled || Call.CancelSent)
+    return;
+  const Duration Held = Now - Call.StartTime;
+  // A quick failure says nothing about the time that the work takes.
+  if (Outcome == AdmissionOutcome::Failed &&
+      Held < Times.expected(Call.OperationClass, Now))
+    return;
+  const double Slowdown =
+      Times.record(Call.OperationClass, Held, Held - Downstream, Now);
+  Limit->onFinished({.Slowdown = Slowdown, .Running = RunningTotal}, Now);
+}
+
+void AdmissionState::cancelled(std::uint64_t Id, Instant Now) {
+  const auto Found = Calls.find(Id);
+  if (Found == Calls.end())
+    return;
+  if (!Found->second.Running)
+    refuseQueued(Id, RefusalReason::Cancelled);
+  else if (!Found->second.CancelSent)
+    sendCancel(Found->second);
+  dispatch(Now);
+}
+
+void AdmissionState::tick(Instant Now) {
+  dispatch(Now);
+  Level.tick(queued() > 0, Now);
+}
+
+void AdmissionState::refuseQueued(std::uint64_t Id, RefusalReason Reason) {
+  const auto Found = Calls.find(Id);
+  assert(Found != Calls.end() && !Found->second.Running && "not queued");
+  const CallRecord Call = Found->second;
+  dequeue(Call);
+  Calls.erase(Found);
+  Callers.release(Call.Caller);
+  if (Reason != RefusalReason::Cancelled)
+    Level.onRefused(Rank(Call.Rank));
+  Listener.refuse(Id, Reason);
+}
+
+void AdmissionState::refuseExpired(Instant Now) {
+  while (!LatestStarts.empty() && LatestStarts.begin()->LatestStart < Now)
+    refuseQueued(LatestStarts.begin()->Id, RefusalReason::Deadline);
+}
+
+void AdmissionState::evictExcess() {
+  while (queued() > QueueLimit) {
+    const QueuedCall Victim = Queues[evictionRank()].evictionCandidate();
+    refuseQueued(Victim.Age.Id, RefusalReason::Overloaded);
+  }
+}
+
+std::size_t AdmissionState::evictionRank() const {
+  std::size_t LeastUrgent = 0;
+  for (std::size_t Index = Queues.size(); Index-- > 0;) {
+    if (Queues[Index].empty())
+      continue;
+    LeastUrgent = std::max(LeastUrgent, Index);
+    if (Queues[Index].size() > Shares.floorPlaces(Index, QueueLimit))
+      return Index;
+  }
+  return LeastUrgent;
+}
+
+void AdmissionState::dispatch(Instant Now) {
+  refuseExpired(Now);
+  while (queued() > 0 && RunningTotal < limit()) {
+    const std::optional<std::size_t> Rank = nextRank(Now);
+    if (!Rank)
+      return;
+    const QueuedCall Next = Queues[*Rank].popNext();
+    CallRecord &Call = Calls.at(Next.Age.Id);
+    LatestStarts.erase({Call.StartTime, Call.Age.Id});
+    start(Call, Now);
+  }
+}
+
+std::optional<std::size_t> AdmissionState::nextRank(Instant Now) {
+  const std::uint32_t Total = limit();
+  for (std::size_t Index = 0; Index < Queues.size(); ++Index)
+    Shares.advance(Index, !Queues[Index].empty(), Total, Now);
+  for (std::size_t Index = 0; Index < Queues.size(); ++Index) {
+    if (Queues[Index].empty() ||
+        !Shares.belowFloor(Index, RunningOf[Index], Total))
+      continue;
+    Shares.charge(Index, Times.mean());
+    return Index;
+  }
+  for (std::size_t Index = 0; Index < Queues.size(); ++Index)
+    if (!Queues[Index].empty() &&
+        Shares.belowCap(Index, RunningOf[Index], Total))
+      return Index;
+  return std::nullopt;
+}
+
+void AdmissionState::cancelForUrgent() {
+  if (!CancelLowerRanks || RunningTotal < limit() ||
+      CancelsTotal >= Queues[0].size())
+    return;
+  for (std::size_t Index = Queues.size(); Index-- > 1;) {
+    const std::size_t Kept = RunningOf[Index] - CancelsOf[Index];
+    if (Cancellable[Index].empty() ||
+        static_cast<double>(Kept) <= Shares.floorSlots(Index, limit()))
+      continue;
+    const std::uint64_t Youngest = Cancellable[Index].rbegin()->Id;
+    return sendCancel(Calls.at(Youngest));
+  }
+}
+
+void AdmissionState::sendCancel(CallRecord &Call) {
+  Call.CancelSent = true;
+  ++CancelsTotal;
+  ++CancelsOf[Call.Rank];
+  Cancellable[Call.Rank].erase(Call.Age);
+  Listener.cancelRunning(Call.Age.Id);
+}
--- /dev/null
+++ b/packages/decision/camphorpin/src/Admission/AdmissionState.h
@@ -0,0 +1,105 @@
+#ifndef CAMPHORPIN_SRC_ADMISSION_ADMISSIONSTATE_H
+#define CAMPHORPIN_SRC_ADMISSION_ADMISSIONSTATE_H
+
+#include "camphorpin/Policy.h"
+#include "camphorpin/src/Admission/AdmissionListener.h"
+#include "camphorpin/src/Admission/AdmissionRequest.h"
+#include "camphorpin/src/Admission/CallerTable.h"
+#include "camphorpin/src/Admission/ConcurrencyLimit.h"
+#include "camphorpin/src/Admission/RankQueue.h"
+#include "camphorpin/src/Admission/RankShares.h"
+#include "camphorpin/src/Admission/ServiceTimes.h"
+#include "camphorpin/src/Admission/SheddingLevel.h"
+#include "camphorpin/src/Admission/WaitingCall.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace camphorpin::detail {
+
+/// \class AdmissionState
+/// \brief The state behind AdmissionController; see there for the events.
+///
+/// Memory is bounded by the slots, the queue limit, CallerTable::Size and
+/// constants. Every event costs a logarithm of the queue length, apart from
+/// the calls that it starts or refuses.
+class AdmissionState {
+public:
+  AdmissionState(const MeshPolicy &Mesh, const ServicePolicy &Service,
+                 AdmissionListener &Listener,
+                 std::unique_ptr<ConcurrencyLimit> Limit);
+
+  void offer(const AdmissionRequest &Request, Instant Now);
+  void finished(std::uint64_t Id, AdmissionOutcome Outcome, Instant Now,
+                Duration Downstream);
+  void cancelled(std::uint64_t Id, Instant Now);
+  void tick(Instant Now);
+  void setMeshPolicy(const MeshPolicy &Mesh);
+  void setServicePolicy(const ServicePolicy &Service);
+  void restartBackend();
+  void drain() { Draining = true; }
+
+  Rank sheddingLevel() const { return Level.value(); }
+  std::uint32_t limit() const { return Limit->value(); }
+  std::size_t running() const { return RunningTotal; }
+  std::size_t running(Rank Of) const { return RunningOf[Of.index()]; }
+  std::size_t queued() const { return LatestStarts.size(); }
+
+private:
+  using CallMap = std::unordered_map<std::uint64_t, CallRecord>;
+
+  struct StartKey {
+    Instant LatestStart;
+    std::uint64_t Id = 0;
+    auto operator<=>(const StartKey &) const = default;
+  };
+
+  CallRecord makeRecord(const AdmissionRequest &Request, Instant Now);
+  bool canStartAtOnce(std::size_t Rank) const;
+  Duration expectedWait(const CallRecord &Call) const;
+  void enqueue(const CallRecord &Call);
+  void dequeue(const CallRecord &Call);
+  void start(CallRecord &Call, Instant Now);
+  void learn(const CallRecord &Call, AdmissionOutcome Outcome, Instant Now,
+             Duration Downstream);
+  /// Refuses a queued call.
+  void refuseQueued(std::uint64_t Id, RefusalReason Reason);
+  void refuseExpired(Instant Now);
+  void evictExcess();
+  std::size_t evictionRank() const;
+  void dispatch(Instant Now);
+  std::optional<std::size_t> nextRank(Instant Now);
+  void cancelForUrgent();
+  void sendCancel(CallRecord &Call);
+
+  AdmissionListener &Listener;
+  RankShares Shares;
+  SheddingLevel Level;
+  std::unique_ptr<ConcurrencyLimit> Limit;
+  ServiceTimes Times;
+  CallerTable Callers;
+  std::uint32_t QueueLimit = 0;
+  bool CancelLowerRanks = false;
+  bool Draining = false;
+
+  CallMap Calls;
+  std::vector<RankQueue> Queues;
+  std::set<StartKey> LatestStarts;
+  std::size_t RunningTotal = 0;
+  std::array<std::size_t, MaxRanks> RunningOf{};
+  /// Running calls whose cancellation was sent.
+  std::size_t CancelsTotal = 0;
+  std::array<std::size_t, MaxRanks> CancelsOf{};
+  /// Idempotent running calls that were not cancelled.
+  std::array<std::set<AgeKey>, MaxRanks> Cancellable;
+};
+
+} // namespace camphorpin::detail
+
+#endif
--- /dev/null
+++ b/packages/decision/camphorpin/src/Admission/CallerTable.cpp
@@ -0,0 +1,62 @@
+#include "camphorpin/src/Admission/CallerTable.h"
+
+#include <algorithm>
+#include <cassert>
+
+using namespace camphorpin;
+using namespace camphorpin::detail;
+
+CallerTable::CallerTable() : Callers(Size) {
+  for (std::size_t Index = Tracked; Index > 0; --Index) {
+    Idle.push_back(static_cast<std::uint16_t>(Index - 1));
+    Callers[Index - 1].OnIdleList = true;
+  }
+}
+
+void CallerTable::setShares(const std::map<CallerName, std::uint32_t> &Shares) {
+  Weights.clear();
+  for (const auto &[Name, Weight] : Shares)
+    Weights.emplace(Name.string(), std::max(1U, Weight));
+  for (std::size_t Index = 0; Index < Tracked; ++Index)
+    Callers[Index].Weight = weightOf(Callers[Index].Name);
+}
+
+double CallerTable::weightOf(std::string_view Name) const {
+  const auto Found = Weights.find(Name);
+  return Found == Weights.end() ? 1.0 : Found->second;
+}
+
+std::uint16_t CallerTable::acquire(std::string_view Name) {
+  const auto Found = Numbers.find(Name);
+  const std::uint16_t Number =
+      Found == Numbers.end() ? assign(Name) : Found->second;
+  ++Callers[Number].Calls;
+  return Number;
+}
+
+std::uint16_t CallerTable::assign(std::string_view Name) {
+  while (!Idle.empty()) {
+    const std::uint16_t Number = Idle.back();
+    Idle.pop_back();
+    Caller &Each = Callers[Number];
+    Each.OnIdleList = false;
+    if (Each.Calls > 0)
+      continue;
+    Numbers.erase(Each.Name);
+    Each.Name = Name;
+    Each.Weight = weightOf(Name);
+    Numbers.emplace(Name, Number);
+    return Number;
+  }
+  return static_cast<std::uint16_t>(Tracked + stableHash(Name) % Shared);
+}
+
+void CallerTable::release(std::uint16_t Number) {
+  Caller &Each = Callers[Number];
+  assert(Each.Calls > 0 && "release without acquire");
+  --Each.Calls;
+  if (Each.Calls > 0 || Number >= Tracked || Each.OnIdleList)
+    return;
+  Each.OnIdleList = true;
+  Idle.push_back(Number);
+}
--- /dev/null
+++ b/packages/decision/camphorpin/src/Admission/RankQueue.cpp
@@ -0,0 +1,126 @@
+#include "camphorpin/src/Admission/RankQueue.h"
+
+#include <algorithm>
+#include <cassert>
+
+using namespace camphorpin;
+using namespace camphorpin::detail;
+
+namespace {
+
+/// How far a caller of weight 1 may be ahead of its share, in starts. It keeps
+/// the order by age when callers are nearly even.
+constexpr double Burst = 2.0;
+
+} // namespace
+
+void RankQueue::insert(const QueuedCall &Call, double Weight) {
+  CallerQueue &Queue = Callers[Call.Caller];
+  if (Queue.Waiting.empty()) {
+    Queue.Served = std::max(Queue.Served, VirtualTime);
+    WaitingWeight += Weight;
+  } else {
+    unlink(Call.Caller);
+    WaitingWeight += Weight - Queue.Weight;
+  }
+  Queue.Weight = Weight;
+  Queue.Waiting.insert(Call.Age);
+  ++Count;
+  link(Call.Caller);
+}
+
+void RankQueue::erase(const QueuedCall &Call) {
+  CallerQueue &Queue = Callers[Call.Caller];
+  unlink(Call.Caller);
+  const std::size_t Erased = Queue.Waiting.erase(Call.Age);
+  assert(Erased == 1 && "the call is not in this queue");
+  Count -= Erased;
+  if (Queue.Waiting.empty())
+    WaitingWeight = Count == 0 ? 0 : WaitingWeight - Queue.Weight;
+  else
+    link(Call.Caller);
+}
+
+QueuedCall RankQueue::popNext() {
+  assert(!empty() && "no call waits");
+  if (Eligible.empty()) {
+    VirtualTime = Ahead.begin()->Served;
+    promote();
+  }
+  const HeadKey Head = *Eligible.begin();
+  CallerQueue &Queue = Callers[Head.Caller];
+  const double Total = WaitingWeight;
+  unlink(Head.Caller);
+  Queue.Waiting.erase(Head.Oldest);
+  --Count;
+  Queue.Served += 1 / Queue.Weight;
+  VirtualTime += 1 / Total;
+  if (Queue.Waiting.empty())
+    WaitingWeight = Count == 0 ? 0 : WaitingWeight - Queue.Weight;
+  else
+    link(Head.Caller);
+  promote();
+  return {.Age = Head.Oldest, .Caller = Head.Caller};
+}
+
+QueuedCall RankQueue::evictionCandidate() const {
+  assert(!empty() && "no call waits");
+  const LoadKey &Largest = *Loads.rbegin();
+  return {.Age = Largest.Youngest, .Caller = Largest.Caller};
+}
+
+double RankQueue::aheadOf(const QueuedCall &Call, double Weight) const {
+  if (empty())
+    return 0;
+  const CallerQueue &Queue = Callers[Call.Caller];
+  double Own = 0;
+  double Total = WaitingWeight;
+  if (Queue.Waiting.empty()) {
+    Total += Weight;
+  } else {
+    const Instant Oldest = Queue.Waiting.begin()->Created;
+    const Instant Youngest = Queue.Waiting.rbegin()->Created;
+    const double Span = (Youngest - Oldest).toMillis();
+    const double Offset = (Call.Age.Created - Oldest).toMillis();
+    const double Place = Span > 0 ? std::clamp(Offset / Span, 0.0, 1.0)
+                                  : (Offset >= 0 ? 1.0 : 0.0);
+    Own = Place * static_cast<double>(Queue.Waiting.size());
+    Weight = Queue.Weight;
+  }
+  // Each start of this caller takes a round of the others; half a round is the
+  // mean wait for the next turn.
+  constexpr double HalfRound = 0.5;
+  const double Rounds = (Own + HalfRound) * Total / Weight;
+  return std::min(static_cast<double>(Count), Rounds);
+}
+
+void RankQueue::unlink(std::uint16_t Number) {
+  const CallerQueue &Queue = Callers[Number];
+  if (Queue.Eligible)
+    Eligible.erase({*Queue.Waiting.begin(), Number});
+  else
+    Ahead.erase({Queue.Served, Number});
+  Loads.erase({static_cast<double>(Queue.Waiting.size()) / Queue.Weight,
+               *Queue.Waiting.rbegin(), Number});
+}
+
+void RankQueue::link(std::uint16_t Number) {
+  CallerQueue &Queue = Callers[Number];
+  Queue.Eligible = Queue.Served <= VirtualTime + Burst;
+  if (Queue.Eligible)
+    Eligible.insert({*Queue.Waiting.begin(), Number});
+  else
+    Ahead.insert({Queue.Served, Number});
+  Loads.insert({static_cast<double>(Queue.Waiting.size()) / Queue.Weight,
+                *Queue.Waiting.rbegin(), Number});
+}
+
+void RankQueue::promote() {
+  while (!Ahead.empty() && Ahead.begin()->Served <= VirtualTime + Burst) {
+    const std::uint16_t Number = Ahead.begin()->Caller;
+    Ahead.erase(Ahead.begin());
+    CallerQueue &Queue = Callers[Number];
+    Queue.Eligible = true;
+    Eligible.insert({*Queue.Waiting.begin(), Number});
+  }
+}
--- /dev/null
+++ b/packages/decision/camphorpin/src/Admission/RankQueue.h
@@ -0,0 +1,95 @@
+#ifndef CAMPHORPIN_SRC_ADMISSION_RANKQUEUE_H
+#define CAMPHORPIN_SRC_ADMISSION_RANKQUEUE_H
+
+#include "camphorpin/src/Admission/CallerTable.h"
+#include "camphorpin/src/Admission/WaitingCall.h"
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <set>
+#include <vector>
+
+namespace camphorpin::detail {
+
+/// \class RankQueue
+/// \brief The waiting calls of one rank: oldest whole request first, among the
+/// callers that have not had more than their share.
+///
+/// Weighted fair queueing in virtual time: the rank's virtual time advances by
+/// 1/(sum of waiting callers' weights) per start, a caller's by 1/weight per
+/// start of its own. A caller is eligible while its time is not ahead of the
+/// rank's by more than a small burst. With one caller this is the order by age.
+/// All operations are logarithmic in the number of calls.
+class RankQueue {
+public:
+  RankQueue() : Callers(CallerTable::Size) {}
+
+  /// \param Weight weight of the caller, which holds from now on.
+  void insert(const QueuedCall &Call, double Weight);
+
+  /// \pre the call is in the queue.
+  void erase(const QueuedCall &Call);
+
+  /// Removes the call that is served next.
+  /// \pre not empty().
+  QueuedCall popNext();
+
+  /// \returns the call to evict: of the caller with the most waiting calls for
+  /// its weight, the youngest.
+  /// \pre not empty().
+  QueuedCall evictionCandidate() const;
+
+  /// \returns about how many calls of this rank start before this one, which
+  /// is not in the queue yet.
+  double aheadOf(const QueuedCall &Call, double Weight) const;
+
+  std::size_t size() const { return Count; }
+  bool empty() const { return Count == 0; }
+
+private:
+  struct CallerQueue {
+    std::set<AgeKey> Waiting;
+    double Weight = 1;
+    /// Virtual time up to which the caller has been served.
+    double Served = 0;
+    bool Eligible = false;
+  };
+
+  /// Order for eviction: most calls for the weight, then the youngest.
+  struct LoadKey {
+    double Load = 0;
+    AgeKey Youngest;
+    std::uint16_t Caller = 0;
+    auto operator<=>(const LoadKey &) const = default;
+  };
+
+  struct HeadKey {
+    AgeKey Oldest;
+    std::uint16_t Caller = 0;
+    auto operator<=>(const HeadKey &) const = default;
+  };
+
+  struct ServedKey {
+    double Served = 0;
+    std::uint16_t Caller = 0;
+    auto operator<=>(const ServedKey &) const = default;
+  };
+
+  /// Removes the caller from, or adds it to, the indexes below.
+  void unlink(std::uint16_t Number);
+  void link(std::uint16_t Number);
+  void promote();
+
+  std::vector<CallerQueue> Callers;
+  std::set<HeadKey> Eligible;
+  std::set<ServedKey> Ahead;
+  std::set<LoadKey> Loads;
+  double VirtualTime = 0;
+  double WaitingWeight = 0;
+  std::size_t Count = 0;
+};
+
+} // namespace camphorpin::detail
+
+#endif
--- /dev/null
+++ b/packages/decision/camphorpin/src/Admission/RankShares.cpp
@@ -0,0 +1,54 @@
+#include "camphorpin/src/Admission/RankShares.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+using namespace camphorpin;
+using namespace camphorpin::detail;
+
+void RankShares::setPolicy(const MeshPolicy &Mesh) {
+  assert(!Mesh.Ranks.empty() && Mesh.Ranks.size() <= MaxRanks &&
+         "1 to MaxRanks ranks");
+  Count = Mesh.Ranks.size();
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    Ranks[Index].Floor = std::clamp(Mesh.Ranks[Index].Floor, 0.0, 1.0);
+    Ranks[Index].Cap = std::clamp(Mesh.Ranks[Index].Cap, 0.0, 1.0);
+  }
+}
+
+void RankShares::advance(std::size_t Of, bool Waits, std::uint32_t Limit,
+                         Instant Now) {
+  Share &Each = Ranks[Of];
+  if (Waits && Each.Credit < 0) {
+    const double Span = (Now - Each.Updated).toMillis();
+    Each.Credit = std::min(0.0, Each.Credit + Each.Floor * Limit * Span);
+  }
+  Each.Updated = Now;
+}
+
+bool RankShares::belowFloor(std::size_t Of, std::size_t Running,
+                            std::uint32_t Limit) const {
+  const Share &Each = Ranks[Of];
+  return Each.Credit >= 0 &&
+         static_cast<double>(Running) < floorSlots(Of, Limit) &&
+         belowCap(Of, Running, Limit);
+}
+
+double RankShares::capSlots(std::size_t Of, std::uint32_t Limit) const {
+  return std::max(1.0, std::floor(Ranks[Of].Cap * Limit));
+}
+
+bool RankShares::belowCap(std::size_t Of, std::size_t Running,
+                          std::uint32_t Limit) const {
+  return static_cast<double>(Running) < capSlots(Of, Limit);
+}
+
+void RankShares::charge(std::size_t Of, Duration ServiceTime) {
+  Ranks[Of].Credit -= ServiceTime.toMillis();
+}
+
+std::size_t RankShares::floorPlaces(std::size_t Of,
+                                    std::uint32_t QueueLimit) const {
+  return static_cast<std::size_t>(std::ceil(Ranks[Of].Floor * QueueLimit));
+}
--- /dev/null
+++ b/packages/decision/camphorpin/src/Admission/ServiceTimes.cpp
@@ -0,0 +1,66 @@
+#include "camphorpin/src/Admission/ServiceTimes.h"
+
+#include <algorithm>
+#include <cmath>
+
+using namespace camphorpin;
+using namespace camphorpin::detail;
+
+namespace {
+
+constexpr double Smoothing = 0.125;
+/// The smallest time is forgotten after one to two periods, so that a
+/// permanent change of the service time is accepted.
+constexpr Duration SmallestPeriod = Duration::seconds(30);
+/// Without samples for this long, the estimate halves, and again after each
+/// further such time.
+constexpr Duration DecayInterval = Duration::seconds(1);
+constexpr std::int64_t MostHalvings = 20;
+/// Own times below this are not distinguished, in ms: timer noise.
+constexpr double SmallestOwn = 0.1;
+
+void smooth(double &Value, double Sample) {
+  Value += Smoothing * (Sample - Value);
+}
+
+} // namespace
+
+double ServiceTimes::record(std::uint8_t Class, Duration Held, Duration Own,
+                            Instant Now) {
+  Entry &Of = Entries[Class];
+  const double HeldMillis = Held.toMillis();
+  const double OwnMillis = std::max(Own.toMillis(), SmallestOwn);
+  if (!Of.Known) {
+    Of = {.Mean = HeldMillis, .SmoothedOwn = OwnMillis, .Known = true};
+    if (MeanOfAll == 0)
+      MeanOfAll = HeldMillis;
+  }
+  smooth(Of.Deviation, std::abs(HeldMillis - Of.Mean));
+  smooth(Of.Mean, HeldMillis);
+  smooth(Of.SmoothedOwn, OwnMillis);
+  smooth(MeanOfAll, HeldMillis);
+  Of.LastSample = Now;
+  updateSmallest(Of, Now);
+  return OwnMillis / std::min(Of.SmallestNow, Of.SmallestBefore);
+}
+
+void ServiceTimes::updateSmallest(Entry &Of, Instant Now) {
+  if (Now >= Of.PeriodEnd) {
+    const bool First = Of.SmallestNow == 0;
+    Of.SmallestBefore = First ? Of.SmoothedOwn : Of.SmallestNow;
+    Of.SmallestNow = Of.SmoothedOwn;
+    Of.PeriodEnd = Now + SmallestPeriod;
+  }
+  Of.SmallestNow = std::min(Of.SmallestNow, Of.SmoothedOwn);
+}
+
+Duration ServiceTimes::expected(std::uint8_t Class, Instant Now) const {
+  const Entry &Of = Entries[Class];
+  if (!Of.Known)
+    return {};
+  const std::int64_t Silent =
+      (Now - Of.LastSample).ticks() / DecayInterval.ticks();
+  const int Halvings =
+      static_cast<int>(std::clamp<std::int64_t>(Silent, 0, MostHalvings));
+  return Duration::fromMillis(std::ldexp(Of.Mean + Of.Deviation, -Halvings));
+}
--- /dev/null
+++ b/packages/decision/camphorpin/src/Admission/ServiceTimes.h
@@ -0,0 +1,66 @@
+#ifndef CAMPHORPIN_SRC_ADMISSION_SERVICETIMES_H
+#define CAMPHORPIN_SRC_ADMISSION_SERVICETIMES_H
+
+#include "camphorpin/Core.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace camphorpin::detail {
+
+/// \class ServiceTimes
+/// \brief Smoothed service times of the operations of one backend server.
+///
+/// Operations share Classes entries by hash, so memory is constant. Two
+/// operations in one entry share an estimate.
+class ServiceTimes {
+public:
+  static constexpr std::size_t Classes = 64;
+
+  static std::uint8_t classOf(std::uint64_t OperationHash) {
+    return static_cast<std::uint8_t>(OperationHash % Classes);
+  }
+
+  /// Records a finished call.
+  /// \param Held time for which the call held its slot.
+  /// \param Own part of it in which the backend server itself worked.
+  /// \returns \p Own divided by the smallest smoothed own time, at least 0.
+  double record(std::uint8_t Class, Duration Held, Duration Own, Instant Now);
+
+  /// \returns the time that a call is expected to hold its slot, with a margin
+  /// of one mean deviation; zero if unknown.
+  ///
+  /// The estimate decays while no call of the operation finishes. Otherwise an
+  /// estimate beyond all deadlines would refuse all calls, and so never be
+  /// corrected.
+  Duration expected(std::uint8_t Class, Instant Now) const;
+
+  /// \returns the smoothed held time of all operations.
+  Duration mean() const { return Duration::fromMillis(MeanOfAll); }
+
+  /// Forgets everything, after the backend server was replaced.
+  void clear() { *this = ServiceTimes(); }
+
+private:
+  struct Entry {
+    double Mean = 0;
+    double Deviation = 0;
+    double SmoothedOwn = 0;
+    /// Smallest smoothed own time in this and in the previous period.
+    double SmallestNow = 0;
+    double SmallestBefore = 0;
+    Instant PeriodEnd;
+    Instant LastSample;
+    bool Known = false;
+  };
+
+  static void updateSmallest(Entry &Of, Instant Now);
+
+  std::array<Entry, Classes> Entries;
+  double MeanOfAll = 0;
+};
+
+} // namespace camphorpin::detail
+
+#endif
--- /dev/null
+++ b/packages/decision/camphorpin/src/Admission/SheddingLevel.cpp
@@ -0,0 +1,57 @@
+#include "camphorpin/src/Admission/SheddingLevel.h"
+
+#include <algorithm>
+#include <cassert>
+
+using namespace camphorpin;
+using namespace camphorpin::detail;
+
+namespace {
+
+constexpr Duration Window = Duration::millis(100);
+/// Share of refused calls from which a window counts as pressed.
+constexpr double PressedShare = 0.05;
+constexpr std::size_t WindowsToRaise = 2;
+constexpr std::size_t WindowsToLower = 10;
+
+} // namespace
+
+SheddingLevel::SheddingLevel(std::size_t Ranks) { setRanks(Ranks); }
+
+void SheddingLevel::setRanks(std::size_t Ranks) {
+  assert(Ranks >= 1 && Ranks <= MaxRanks && "1 to MaxRanks ranks");
+  const bool AcceptsAll = Level == LeastUrgent;
+  LeastUrgent = Rank(static_cast<std::uint8_t>(Ranks - 1));
+  Level = AcceptsAll ? LeastUrgent : std::min(Level, LeastUrgent);
+}
+
+bool SheddingLevel::pressed() const {
+  std::size_t OfferedSum = 0;
+  std::size_t RefusedSum = 0;
+  for (std::size_t Index = 0; Index <= Level.index(); ++Index) {
+    OfferedSum += Offered[Index];
+    RefusedSum += Refused[Index];
+  }
+  return RefusedSum > 0 && static_cast<double>(RefusedSum) >=
+                               PressedShare * static_cast<double>(OfferedSum);
+}
+
+void SheddingLevel::tick(bool Busy, Instant Now) {
+  SeenIdle |= !Busy;
+  if (Now < WindowEnd)
+    return;
+  WindowEnd = Now + Window;
+  const bool Pressed = pressed();
+  PressedWindows = Pressed ? PressedWindows + 1 : 0;
+  CalmWindows = !Pressed && SeenIdle ? CalmWindows + 1 : 0;
+  if (PressedWindows >= WindowsToRaise && Level.index() > 0) {
+    Level = Rank(static_cast<std::uint8_t>(Level.index() - 1));
+    PressedWindows = 0;
+  } else if (CalmWindows >= WindowsToLower && Level < LeastUrgent) {
+    Level = Rank(static_cast<std::uint8_t>(Level.index() + 1));
+    CalmWindows = 0;
+  }
+  Offered.fill(0);
+  Refused.fill(0);
+  SeenIdle = false;
+}
--- /dev/null
+++ b/packages/decision/camphorpin/src/Admission/UpstreamShedder.cpp
@@ -0,0 +1,114 @@
+#include "camphorpin/src/Admission/UpstreamShedder.h"
+
+#include <algorithm>
+#include <cmath>
+
+using namespace camphorpin;
+
+namespace {
+
+constexpr Duration HalfLife = Duration::seconds(1);
+/// Calls sent per accepted call of a shed rank. More than 1, so that a peer
+/// that accepts more again is noticed; at 2 at most half of the calls sent are
+/// refused.
+constexpr double SentPerAccepted = 2.0;
+/// Smallest share of the calls of a shed rank that is sent.
+constexpr double TrickleShare = 0.02;
+/// A shed rank sends at least one call per this time, if it has calls.
+constexpr Duration TrickleInterval = Duration::millis(500);
+
+} // namespace
+
+bool UpstreamShedder::admit(const ServiceName &Service, Rank CallRank,
+                            Instant Now) {
+  const auto Found = Services.find(Service);
+  if (Found == Services.end())
+    return true;
+  ServiceState &State = Found->second;
+  RankCounts &Counts = State.Ranks[CallRank.index()];
+  decay(Counts, Now);
+  Counts.Offered += 1;
+  if (!levelOf(State, Now).moreUrgentThan(CallRank)) {
+    Counts.LastSent = Now;
+    return true;
+  }
+  // The added 1 lets the first calls after a pause through.
+  const double Share = (SentPerAccepted * Counts.Accepted + 1) / Counts.Offered;
+  Counts.Credit += std::clamp(Share, TrickleShare, 1.0);
+  if (Counts.Credit < 1 && Now - Counts.LastSent < TrickleInterval)
+    return false;
+  Counts.Credit = std::max(0.0, Counts.Credit - 1);
+  Counts.LastSent = Now;
+  return true;
+}
+
+void UpstreamShedder::observe(const SheddingObservation &Seen, Instant Now) {
+  ServiceState *State = findOrAdd(Seen.Service, Now);
+  if (!State)
+    return;
+  RankCounts &Counts = State->Ranks[Seen.Rank.index()];
+  decay(Counts, Now);
+  if (Seen.Accepted)
+    Counts.Accepted += 1;
+  const PeerLevel Fresh = {
+      .Peer = Seen.Peer, .Level = Seen.Level, .Until = Now + LevelLifetime};
+  std::vector<PeerLevel> &Peers = State->Peers;
+  auto Place =
+      std::find_if(Peers.begin(), Peers.end(), [&Seen](const PeerLevel &Each) {
+        return Each.Peer == Seen.Peer;
+      });
+  if (Place == Peers.end() && Peers.size() < MaxPeers) {
+    Peers.push_back(Fresh);
+    return;
+  }
+  if (Place == Peers.end())
+    Place = std::min_element(Peers.begin(), Peers.end(),
+                             [](const PeerLevel &Left, const PeerLevel &Right) {
+                               return Left.Until < Right.Until;
+                             });
+  *Place = Fresh;
+}
+
+Rank UpstreamShedder::level(const ServiceName &Service, Instant Now) const {
+  const auto Found = Services.find(Service);
+  return Found == Services.end() ? Rank(MaxRanks - 1)
+                                 : levelOf(Found->second, Now);
+}
+
+Rank UpstreamShedder::levelOf(const ServiceState &State, Instant Now) {
+  Rank Least;
+  bool Known = false;
+  for (const PeerLevel &Each : State.Peers) {
+    if (Each.Until < Now)
+      continue;
+    Least = std::max(Least, Each.Level);
+    Known = true;
+  }
+  return Known ? Least : Rank(MaxRanks - 1);
+}
+
+void UpstreamShedder::decay(RankCounts &Counts, Instant Now) {
+  const double HalfLives =
+      (Now - Counts.Updated).toMillis() / HalfLife.toMillis();
+  const double Factor = std::exp2(-HalfLives);
+  Counts.Offered *= Factor;
+  Counts.Accepted *= Factor;
+  Counts.Updated = Now;
+}
+
+UpstreamShedder::ServiceState *
+UpstreamShedder::findOrAdd(const ServiceName &Service, Instant Now) {
+  const auto Found = Services.find(Service);
+  if (Found != Services.end())
+    return &Found->second;
+  if (Services.size() >= MaxServices) {
+    const auto Stale =
+        std::find_if(Services.begin(), Services.end(), [Now](const auto &Each) {
+          return levelOf(Each.second, Now) == Rank(MaxRanks - 1);
+        });
+    if (Stale == Services.end())
+      return nullptr;
+    Services.erase(Stale);
+  }
+  return &Services[Service];
+}
--- a/packages/decision/camphorpin/src/Admission/UpstreamShedder.h
+++ b/packages/decision/camphorpin/src/Admission/UpstreamShedder.h
@@ -76,6 +76,7 @@
 
   ServiceState *findOrAdd(const ServiceName &Service, Instant Now);
   static Rank levelOf(const ServiceState &State, Instant Now);
+  static void decay(RankCounts &Counts, Instant Now);
 
   std::unordered_map<ServiceName, ServiceState> Services;
 };
--- /dev/null
+++ b/packages/decision/camphorpin/src/Admission/WaitingCall.h
@@ -0,0 +1,45 @@
+#ifndef CAMPHORPIN_SRC_ADMISSION_WAITINGCALL_H
+#define CAMPHORPIN_SRC_ADMISSION_WAITINGCALL_H
+
+#include "camphorpin/Core.h"
+
+#include <compare>
+#include <cstdint>
+
+namespace camphorpin::detail {
+
+/// \class AgeKey
+/// \brief Orders calls by the creation time of the whole request.
+struct AgeKey {
+  Instant Created;
+  std::uint64_t Id = 0;
+
+  auto operator<=>(const AgeKey &) const = default;
+};
+
+/// \class QueuedCall
+/// \brief A call that waits, and the caller it counts for.
+struct QueuedCall {
+  AgeKey Age;
+  std::uint16_t Caller = 0;
+};
+
+/// \class CallRecord
+/// \brief A call that is queued or running.
+struct CallRecord {
+  AgeKey Age;
+  std::uint8_t Rank = 0;
+  std::uint8_t OperationClass = 0;
+  std::uint16_t Caller = 0;
+  bool Idempotent = false;
+  bool Running = false;
+  bool CancelSent = false;
+  Instant Deadline;
+  /// While queued: the latest time at which a start still makes sense. While
+  /// running: the time of the start.
+  Instant StartTime;
+};
+
+} // namespace camphorpin::detail
+
+#endif
