Judge decreases of the limit by the concurrency that was reached

The window after a decrease still contained calls from before it, demand did not fill the limit so that a lower limit changed little, and calls cancelled at their deadline were not counted, which hid the slow ones.

Change: one window settles after a decrease, the improvement is compared with the drop of the mean concurrency, decreases start from that concurrency, and a late failure or cancellation counts as a latency sample.

Conclusion: verified AIMD stays.

--- a/packages/decision/camphorpin/src/Admission/AdmissionState.cpp
+++ b/packages/decision/camphorpin/src/Admission/AdmissionState.cpp
@@ -139,11 +139,10 @@
                            Instant Now, Duration Downstream) {
   if (Outcome == AdmissionOutcome::BackendShed)
     return Limit->onBackendShed(RunningTotal, Now);
-  if (Outcome == AdmissionOutcome::Cancelled || Call.CancelSent)
-    return;
   const Duration Held = Now - Call.StartTime;
-  // A quick failure says nothing about the time that the work takes.
-  if (Outcome == AdmissionOutcome::Failed &&
+  // A quick failure or cancellation says nothing about the time that the work
+  // takes; a late one says that it takes at least as long.
+  if (Outcome != AdmissionOutcome::Completed &&
       Held < Times.expected(Call.OperationClass, Now))
     return;
   const double Slowdown =
--- a/packages/decision/camphorpin/src/Admission/AimdLimit.cpp
+++ b/packages/decision/camphorpin/src/Admission/AimdLimit.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
+#include <utility>
 
 using namespace camphorpin;
 
@@ -19,6 +20,8 @@
 /// Part of the proportional improvement that a decrease has to bring. Half
 /// separates "in proportion" from "not at all" in the noise of one window.
 constexpr double ExpectedPart = 0.5;
+/// Smallest drop of the concurrency from which a decrease is judged.
+constexpr double SmallestEvidence = 0.15;
 /// The reference returns towards 1 by this factor per window, so that an
 /// accepted slowdown is put to the test again.
 constexpr double ReferenceDecay = 0.98;
@@ -45,9 +48,10 @@
 void AimdLimit::restart() {
   Limit = std::max(smallest(), RampStart * Slots);
   Ramping = true;
+  Settling = false;
   Reference = 1;
   LimitBefore = 0;
-  SlowdownSum = 0;
+  Sum = {};
   Samples = 0;
   MostRunning = 0;
 }
@@ -65,7 +69,8 @@
 void AimdLimit::onFinished(const LatencySample &Sample, Instant Now) {
   if (Samples == 0)
     WindowStart = Now;
-  SlowdownSum += Sample.Slowdown;
+  Sum.Slowdown += Sample.Slowdown;
+  Sum.Running += static_cast<double>(Sample.Running);
   ++Samples;
   MostRunning = std::max(MostRunning, Sample.Running);
   const std::size_t Wanted =
@@ -75,27 +80,30 @@
 }
 
 void AimdLimit::closeWindow() {
-  decide(SlowdownSum / static_cast<double>(Samples));
+  const double Count = static_cast<double>(Samples);
+  if (!std::exchange(Settling, false))
+    decide({.Slowdown = Sum.Slowdown / Count, .Running = Sum.Running / Count});
   Limit = std::clamp(Limit, smallest(), static_cast<double>(Slots));
-  SlowdownSum = 0;
+  Sum = {};
   Samples = 0;
   MostRunning = 0;
 }
 
-void AimdLimit::decide(double Slowdown) {
-  Reference = std::max(1.0, std::min(Reference * ReferenceDecay, Slowdown));
-  if (LimitBefore > 0 && decreaseFailed(Slowdown)) {
+void AimdLimit::decide(const Window &Seen) {
+  Reference =
+      std::max(1.0, std::min(Reference * ReferenceDecay, Seen.Slowdown));
+  if (LimitBefore > 0 && decreaseFailed(Seen)) {
     Limit = LimitBefore;
     LimitBefore = 0;
-    Reference = Slowdown;
+    Reference = Seen.Slowdown;
     return;
   }
-  if (Slowdown > CongestedSlowdown * Reference) {
+  if (Seen.Slowdown > CongestedSlowdown * Reference) {
     if (LimitBefore == 0) {
       LimitBefore = Limit;
-      SlowdownBefore = Slowdown;
+      Before = Seen;
     }
-    decrease();
+    decrease(Seen.Running);
     return;
   }
   LimitBefore = 0;
@@ -103,11 +111,11 @@
     increase();
 }
 
-bool AimdLimit::decreaseFailed(double Slowdown) const {
-  if (Check == Decreases::Unverified)
+bool AimdLimit::decreaseFailed(const Window &Seen) const {
+  const double Expected = 1 - Seen.Running / Before.Running;
+  if (Check == Decreases::Unverified || Expected < SmallestEvidence)
     return false;
-  const double Expected = 1 - Limit / LimitBefore;
-  const double Improvement = 1 - Slowdown / SlowdownBefore;
+  const double Improvement = 1 - Seen.Slowdown / Before.Slowdown;
   return Improvement < ExpectedPart * Expected;
 }
 
@@ -116,9 +124,10 @@
                   : Limit + std::max(1.0, IncreaseShare * Slots);
 }
 
-void AimdLimit::decrease() {
-  Limit = std::max(smallest(), Limit * DecreaseFactor);
+void AimdLimit::decrease(double Running) {
+  Limit = std::max(smallest(), std::min(Limit, Running) * DecreaseFactor);
   Ramping = false;
+  Settling = Check == Decreases::Verified;
 }
 
 void AimdLimit::onBackendShed(std::size_t Running, Instant Now) {
@@ -126,6 +135,5 @@
     return;
   LastShed = Now;
   LimitBefore = 0;
-  Limit = std::clamp(static_cast<double>(Running), smallest(), Limit);
-  decrease();
+  decrease(static_cast<double>(Running));
 }
--- a/packages/decision/camphorpin/src/Admission/AimdLimit.h
+++ b/packages/decision/camphorpin/src/Admission/AimdLimit.h
@@ -33,24 +33,32 @@
 
 private:
   void closeWindow();
-  void decide(double Slowdown);
-  bool decreaseFailed(double Slowdown) const;
+  /// What a window of finished calls showed.
+  struct Window {
+    double Slowdown = 0;
+    double Running = 0;
+  };
+
+  void decide(const Window &Seen);
+  bool decreaseFailed(const Window &Seen) const;
   void increase();
-  void decrease();
+  void decrease(double Running);
   double smallest() const;
 
   std::uint32_t Slots;
   Decreases Check;
   double Limit = 1;
   bool Ramping = true;
+  /// The window in progress still contains calls from before a decrease.
+  bool Settling = false;
   /// Slowdown that is accepted as independent of the concurrency, at least 1.
   double Reference = 1;
-  /// Limit and slowdown before the decreases in progress; 0 for none.
+  /// Limit and window before the decreases in progress; 0 for none.
   double LimitBefore = 0;
-  double SlowdownBefore = 0;
+  Window Before;
   Instant WindowStart;
   Instant LastShed;
-  double SlowdownSum = 0;
+  Window Sum;
   std::size_t Samples = 0;
   std::size_t MostRunning = 0;
 };
--- a/packages/decision/tests/AdmissionFixture.h
+++ b/packages/decision/tests/AdmissionFixture.h
@@ -6,6 +6,7 @@
 #define CAMPHORPIN_TESTS_ADMISSIONFIXTURE_H
 
 #include "camphorpin/Admission.h"
+#include "camphorpin/src/Admission/AimdLimit.h"
 
 #include <algorithm>
 #include <cmath>
@@ -28,6 +29,8 @@
   double Knee = 1e9;
   /// Factor on the service time; changed during a run.
   double Slow = 1;
+  std::function<std::unique_ptr<ConcurrencyLimit>(std::uint32_t Slots)> Limit =
+      [](std::uint32_t Slots) { return std::make_unique<AimdLimit>(Slots); };
 };
 
 /// Poisson arrivals of one rank and caller, at services Entry..Entry+Depth-1.
@@ -113,7 +116,8 @@
     ServicePolicy Policy{.Slots = Spec.Slots,
                          .QueueLimit = Spec.QueueLimit,
                          .CancelLowerRanks = Spec.CancelLowerRanks};
-    Admission.emplace(Env.Policy, Policy, *this, Env.Now);
+    Admission.emplace(Env.Policy, Policy, *this, Env.Now,
+                      Spec.Limit(Spec.Slots));
   }
   void arrive(const CallPtr &In) {
     In->At = this;
--- /dev/null
+++ b/packages/decision/tests/ConcurrencyLimitTest.cpp
@@ -0,0 +1,133 @@
+// Guards the choice of the limit algorithm: a limit must not throw capacity
+// away while a backend server waits for something slow, and must keep a backend
+// server that is cold or has too many slots from serving everybody too late.
+#include "AdmissionFixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace camphorpin;
+using namespace camphorpin::test;
+
+namespace {
+
+/// A limit that follows the ratio of smallest to current latency.
+class GradientLimit final : public ConcurrencyLimit {
+public:
+  explicit GradientLimit(std::uint32_t Slots)
+      : Slots(Slots), Limit(std::max(1.0, Slots * 0.125)) {}
+  void onFinished(const LatencySample &Sample, Instant) override {
+    Sum += Sample.Slowdown;
+    if (++Samples < std::max(16.0, Limit))
+      return;
+    const double Gradient = std::clamp(1.5 * Samples / Sum, 0.5, 1.0);
+    const double Target = Limit * Gradient + std::sqrt(Limit);
+    Limit = std::clamp(0.8 * Limit + 0.2 * Target, 1.0, Slots);
+    Sum = Samples = 0;
+  }
+  void onBackendShed(std::size_t, Instant) override {}
+  void restart() override {}
+  void setSlots(std::uint32_t Value) override { Slots = Value; }
+  std::uint32_t value() const override {
+    return static_cast<std::uint32_t>(Limit);
+  }
+
+private:
+  double Slots, Limit, Sum = 0, Samples = 0;
+};
+
+/// All slots from the start.
+class FixedLimit final : public ConcurrencyLimit {
+public:
+  explicit FixedLimit(std::uint32_t Slots) : Slots(Slots) {}
+  void onFinished(const LatencySample &, Instant) override {}
+  void onBackendShed(std::size_t, Instant) override {}
+  void restart() override {}
+  void setSlots(std::uint32_t Value) override { Slots = Value; }
+  std::uint32_t value() const override { return Slots; }
+
+private:
+  std::uint32_t Slots;
+};
+
+enum Algorithm { Verified, Unverified, Gradient, Fixed };
+constexpr const char *Names[] = {"AIMD, verified", "AIMD", "gradient", "fixed"};
+
+std::unique_ptr<ConcurrencyLimit> make(Algorithm Kind, std::uint32_t Slots) {
+  switch (Kind) {
+  case Gradient:
+    return std::make_unique<GradientLimit>(Slots);
+  case Fixed:
+    return std::make_unique<FixedLimit>(Slots);
+  default:
+    return std::make_unique<AimdLimit>(
+        Slots, Kind == Verified ? AimdLimit::Decreases::Verified
+                                : AimdLimit::Decreases::Unverified);
+  }
+}
+
+/// A backend server with 40 slots of 20 ms and a demand above its capacity.
+struct Scenario {
+  const char *Name;
+  double PerSecond;
+  double Knee;
+  Duration Deadline;
+  std::function<double(double Second)> Slow;
+};
+
+double goodput(const Scenario &Of, Algorithm Kind) {
+  MeshPolicy Mesh;
+  Mesh.Ranks = {{"urgent", 0.0, 1.0}};
+  Load Demand = {.PerSecond = Of.PerSecond, .Deadline = Of.Deadline};
+  Chain Run(
+      {{.Name = "orders",
+        .Slots = 40,
+        .QueueLimit = 80,
+        .Knee = Of.Knee,
+        .Slow = Of.Slow(0),
+        .Limit = [Kind](std::uint32_t Slots) { return make(Kind, Slots); }}},
+      Mesh, Mode::Camphorpin);
+  Run.add(Demand);
+  for (int Tenth = 0; Tenth < 400; ++Tenth) {
+    Run.Specs[0].Slow = Of.Slow(Tenth * 0.1);
+    Run.runUntil(Tenth * 0.1 + 0.1);
+  }
+  const double Result = Demand.rate(0, 40);
+  cr_log_warn("%s, %s: %.1f/s in time, wasted %.4f", Of.Name, Names[Kind],
+              Result, 1 - Run.Useful / Run.Executions);
+  return Result;
+}
+
+std::array<double, 4> compare(const Scenario &Of) {
+  std::array<double, 4> Result;
+  for (Algorithm Kind : {Verified, Unverified, Gradient, Fixed})
+    Result[Kind] = goodput(Of, Kind);
+  return Result;
+}
+
+} // namespace
+
+Test(ConcurrencyLimit, slowDependencyDoesNotCostCapacity) {
+  const Scenario Of = {
+      "slow dependency", 2400, 1e9, Duration::seconds(1),
+      [](double Second) { return Second > 10 && Second < 30 ? 10.0 : 1.0; }};
+  const std::array<double, 4> Result = compare(Of);
+  cr_assert_geq(Result[Verified], 0.95 * Result[Fixed]);
+  cr_assert_gt(Result[Verified], Result[Unverified]);
+  cr_assert_gt(Result[Verified], Result[Gradient]);
+}
+
+Test(ConcurrencyLimit, tooManySlotsDoNotMakeEverythingLate) {
+  const Scenario Of = {"contention", 600, 10, Duration::millis(70),
+                       [](double) { return 1.0; }};
+  const std::array<double, 4> Result = compare(Of);
+  cr_assert_geq(Result[Verified], 1.1 * Result[Fixed]);
+}
+
+// Cold: ten times slower at first, and calls compete from the tenth one on.
+Test(ConcurrencyLimit, coldStartIsNotWorseThanAllSlotsAtOnce) {
+  const Scenario Of = {
+      "cold start", 2400, 10, Duration::millis(300),
+      [](double Second) { return 1 + 9 * std::max(0.0, 1 - Second / 10); }};
+  const std::array<double, 4> Result = compare(Of);
+  cr_assert_geq(Result[Verified], 0.99 * Result[Fixed]);
+}
