--- a/packages/decision/camphorpin/src/Admission/UpstreamShedder.cpp
+++ b/packages/decision/camphorpin/src/Admission/UpstreamShedder.cpp
@@ -7,7 +7,9 @@
 
 namespace {
 
-constexpr Duration HalfLife = Duration::seconds(1);
+/// The share of calls sent doubles once per half-life while all are accepted; a
+/// second meant almost 6 s from the trickle to all calls.
+constexpr Duration HalfLife = Duration::millis(250);
 /// Calls sent per accepted call of a shed rank. More than 1, so that a peer
 /// that accepts more again is noticed; at 2 at most half of the calls sent are
 /// refused.
