Let the limit grow while calls wait behind a cap

The limit grew only while 80% of it was used, but the cap keeps lookups below 80% of the limit, so it never grew. Change: a sample says whether the limit was reached or calls were waiting; the limit grows in such windows.

--- a/packages/decision/camphorpin/src/Admission/AdmissionState.cpp
+++ b/packages/decision/camphorpin/src/Admission/AdmissionState.cpp
@@ -147,7 +147,10 @@
     return;
   const double Slowdown =
       Times.record(Call.OperationClass, Held, Held - Downstream, Now);
-  Limit->onFinished({.Slowdown = Slowdown, .Running = RunningTotal}, Now);
+  Limit->onFinished({.Slowdown = Slowdown,
+                     .Running = RunningTotal,
+                     .Limited = queued() > 0 || RunningTotal >= limit()},
+                    Now);
 }
 
 void AdmissionState::cancelled(std::uint64_t Id, Instant Now) {
--- a/packages/decision/camphorpin/src/Admission/AimdLimit.cpp
+++ b/packages/decision/camphorpin/src/Admission/AimdLimit.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cassert>
-#include <cmath>
 #include <utility>
 
 using namespace camphorpin;
@@ -27,9 +26,6 @@
 constexpr double ReferenceDecay = 0.98;
 /// Increase per window as a share of the slots.
 constexpr double IncreaseShare = 0.05;
-/// The limit grows only while at least this share of it is used; otherwise the
-/// latency says nothing about a larger limit.
-constexpr double UsedShare = 0.8;
 constexpr std::size_t SmallestWindow = 16;
 constexpr Duration ShortestWindow = Duration::millis(50);
 
@@ -53,7 +49,7 @@
   LimitBefore = 0;
   Sum = {};
   Samples = 0;
-  MostRunning = 0;
+  Limited = false;
 }
 
 void AimdLimit::setSlots(std::uint32_t Value) {
@@ -72,7 +68,7 @@
   Sum.Slowdown += Sample.Slowdown;
   Sum.Running += static_cast<double>(Sample.Running);
   ++Samples;
-  MostRunning = std::max(MostRunning, Sample.Running);
+  Limited |= Sample.Limited;
   const std::size_t Wanted =
       std::max(SmallestWindow, static_cast<std::size_t>(Limit));
   if (Samples >= Wanted && Now - WindowStart >= ShortestWindow)
@@ -86,7 +82,7 @@
   Limit = std::clamp(Limit, smallest(), static_cast<double>(Slots));
   Sum = {};
   Samples = 0;
-  MostRunning = 0;
+  Limited = false;
 }
 
 void AimdLimit::decide(const Window &Seen) {
@@ -107,7 +103,7 @@
     return;
   }
   LimitBefore = 0;
-  if (static_cast<double>(MostRunning) >= UsedShare * std::floor(Limit))
+  if (Limited)
     increase();
 }
 
--- a/packages/decision/camphorpin/src/Admission/ConcurrencyLimit.h
+++ b/packages/decision/camphorpin/src/Admission/ConcurrencyLimit.h
@@ -16,6 +16,9 @@
   double Slowdown = 1;
   /// Calls that ran when this one finished, itself included.
   std::size_t Running = 0;
+  /// Calls were waiting, or the limit was reached. Otherwise the latency says
+  /// nothing about a larger limit.
+  bool Limited = false;
 };
 
 /// \class ConcurrencyLimit
