Add the log client

Purpose: the daemon and camphorctl need the platform's append-only log with outcomes that say whether a record may have been appended.

Ruled out: counting a 5xx status as certainly not appended, because a part behind the one that answers may have taken the record; one client shared by threads, because a slow append would hold up the reader.

Change: the abstract class PlatformLog with typed outcomes, and the HTTP adapter. The published protocol is not known yet; only HttpPlatformLog depends on it.

A reply whose headers drip in is limited per read only, not as a whole.

--- /dev/null
+++ b/packages/logclient/camphorpin/LogClient.h
@@ -0,0 +1,9 @@
+/// \file
+/// \brief The platform's append-only log and its HTTP client.
+#ifndef CAMPHORPIN_LOGCLIENT_H
+#define CAMPHORPIN_LOGCLIENT_H
+
+#include "camphorpin/src/LogClient/HttpPlatformLog.h"
+#include "camphorpin/src/LogClient/PlatformLog.h"
+
+#endif
