Check and print policy documents

Purpose: operators publish policies as JSON with comments; a fault that slips through is in force on every node. The parser reports all faults of a document at once, each with the path of the field, the value found and what is allowed. The check across documents covers the call graph (unknown targets, cycles, chains longer than maxHops, deadlines that grow along an edge).

Ruled out: the plain nlohmann parser keeps the last of two equal fields without a word and recurses on deep values, so a parser callback refuses both.

--- a/packages/policy/camphorpin/Policy.h
+++ b/packages/policy/camphorpin/Policy.h
@@ -1,9 +1,13 @@
 /// \file
-/// \brief Policies for service call graphs.
+/// \brief Policies for service call graphs: the documents, their JSON form and
+/// their checks. Operators build them with camphorpin/PolicyBuilder.h.
 #ifndef CAMPHORPIN_POLICY_H
 #define CAMPHORPIN_POLICY_H
 
 #include "camphorpin/src/Policy/MeshPolicy.h"
+#include "camphorpin/src/Policy/PolicyCheck.h"
+#include "camphorpin/src/Policy/PolicyError.h"
+#include "camphorpin/src/Policy/PolicyJson.h"
 #include "camphorpin/src/Policy/ServicePolicy.h"
 
 #endif
--- /dev/null
+++ b/packages/policy/camphorpin/src/Policy/PolicyCheck.cpp
@@ -0,0 +1,167 @@
+#include "camphorpin/src/Policy/PolicyCheck.h"
+
+#include "camphorpin/src/Policy/PolicyLimits.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace camphorpin {
+
+namespace {
+
+std::string rankPath(std::size_t Index, std::string_view Field) {
+  return "ranks[" + std::to_string(Index) + "]." + std::string(Field);
+}
+
+std::string textOf(const CallTarget &Target) {
+  return Target.Service.string() + "/" + Target.Operation.string();
+}
+
+/// \class CallGraph
+/// \brief All operations of all services and their calls, for the checks
+/// between documents.
+class CallGraph {
+public:
+  CallGraph(const MeshPolicy &Mesh, std::span<const ServicePolicy> Services)
+      : Mesh(Mesh) {
+    for (const ServicePolicy &Service : Services)
+      addService(Service);
+  }
+
+  PolicyErrors check() {
+    for (const auto &Entry : Operations)
+      checkEdges(Entry.first, *Entry.second);
+    for (const auto &Entry : Operations)
+      chainLength(Entry.first);
+    checkLengths();
+    return std::move(Errors);
+  }
+
+private:
+  void addService(const ServicePolicy &Service) {
+    for (const auto &Entry : Service.Operations) {
+      const CallTarget Target{Service.Service, Entry.first};
+      const bool Inserted = Operations.emplace(Target, &Entry.second).second;
+      if (!Inserted)
+        report(Target, "", "defined twice", "one document for each service");
+    }
+  }
+
+  void checkEdges(const CallTarget &Caller, const OperationPolicy &Policy) {
+    for (std::size_t Index = 0; Index < Policy.Calls.size(); ++Index) {
+      const CallTarget &Callee = Policy.Calls[Index];
+      const std::string Field = ".calls[" + std::to_string(Index) + "]";
+      const auto Found = Operations.find(Callee);
+      if (Found == Operations.end()) {
+        report(Caller, Field, textOf(Callee), "an operation that exists",
+               PolicyFault::UnknownName);
+        continue;
+      }
+      const Duration Allowed = Policy.Deadline;
+      const Duration Actual = Found->second->Deadline;
+      if (Actual > Allowed)
+        report(Caller, Field,
+               textOf(Callee) + " with a deadline of " +
+                   std::to_string(Actual.wholeMillis()) + " ms",
+               "a call with a deadline of at most " +
+                   std::to_string(Allowed.wholeMillis()) + " ms");
+    }
+  }
+
+  /// Depth-first search. A cycle is reported once and cut.
+  /// \returns the number of calls on the longest chain from \p Target on.
+  std::size_t chainLength(const CallTarget &Target) {
+    const auto Known = Lengths.find(Target);
+    if (Known != Lengths.end())
+      return Known->second;
+    const auto Found = Operations.find(Target);
+    if (Found == Operations.end())
+      return 0;
+    Path.push_back(Target);
+    std::size_t Longest = 0;
+    for (const CallTarget &Callee : Found->second->Calls) {
+      if (std::find(Path.begin(), Path.end(), Callee) != Path.end())
+        reportCycle(Callee);
+      else
+        Longest = std::max(Longest, chainLength(Callee));
+    }
+    Path.pop_back();
+    Lengths[Target] = Longest + 1;
+    return Longest + 1;
+  }
+
+  void reportCycle(const CallTarget &Start) {
+    std::string Text;
+    const auto First = std::find(Path.begin(), Path.end(), Start);
+    for (auto Entry = First; Entry != Path.end(); ++Entry)
+      Text += textOf(*Entry) + " -> ";
+    report(Path.back(), ".calls", "the cycle " + Text + textOf(Start),
+           "a call graph without cycles");
+  }
+
+  void checkLengths() {
+    std::set<CallTarget> Called;
+    for (const auto &Entry : Operations)
+      Called.insert(Entry.second->Calls.begin(), Entry.second->Calls.end());
+    // Only the first operation of a chain is reported.
+    for (const auto &Entry : Lengths)
+      if (Entry.second > Mesh.MaxHops && !Called.contains(Entry.first))
+        report(Entry.first, ".calls",
+               "a chain of " + std::to_string(Entry.second) + " calls",
+               "at most " + std::to_string(Mesh.MaxHops) +
+                   " calls (maxHops of mesh)");
+  }
+
+  void report(const CallTarget &Target, const std::string &Field,
+              std::string Found, std::string Allowed,
+              PolicyFault Fault = PolicyFault::Inconsistent) {
+    Errors.push_back({Fault, "service/" + Target.Service.string(),
+                      "operations." + Target.Operation.string() + Field,
+                      std::move(Found), std::move(Allowed)});
+  }
+
+  const MeshPolicy &Mesh;
+  std::map<CallTarget, const OperationPolicy *> Operations;
+  std::map<CallTarget, std::size_t> Lengths;
+  std::vector<CallTarget> Path;
+  PolicyErrors Errors;
+};
+
+} // namespace
+
+PolicyErrors checkMeshPolicy(const MeshPolicy &Policy) {
+  PolicyErrors Errors;
+  const auto Report = [&Errors](std::string Path, std::string Found,
+                                std::string Allowed) {
+    Errors.push_back({PolicyFault::Inconsistent, "", std::move(Path),
+                      std::move(Found), std::move(Allowed)});
+  };
+  if (Policy.Ranks.empty() || Policy.Ranks.size() > MaxRanks)
+    Report("ranks", "a list of " + std::to_string(Policy.Ranks.size()),
+           "a list of 1 to " + std::to_string(MaxRanks));
+  double FloorSum = 0;
+  std::set<std::string> Names;
+  for (std::size_t Index = 0; Index < Policy.Ranks.size(); ++Index) {
+    const RankPolicy &Rank = Policy.Ranks[Index];
+    FloorSum += Rank.Floor;
+    if (!Names.insert(Rank.Name).second)
+      Report(rankPath(Index, "name"), Rank.Name, "a name used once");
+    if (Rank.Cap <= 0)
+      Report(rankPath(Index, "cap"), "0", "a share above 0");
+    if (Rank.Floor > Rank.Cap)
+      Report(rankPath(Index, "floor"), std::to_string(Rank.Floor),
+             "at most the cap, " + std::to_string(Rank.Cap));
+  }
+  if (FloorSum > 1 + detail::ShareTolerance)
+    Report("ranks", "floors that sum to " + std::to_string(FloorSum),
+           "a sum of at most 1");
+  return Errors;
+}
+
+PolicyErrors checkPolicies(const MeshPolicy &Mesh,
+                           std::span<const ServicePolicy> Services) {
+  return CallGraph(Mesh, Services).check();
+}
+
+} // namespace camphorpin
--- /dev/null
+++ b/packages/policy/tests/PolicyJsonTest.cpp
@@ -0,0 +1,158 @@
+// Guards the gate through which operators' documents enter: a fault that slips
+// through would be in force on every node.
+#include "camphorpin/Policy.h"
+
+#include <criterion/criterion.h>
+
+using namespace camphorpin;
+
+namespace {
+
+constexpr std::string_view MeshText = R"({
+  "ranks": [ { "name": "urgent", "floor": 0.02 }, // most urgent first
+             { "name": "lookup", "floor": 0.01, "cap": 0.8 } ],
+  "callerShares": { "cooperative": 2 } })";
+
+constexpr std::string_view OrdersText = R"({
+  "service": "orders", "slots": 100, "connections": 700, "queueLimit": 200,
+  "operations": {
+    "pay":  { "rank": "urgent", "idempotent": false, "deadlineMs": 3000,
+              "calls": ["lots/reserve"] },
+    "status": { "rank": "lookup", "idempotent": true, "deadlineMs": 1000 } } })";
+
+MeshPolicy mesh() { return std::get<MeshPolicy>(parseMeshPolicy(MeshText)); }
+
+ServicePolicy service(std::string_view Text) {
+  return std::get<ServicePolicy>(parseServicePolicy(Text, mesh()));
+}
+
+PolicyErrors meshErrors(std::string_view Text) {
+  return std::get<PolicyErrors>(parseMeshPolicy(Text));
+}
+
+PolicyErrors serviceErrors(std::string_view Text) {
+  return std::get<PolicyErrors>(parseServicePolicy(Text, mesh()));
+}
+
+bool hasError(const PolicyErrors &Errors, PolicyFault Fault,
+              std::string_view Path) {
+  for (const PolicyError &Error : Errors)
+    if (Error.Fault == Fault && Error.Path == Path)
+      return true;
+  return false;
+}
+
+ServicePolicy chainLink(int Index, int Next, std::int64_t DeadlineMs) {
+  ServicePolicy Policy;
+  Policy.Service = ServiceName("s" + std::to_string(Index));
+  OperationPolicy &Run = Policy.Operations[OperationName("run")];
+  Run.Deadline = Duration::millis(DeadlineMs);
+  if (Next >= 0)
+    Run.Calls.push_back(
+        {ServiceName("s" + std::to_string(Next)), OperationName("run")});
+  return Policy;
+}
+
+} // namespace
+
+Test(PolicyJson, canonicalTextRoundTripsAndDoesNotDependOnOrder) {
+  const std::string Text = toJson(mesh());
+  cr_assert_eq(Text, toJson(std::get<MeshPolicy>(parseMeshPolicy(Text))));
+  cr_assert_eq(mesh().CallerShares.at(CallerName("cooperative")), 2);
+  const ServicePolicy Orders = service(OrdersText);
+  cr_assert_eq(Orders.Operations.at(OperationName("status")).Rank.index(), 1);
+  const std::string Canonical = toJson(Orders, mesh());
+  cr_assert_eq(Canonical, toJson(service(Canonical), mesh()));
+  cr_assert_eq(Canonical.find("\"cancelLowerRanks\":false"), 1);
+}
+
+// An operator who gets one error per try needs many tries at night.
+Test(PolicyJson, allErrorsOfADocumentAreReportedAtOnce) {
+  const PolicyErrors Errors = serviceErrors(R"({
+    "service": "or ders", "slots": 0, "connections": "many", "typo": 1,
+    "operations": {
+      "pay": { "rank": "top", "idempotent": 1, "deadlineMs": 1e300,
+               "calls": ["lots", "lots/reserve/now"] },
+      "b d": { "rank": "urgent", "idempotent": true, "deadlineMs":
+               18446744073709551615 } } })");
+  cr_assert(hasError(Errors, PolicyFault::OutOfRange, "service"));
+  cr_assert(hasError(Errors, PolicyFault::OutOfRange, "slots"));
+  cr_assert(hasError(Errors, PolicyFault::WrongType, "connections"));
+  cr_assert(hasError(Errors, PolicyFault::UnknownField, "typo"));
+  cr_assert(hasError(Errors, PolicyFault::UnknownName, "operations.pay.rank"));
+  cr_assert(
+      hasError(Errors, PolicyFault::WrongType, "operations.pay.idempotent"));
+  cr_assert(
+      hasError(Errors, PolicyFault::WrongType, "operations.pay.deadlineMs"));
+  cr_assert(
+      hasError(Errors, PolicyFault::OutOfRange, "operations.pay.calls[0]"));
+  cr_assert(
+      hasError(Errors, PolicyFault::OutOfRange, "operations.pay.calls[1]"));
+  cr_assert(hasError(Errors, PolicyFault::OutOfRange, "operations.b d"));
+  cr_assert(
+      hasError(Errors, PolicyFault::OutOfRange, "operations.b d.deadlineMs"));
+  cr_assert_eq(Errors.size(), 11);
+}
+
+Test(PolicyJson, errorNamesPathValueAndAllowedRange) {
+  const PolicyErrors Errors =
+      meshErrors(R"({"ranks": [{"name": "a", "floor": 2}]})");
+  cr_assert_eq(toString(Errors), std::string("ranks[0].floor is 2, allowed is "
+                                             "a share from 0 to 1\n"));
+}
+
+Test(PolicyJson, malformedDocumentsAreRefused) {
+  cr_assert(hasError(meshErrors("{"), PolicyFault::Syntax, ""));
+  cr_assert(hasError(meshErrors(""), PolicyFault::Syntax, ""));
+  cr_assert(hasError(meshErrors("[]"), PolicyFault::WrongType, ""));
+  cr_assert(hasError(meshErrors("{}"), PolicyFault::MissingField, "ranks"));
+  const std::string Deep(100000, '[');
+  cr_assert(hasError(meshErrors(Deep), PolicyFault::Syntax, ""));
+  // The JSON parser keeps the last of two values without a word.
+  cr_assert(hasError(meshErrors(R"({"ranks": [{"name": "a"}],
+                                    "maxHops": 3, "maxHops": 60})"),
+                     PolicyFault::UnknownField, "maxHops"));
+}
+
+Test(PolicyCheck, sharesOfRanksAreConsistent) {
+  const PolicyErrors Errors = meshErrors(R"({"ranks": [
+      {"name": "a", "floor": 0.5, "cap": 0.4}, {"name": "a", "floor": 0.6},
+      {"name": "c", "cap": 0}]})");
+  cr_assert(hasError(Errors, PolicyFault::Inconsistent, "ranks[0].floor"));
+  cr_assert(hasError(Errors, PolicyFault::Inconsistent, "ranks[1].name"));
+  cr_assert(hasError(Errors, PolicyFault::Inconsistent, "ranks[2].cap"));
+  cr_assert(hasError(Errors, PolicyFault::Inconsistent, "ranks"));
+  MeshPolicy Many;
+  for (int Index = 0; Index < 9; ++Index)
+    Many.Ranks.push_back({"r" + std::to_string(Index), 0, 1});
+  cr_assert(
+      hasError(checkMeshPolicy(Many), PolicyFault::Inconsistent, "ranks"));
+  // Ten floors of 0.1 sum to a little more than 1 in binary.
+  Many.Ranks.resize(8);
+  for (RankPolicy &Rank : Many.Ranks)
+    Rank.Floor = 0.125;
+  cr_assert(checkMeshPolicy(Many).empty());
+}
+
+Test(PolicyCheck, callGraphIsCheckedAcrossDocuments) {
+  MeshPolicy Mesh = mesh();
+  Mesh.MaxHops = 3;
+  const std::vector<ServicePolicy> Unknown = {chainLink(0, 1, 1000)};
+  cr_assert(hasError(checkPolicies(Mesh, Unknown), PolicyFault::UnknownName,
+                     "operations.run.calls[0]"));
+  std::vector<ServicePolicy> Chain = {
+      chainLink(0, 1, 1000), chainLink(1, 2, 900), chainLink(2, -1, 900)};
+  cr_assert(checkPolicies(Mesh, Chain).empty());
+  Chain[2] = chainLink(2, 3, 900);
+  Chain.push_back(chainLink(3, -1, 900));
+  const PolicyErrors TooLong = checkPolicies(Mesh, Chain);
+  cr_assert_eq(TooLong.size(), 1);
+  cr_assert_eq(TooLong[0].Found, std::string("a chain of 4 calls"));
+  Chain[3] = chainLink(3, 1, 901);
+  const PolicyErrors Cyclic = checkPolicies(Mesh, Chain);
+  cr_assert(
+      hasError(Cyclic, PolicyFault::Inconsistent, "operations.run.calls"));
+  cr_assert(
+      hasError(Cyclic, PolicyFault::Inconsistent, "operations.run.calls[0]"),
+      "a deadline of 901 ms below one of 900 ms grows");
+}
