--- a/packages/policy/camphorpin/Policy.h
+++ b/packages/policy/camphorpin/Policy.h
@@ -8,6 +8,7 @@
 #include "camphorpin/src/Policy/PolicyCheck.h"
 #include "camphorpin/src/Policy/PolicyError.h"
 #include "camphorpin/src/Policy/PolicyJson.h"
+#include "camphorpin/src/Policy/PolicySet.h"
 #include "camphorpin/src/Policy/ServicePolicy.h"
 
 #endif
