--- a/packages/decision/tests/MembershipTest.cpp
+++ b/packages/decision/tests/MembershipTest.cpp
@@ -108,7 +108,7 @@
       cr_expect_eq(Fleet.seenAs(Index, MemberState::Alive), Count);
     cr_assert(Fleet.node(0).Protocol.zoneReachable(ZoneName("zone-2")));
   }
-  cr_log_warn("deaths seen in a zone cut: %zu as single members, %zu as a fact",
+  cr_log_info("deaths seen in a zone cut: %zu as single members, %zu as a fact",
               Deaths[0], Deaths[1]);
   cr_assert_gt(Deaths[0], Count, "the naive variant must show the flood");
   cr_assert_eq(Deaths[1], 0);
@@ -143,7 +143,7 @@
   const double BytesPerSecond =
       static_cast<double>(Fleet.total(&GossipFleet::Node::SentBytes)) /
       static_cast<double>(Count) / Seconds;
-  cr_log_warn("membership sends %.0f bytes/s per node", BytesPerSecond);
+  cr_log_info("membership sends %.0f bytes/s per node", BytesPerSecond);
   cr_assert_lt(BytesPerSecond, ControlBytesPerSecond);
   for (std::size_t Index : {1, 21, 221})
     cr_assert_eq(Fleet.seenAs(Index, MemberState::Alive), Count);
