Carry a request through two nodes to a backend server and back

Purpose: the thin path that all other parts build on: HTTP front end, decision thread with NodeEngine, RPC thread, backend runners and admin server, connected by bounded rings; settings checked as a whole; the Cap'n Proto protocol with versions N and N-1.

Ruled out: the HTTP library's own connection loop. It bounds neither the number of headers nor the time that a whole request takes, decodes form and compressed bodies, and reads a POST without a length until the connection ends. HttpStream gives it the bytes of one request within the limits, and HttpServer answers what it cannot frame with 400 and closes the connection.

Admission, routing, retries and claims are not part of it yet.

--- /dev/null
+++ b/packages/daemon/camphorpin/src/Daemon/DecisionThread.cpp
@@ -0,0 +1,162 @@
+#include "camphorpin/src/Daemon/DecisionThread.h"
+
+#include "camphorpin/src/Daemon/RequestReader.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorpin {
+
+DecisionThread::DecisionThread(const EngineOptions &Options,
+                               const PolicySource &Policies, const Clock &Time,
+                               Random &Source, EventQueue &Events,
+                               RpcThread &Rpc, BackendRunners *Runners)
+    : Time(Time), Events(Events), Rpc(Rpc), Runners(Runners),
+      Engine(Options, *this, Time, Source, Policies) {
+  publish();
+}
+
+DecisionThread::~DecisionThread() { join(); }
+
+void DecisionThread::start() {
+  Thread = std::thread([this] { run(); });
+}
+
+void DecisionThread::join() {
+  if (Thread.joinable())
+    Thread.join();
+}
+
+NodeStatus DecisionThread::status() const {
+  const std::lock_guard<std::mutex> Lock(StatusMutex);
+  return Status;
+}
+
+void DecisionThread::run() {
+  Engine.onStarted();
+  while (!Engine.hasEnded() || !Requests.empty()) {
+    publish();
+    const Duration Wait =
+        std::max(Duration(), Engine.nextWakeup() - Time.now());
+    std::optional<NodeEvent> Event = Events.pop(Wait);
+    if (Event)
+      std::visit(
+          [this](auto &&Value) {
+            handle(std::forward<decltype(Value)>(Value));
+          },
+          *std::move(Event));
+    while (!Immediate.empty()) {
+      NodeEvent Next = std::move(Immediate.front());
+      Immediate.pop_front();
+      std::visit(
+          [this](auto &&Value) {
+            handle(std::forward<decltype(Value)>(Value));
+          },
+          std::move(Next));
+    }
+    if (Engine.nextWakeup() <= Time.now())
+      Engine.tick();
+  }
+  publish();
+}
+
+void DecisionThread::handle(RequestArrived &&Event) {
+  Requests.emplace(Event.Id,
+                   Entry{std::move(Event.Body), std::move(Event.Sink), {}});
+  Engine.onRequest(Event.Id, Event.Info);
+}
+
+void DecisionThread::handle(CallArrived &&Event) {
+  Requests.emplace(Event.Id,
+                   Entry{std::move(Event.Body), std::move(Event.Sink), {}});
+  Engine.onCall(Event.Id, Event.Context);
+}
+
+void DecisionThread::handle(RequestCancelled &&Event) {
+  Engine.onCancel(Event.Id);
+}
+
+void DecisionThread::handle(BackendDone &&Event) {
+  Current = std::move(Event.Body);
+  const auto Found = Requests.find(Event.Id);
+  if (Found != Requests.end())
+    Found->second.Token.clear();
+  Engine.onBackendDone(Event.Id, Event.Result);
+  Current.reset();
+  drop(Event.Id);
+}
+
+void DecisionThread::handle(CallDone &&Event) {
+  Current = std::move(Event.Body);
+  Calls.erase(Event.Call);
+  Engine.onCallDone(Event.Call, Event.Result);
+  Current.reset();
+}
+
+void DecisionThread::handle(DrainRequested && /*Event*/) { Engine.onDrain(); }
+
+void DecisionThread::drop(RequestId Id) {
+  const auto Found = Requests.find(Id);
+  if (Found != Requests.end() && Found->second.Answered &&
+      Found->second.Token.empty())
+    Requests.erase(Found);
+}
+
+void DecisionThread::publish() {
+  const std::lock_guard<std::mutex> Lock(StatusMutex);
+  Status.State = Engine.state();
+  Status.InProgress = Engine.inProgress();
+}
+
+void DecisionThread::startBackend(RequestId Id, const RequestContext &Context) {
+  const auto Found = Requests.find(Id);
+  const bool Started =
+      Runners != nullptr && Found != Requests.end() &&
+      Runners->run({Id, Context, Found->second.Body, Time.now()});
+  if (Started) {
+    Found->second.Token = contextToken(Id, Context.Key);
+    return;
+  }
+  Immediate.push_back(BackendDone{
+      Id,
+      {.Verdict = Verdict::NotRun, .Reason = RefusalReason::NodeBusy},
+      nullptr});
+}
+
+void DecisionThread::cancelBackend(RequestId Id) {
+  const auto Found = Requests.find(Id);
+  if (Runners != nullptr && Found != Requests.end() &&
+      !Found->second.Token.empty())
+    Runners->cancel(Found->second.Token);
+}
+
+void DecisionThread::sendCall(CallId Call, RequestId Id, HostAddress Target,
+                              const RequestContext &Context) {
+  const auto Found = Requests.find(Id);
+  if (Found != Requests.end() &&
+      Rpc.post(SendCall{Call, Target, Context, Found->second.Body})) {
+    Calls.emplace(Call, Target);
+    return;
+  }
+  Immediate.push_back(
+      CallDone{Call,
+               {.Verdict = Verdict::NotRun, .Reason = RefusalReason::NodeBusy},
+               nullptr});
+}
+
+void DecisionThread::cancelCall(CallId Call) {
+  const auto Found = Calls.find(Call);
+  if (Found != Calls.end())
+    Rpc.post(CancelCall{Call, Found->second});
+}
+
+void DecisionThread::answer(RequestId Id, const Answer &Value) {
+  const auto Found = Requests.find(Id);
+  if (Found == Requests.end() || std::exchange(Found->second.Answered, true))
+    return;
+  const bool HasBody = Value.Source != BodySource::None;
+  Found->second.Sink->deliver(Value, HasBody ? Current : nullptr);
+  drop(Id);
+}
+
+} // namespace camphorpin
--- /dev/null
+++ b/packages/daemon/camphorpin/src/Daemon/HttpServer.cpp
@@ -0,0 +1,240 @@
+#include "camphorpin/src/Daemon/HttpServer.h"
+
+#include "camphorpin/src/Daemon/HttpHeaders.h"
+#include "camphorpin/src/Daemon/HttpStream.h"
+
+#include <algorithm>
+#include <array>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string_view>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+
+namespace camphorpin {
+
+namespace {
+
+/// Time for which an idle connection is kept open.
+constexpr Duration KeepAlive = Duration::seconds(60);
+/// Requests on one connection; it is not bounded.
+constexpr std::size_t KeepAliveRequests = 1000000000;
+
+/// Answers of the HTTP library itself to a request that it could not read to
+/// its end. What follows on the connection is not the start of a request.
+constexpr std::array<std::string_view, 5> ReadFailures = {
+    "HTTP/1.1 400", "HTTP/1.1 408", "HTTP/1.1 413", "HTTP/1.1 414",
+    "HTTP/1.1 431"};
+
+bool isReadFailure(std::string_view Answer) {
+  return std::any_of(ReadFailures.begin(), ReadFailures.end(),
+                     [Answer](std::string_view Start) {
+                       return Answer.substr(0, Start.size()) == Start;
+                     });
+}
+
+void setOptions(int Socket) {
+  const int On = 1;
+  ::setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
+}
+
+void refuse(httplib::Response &Response, int Status, std::string_view Text) {
+  Response.status = Status;
+  Response.set_header(headers::Verdict, std::string(toString(Verdict::NotRun)));
+  Response.set_header(headers::Reason,
+                      std::string(toString(RefusalReason::BadRequest)));
+  Response.set_header("Connection", "close");
+  Response.set_content(std::string(Text) + "\n", "text/plain");
+}
+
+std::string refusalText(int Status, std::string_view StatusText,
+                        std::string_view Message) {
+  std::string Text = "HTTP/1.1 " + std::to_string(Status) + " ";
+  Text += StatusText;
+  Text += "\r\nCamphorpin-Verdict: not-run\r\nCamphorpin-Reason: bad-request"
+          "\r\nConnection: close\r\nContent-Type: text/plain\r\n"
+          "Content-Length: ";
+  Text += std::to_string(Message.size() + 1) + "\r\n\r\n";
+  Text += Message;
+  return Text + "\n";
+}
+
+/// Renames a header so that the HTTP library does not act on it.
+void hide(httplib::Request &Request, const char *Name, const char *Hidden) {
+  Request.headers.erase(Hidden);
+  if (!Request.has_header(Name))
+    return;
+  const std::string Value = Request.get_header_value(Name);
+  Request.headers.erase(Name);
+  Request.set_header(Hidden, Value);
+}
+
+/// \returns false if the end of the body is in doubt.
+bool bodyIsFramed(const httplib::Request &Request) {
+  const std::size_t Lengths = Request.get_header_value_count("Content-Length");
+  const std::size_t Codings =
+      Request.get_header_value_count("Transfer-Encoding");
+  if (Lengths + Codings > 1)
+    return false;
+  if (Codings == 1)
+    return sameHeader(Request.get_header_value("Transfer-Encoding"), "chunked");
+  if (Lengths == 0)
+    return true;
+  const std::string Length = Request.get_header_value("Content-Length");
+  return !Length.empty() && Length.size() < 19 &&
+         std::all_of(Length.begin(), Length.end(),
+                     [](char C) { return C >= '0' && C <= '9'; });
+}
+
+/// \returns true if the node can pass on all headers of the request.
+bool hasAllowedHeaderCount(const httplib::Request &Request) {
+  return Request.headers.size() <= MaxHeaderFields;
+}
+
+bool hasBody(const httplib::Request &Request) {
+  return Request.has_header("Transfer-Encoding") ||
+         (Request.has_header("Content-Length") &&
+          Request.get_header_value("Content-Length") != "0");
+}
+
+} // namespace
+
+HttpServer::HttpServer(const HttpLimits &Limits, RequestHandler Handler)
+    : Limits(Limits), Handler(std::move(Handler)) {
+  set_payload_max_length(Limits.Body);
+  // The header Keep-Alive of the answers shows these two.
+  set_keep_alive_timeout(KeepAlive.wholeMillis() / 1000);
+  set_keep_alive_max_count(KeepAliveRequests);
+  set_socket_options(setOptions);
+  set_tcp_nodelay(true);
+  new_task_queue = [this] {
+    return new httplib::ThreadPool(this->Limits.Threads);
+  };
+  set_pre_routing_handler(
+      [this](const httplib::Request &Request, httplib::Response &Response) {
+        return handleWithoutBody(Request, Response);
+      });
+  Post(".*",
+       [this](const httplib::Request &Request, httplib::Response &Response,
+              const httplib::ContentReader &Reader) {
+         handleWithBody(Request, Response, Reader);
+       });
+  set_error_handler([](const httplib::Request &, httplib::Response &Response) {
+    // Answers of the node or of a backend server carry a verdict already.
+    if (!Response.has_header(headers::Verdict))
+      refuse(Response, Response.status, "bad request");
+  });
+}
+
+HttpServer::~HttpServer() { stop(); }
+
+bool HttpServer::bind(const HostAddress &Address) {
+  const std::string Text = Address.toString();
+  return bind_to_port(Text.substr(0, Text.find(':')), Address.Port);
+}
+
+void HttpServer::start() {
+  Thread = std::thread([this] { listen_after_bind(); });
+}
+
+void HttpServer::stop() {
+  if (!Thread.joinable())
+    return;
+  Stopping = true;
+  while (!is_running())
+    std::this_thread::yield();
+  httplib::Server::stop();
+  Thread.join();
+}
+
+bool HttpServer::process_and_close_socket(int Socket) {
+  const int On = 1;
+  ::setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
+  HttpStream Stream(Socket, Limits);
+  while (Stream.waitForRequest(KeepAlive, Stopping) && serveOne(Stream)) {
+  }
+  ::shutdown(Socket, SHUT_RDWR);
+  ::close(Socket);
+  return true;
+}
+
+bool HttpServer::serveOne(HttpStream &Stream) {
+  Stream.beginRequest();
+  bool Closed = false;
+  const bool Done = process_request(Stream, Stopping, Closed,
+                                    [this, &Stream](httplib::Request &Request) {
+                                      Stream.endHeaders();
+                                      prepare(Request);
+                                    });
+  if (Stream.headersTooLarge()) {
+    const std::string Text = refusalText(431, "Request Header Fields Too Large",
+                                         "the headers are too large");
+    Stream.write(Text.data(), Text.size());
+    Stream.flush();
+    return false;
+  }
+  if (Stream.tooSlow() && Stream.unsent().empty()) {
+    const std::string Text =
+        refusalText(408, "Request Timeout", "the request took too long");
+    Stream.write(Text.data(), Text.size());
+  }
+  const bool Failed = isReadFailure(Stream.unsent());
+  return Stream.flush() && Done && !Closed && !Failed;
+}
+
+void HttpServer::prepare(httplib::Request &Request) {
+  hide(Request, "Content-Type", headers::HiddenType);
+  hide(Request, "Content-Encoding", headers::HiddenCoding);
+  // Answers are passed on as the backend server sent them.
+  Request.headers.erase("Accept-Encoding");
+  Request.headers.erase("Range");
+  Request.ranges.clear();
+}
+
+httplib::Server::HandlerResponse
+HttpServer::handleWithoutBody(const httplib::Request &Request,
+                              httplib::Response &Response) {
+  if (!bodyIsFramed(Request)) {
+    refuse(Response, 400, "the length of the body is in doubt");
+    return HandlerResponse::Handled;
+  }
+  if (!hasAllowedHeaderCount(Request)) {
+    refuse(Response, 431, "there are too many headers");
+    return HandlerResponse::Handled;
+  }
+  const bool IsPost = Request.method == "POST";
+  if (!IsPost && hasBody(Request)) {
+    refuse(Response, 400, "only POST may have a body");
+    return HandlerResponse::Handled;
+  }
+  if (IsPost && hasBody(Request))
+    return HandlerResponse::Unhandled;
+  ++Handling;
+  Handler(Request, std::string(), Response);
+  --Handling;
+  return HandlerResponse::Handled;
+}
+
+void HttpServer::handleWithBody(const httplib::Request &Request,
+                                httplib::Response &Response,
+                                const httplib::ContentReader &Reader) {
+  std::string Body;
+  const bool Whole = Reader([this, &Body](const char *Data, std::size_t Size) {
+    if (Body.size() + Size > Limits.Body)
+      return false;
+    Body.append(Data, Size);
+    return true;
+  });
+  if (!Whole) {
+    const bool TooLarge = Response.status == 413 || Body.size() >= Limits.Body;
+    refuse(Response, TooLarge ? 413 : 400,
+           TooLarge ? "the body is too large" : "the body is incomplete");
+    return;
+  }
+  ++Handling;
+  Handler(Request, std::move(Body), Response);
+  --Handling;
+}
+
+} // namespace camphorpin
--- /dev/null
+++ b/packages/daemon/camphorpin/src/Daemon/NodeDaemon.cpp
@@ -0,0 +1,122 @@
+#include "camphorpin/src/Daemon/NodeDaemon.h"
+
+#include "camphorpin/src/Daemon/Listener.h"
+
+#include <cerrno>
+#include <cstring>
+#include <nlohmann/json.hpp>
+#include <random>
+
+namespace camphorpin {
+
+namespace {
+
+constexpr std::size_t MaxRequests = 4096;
+
+std::uint64_t randomSeed() {
+  std::random_device Device;
+  return (static_cast<std::uint64_t>(Device()) << 32U) | Device();
+}
+
+EngineOptions engineOptions(const Settings &Options, const ProcessId &Self) {
+  return {.Self = Self,
+          .Service = Options.Service,
+          .Zone = Options.Zone,
+          .Region = Options.Region,
+          .Peers = Options.Peers,
+          .MaxRequests = MaxRequests};
+}
+
+std::string bindError(const HostAddress &Address) {
+  return Address.toString() + ": " + std::strerror(errno);
+}
+
+} // namespace
+
+NodeDaemon::NodeDaemon(const Settings &Options,
+                       const DocumentPolicies &Policies)
+    : Options(Options), Policies(Policies), Source(randomSeed()),
+      Events(MaxRequests), Self{Options.Address,
+                                static_cast<std::uint64_t>(
+                                    Time.wallNow().wholeMillis())},
+      Front(Options.Limits, Events), Admin(*this) {}
+
+NodeDaemon::~NodeDaemon() = default;
+
+std::string NodeDaemon::bindAll() {
+  const int Socket = listenTcp(Options.Address);
+  if (Socket < 0)
+    return bindError(Options.Address);
+  RpcOptions Rpc{.Self = Self,
+                 .Service = Options.Service,
+                 .Zone = Options.Zone,
+                 .Region = Options.Region,
+                 .ListenSocket = Socket,
+                 .MaxBody = Options.Limits.Body,
+                 .ConnectionSilence = Options.ConnectionSilence};
+  this->Rpc = std::make_unique<RpcThread>(Rpc, Events);
+  if (!Front.bind(Options.HttpAddress))
+    return bindError(Options.HttpAddress);
+  if (!Admin.bind(Options.AdminAddress))
+    return bindError(Options.AdminAddress);
+  return {};
+}
+
+std::string NodeDaemon::start() {
+  std::string Error = bindAll();
+  if (!Error.empty())
+    return Error;
+  if (Options.Backend)
+    Runners = std::make_unique<BackendRunners>(*Options.Backend, Options.Limits,
+                                               Time, Events);
+  Decisions = std::make_unique<DecisionThread>(engineOptions(Options, Self),
+                                               Policies, Time, Source, Events,
+                                               *Rpc, Runners.get());
+  Rpc->start();
+  if (Runners)
+    Runners->start();
+  Decisions->start();
+  Front.start();
+  Admin.start();
+  return {};
+}
+
+void NodeDaemon::drain() { Events.complete(DrainRequested{}); }
+
+void NodeDaemon::waitForEnd() {
+  Decisions->join();
+  // Answers that were given are still written out by the threads below. A
+  // request that arrives from now on is refused, because the queue is closed.
+  Events.close();
+  Front.stop();
+  Rpc->stop();
+  if (Runners)
+    Runners->stop();
+  Admin.stop();
+}
+
+std::string NodeDaemon::metrics() const { return {}; }
+
+std::string NodeDaemon::status() const {
+  const NodeStatus Status = Decisions->status();
+  nlohmann::json Result;
+  Result["state"] = Status.State;
+  Result["inProgress"] = Status.InProgress;
+  Result["service"] = Options.Service.string();
+  Result["zone"] = Options.Zone.string();
+  Result["region"] = Options.Region.string();
+  Result["address"] = Self.Address.toString();
+  Result["incarnation"] = Self.Incarnation;
+  Result["version"] = NewestProtocolVersion;
+  return Result.dump();
+}
+
+std::string NodeDaemon::explain(const std::string &Service,
+                                const std::string &Operation) const {
+  nlohmann::json Result;
+  Result["service"] = Service;
+  Result["operation"] = Operation;
+  return Result.dump();
+}
+
+} // namespace camphorpin
--- /dev/null
+++ b/packages/daemon/camphorpin/src/Daemon/NodeEvent.h
@@ -0,0 +1,74 @@
+#ifndef CAMPHORPIN_SRC_DAEMON_NODEEVENT_H
+#define CAMPHORPIN_SRC_DAEMON_NODEEVENT_H
+
+#include "camphorpin/Engine.h"
+#include "camphorpin/Wire.h"
+
+#include <memory>
+#include <variant>
+
+namespace camphorpin {
+
+using SharedPayload = std::shared_ptr<const Payload>;
+
+/// \class AnswerSink
+/// \brief Takes the one answer to a request, on the decision thread.
+class AnswerSink {
+public:
+  virtual ~AnswerSink() = default;
+
+  /// \param Body the backend server's answer, or null.
+  virtual void deliver(const Answer &Value, const SharedPayload &Body) = 0;
+};
+
+/// \class RequestArrived
+/// \brief A caller, or the local backend server, sent a request over HTTP.
+struct RequestArrived {
+  RequestId Id{};
+  RequestInfo Info;
+  SharedPayload Body;
+  std::shared_ptr<AnswerSink> Sink;
+};
+
+/// \class CallArrived
+/// \brief Another node sent a call.
+struct CallArrived {
+  RequestId Id{};
+  RequestContext Context;
+  SharedPayload Body;
+  std::shared_ptr<AnswerSink> Sink;
+};
+
+/// \class RequestCancelled
+/// \brief Whoever sent the request no longer waits.
+struct RequestCancelled {
+  RequestId Id{};
+};
+
+/// \class BackendDone
+/// \brief A run on the local backend server has ended.
+struct BackendDone {
+  RequestId Id{};
+  BackendResult Result;
+  SharedPayload Body;
+};
+
+/// \class CallDone
+/// \brief A call to another node has ended.
+struct CallDone {
+  CallId Call{};
+  CallResult Result;
+  SharedPayload Body;
+};
+
+/// \class DrainRequested
+/// \brief An operator or a signal starts the graceful drain.
+struct DrainRequested {};
+
+/// \brief Everything that the decision thread reacts to.
+using NodeEvent = std::variant<RequestArrived, CallArrived, RequestCancelled,
+                               BackendDone, CallDone, DrainRequested>;
+
+} // namespace camphorpin
+
+#endif
--- /dev/null
+++ b/packages/daemon/camphorpin/src/Daemon/RpcService.h
@@ -0,0 +1,49 @@
+#ifndef CAMPHORPIN_SRC_DAEMON_RPCSERVICE_H
+#define CAMPHORPIN_SRC_DAEMON_RPCSERVICE_H
+
+#include "camphorpin/src/Daemon/RpcEnvironment.h"
+
+#include <unordered_map>
+
+namespace camphorpin::detail {
+
+/// \class AnswerTable
+/// \brief The calls of other nodes that wait for their answers.
+class AnswerTable {
+public:
+  /// \returns a promise for the answer to the call \p Id.
+  kj::Promise<DeliverAnswer> expect(RequestId Id);
+
+  /// Delivers the answer. It is dropped if the caller has gone.
+  void deliver(DeliverAnswer &&Value);
+
+private:
+  std::unordered_map<RequestId, kj::Own<kj::PromiseFulfiller<DeliverAnswer>>>
+      Waiting;
+};
+
+/// \class RpcService
+/// \brief What another node may ask over one connection.
+class RpcService final : public wire::Node::Server {
+public:
+  RpcService(RpcEnvironment &Environment, AnswerTable &Answers,
+             RpcThread &Thread)
+      : Environment(Environment), Answers(Answers), Thread(Thread) {}
+
+  kj::Promise<void> hello(HelloContext Context) override;
+  kj::Promise<void> call(CallContext Context) override;
+  kj::Promise<void> cancel(CancelContext Context) override;
+  kj::Promise<void> control(ControlContext Context) override;
+
+private:
+  RpcEnvironment &Environment;
+  AnswerTable &Answers;
+  RpcThread &Thread;
+  /// Zero until the two sides have agreed on a version.
+  std::uint16_t Version = 0;
+  std::unordered_map<std::uint64_t, RequestId> Running;
+};
+
+} // namespace camphorpin::detail
+
+#endif
--- /dev/null
+++ b/packages/daemon/camphorpin/src/Daemon/Settings.h
@@ -0,0 +1,73 @@
+#ifndef CAMPHORPIN_SRC_DAEMON_SETTINGS_H
+#define CAMPHORPIN_SRC_DAEMON_SETTINGS_H
+
+#include "camphorpin/Core.h"
+#include "camphorpin/Engine.h"
+#include "camphorpin/src/Daemon/JsonFields.h"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace camphorpin {
+
+/// \class HttpLimits
+/// \brief Bounds on what an HTTP connection may send.
+struct HttpLimits {
+  /// Largest body of a request or an answer, in bytes.
+  std::size_t Body = 1048576;
+  /// Largest request line and headers together, in bytes.
+  std::size_t Headers = 16384;
+  /// Time in which a whole request must arrive.
+  Duration ReadTimeout = Duration::seconds(5);
+  /// Open connections; each takes a thread.
+  std::size_t Threads = 64;
+};
+
+/// \class BackendSettings
+/// \brief The local backend server.
+struct BackendSettings {
+  HostAddress Address;
+  /// Connections to the backend server; each takes a thread.
+  std::size_t Connections = 32;
+};
+
+/// \class LoggingSettings
+/// \brief Where log events go.
+struct LoggingSettings {
+  std::string Level = "info";
+  /// Empty for the console.
+  std::string File;
+};
+
+/// \class Settings
+/// \brief The settings of one node (docs/settings.md).
+struct Settings {
+  HostAddress Address;
+  HostAddress HttpAddress;
+  HostAddress AdminAddress;
+  ZoneName Zone;
+  RegionName Region;
+  /// Empty for a node without a backend server.
+  ServiceName Service;
+  std::optional<BackendSettings> Backend;
+  std::optional<HostAddress> LogAddress;
+  std::vector<KnownPeer> Peers;
+  /// Policy documents by name, as JSON text.
+  std::map<std::string, std::string> Documents;
+  HttpLimits Limits;
+  Duration ConnectionSilence = Duration::seconds(1);
+  LoggingSettings Logging;
+};
+
+/// \returns the settings in \p Json, or all faults found.
+std::variant<Settings, std::vector<SettingsError>>
+parseSettings(std::string_view Json);
+
+} // namespace camphorpin
+
+#endif
--- /dev/null
+++ b/packages/daemon/main.cpp
@@ -0,0 +1,87 @@
+#include "camphorpin/Daemon.h"
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <variant>
+#include <vector>
+
+DEFINE_string(settings, "", "path of the settings file (docs/settings.md)");
+DEFINE_bool(check_settings, false,
+            "check the settings, print all errors and exit");
+
+namespace {
+
+using camphorpin::DocumentPolicies;
+using camphorpin::NodeDaemon;
+using camphorpin::Settings;
+using camphorpin::SettingsError;
+
+/// Prints all errors with file and field.
+int printErrors(const std::vector<SettingsError> &Errors) {
+  for (const SettingsError &Error : Errors) {
+    std::cerr << FLAGS_settings << ": ";
+    if (!Error.Field.empty())
+      std::cerr << Error.Field << ": ";
+    std::cerr << Error.Message << "\n";
+  }
+  return EXIT_FAILURE;
+}
+
+int runNode(const Settings &Options, const DocumentPolicies &Policies) {
+  // The signals are taken by one thread; all threads inherit the mask.
+  sigset_t Signals;
+  sigemptyset(&Signals);
+  sigaddset(&Signals, SIGTERM);
+  sigaddset(&Signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+
+  NodeDaemon Node(Options, Policies);
+  const std::string Error = Node.start();
+  if (!Error.empty()) {
+    std::cerr << "camphorpind: cannot bind " << Error << "\n";
+    return EXIT_FAILURE;
+  }
+  std::thread([Signals, &Node] {
+    int Signal = 0;
+    while (sigwait(&Signals, &Signal) == 0)
+      Node.drain();
+  }).detach();
+  Node.waitForEnd();
+  std::fflush(nullptr);
+  // The signal thread never ends, so static objects are not destroyed.
+  std::_Exit(EXIT_SUCCESS);
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  gflags::SetUsageMessage("runs one camphorpin node\n"
+                          "  camphorpind --settings FILE [--check-settings]");
+  gflags::ParseCommandLineFlags(&Count, &Arguments, true);
+  std::ifstream File(FLAGS_settings);
+  if (!File)
+    return printErrors({{"", "cannot be read"}});
+  std::stringstream Text;
+  Text << File.rdbuf();
+
+  const std::variant<Settings, std::vector<SettingsError>> Result =
+      camphorpin::parseSettings(Text.str());
+  if (std::holds_alternative<std::vector<SettingsError>>(Result))
+    return printErrors(std::get<std::vector<SettingsError>>(Result));
+  const Settings &Options = std::get<Settings>(Result);
+  std::vector<SettingsError> Errors;
+  const DocumentPolicies Policies(Options.Documents, Errors);
+  if (!Errors.empty())
+    return printErrors(Errors);
+  if (FLAGS_check_settings)
+    return EXIT_SUCCESS;
+  return runNode(Options, Policies);
+}
--- /dev/null
+++ b/packages/decision/camphorpin/src/Engine/Actions.h
@@ -0,0 +1,37 @@
+#ifndef CAMPHORPIN_SRC_ENGINE_ACTIONS_H
+#define CAMPHORPIN_SRC_ENGINE_ACTIONS_H
+
+#include "camphorpin/src/Engine/EngineMessages.h"
+
+namespace camphorpin {
+
+/// \class Actions
+/// \brief What the engine asks its surroundings to do.
+///
+/// An action returns at once. Its outcome comes back as an event.
+class Actions {
+public:
+  virtual ~Actions() = default;
+
+  /// Runs the request on the local backend server. Exactly one
+  /// NodeEngine::onBackendDone follows.
+  virtual void startBackend(RequestId Id, const RequestContext &Context) = 0;
+
+  /// Asks the local backend server to stop a run. onBackendDone still follows.
+  virtual void cancelBackend(RequestId Id) = 0;
+
+  /// Sends the request \p Id to the node at \p Target. Exactly one
+  /// NodeEngine::onCallDone follows.
+  virtual void sendCall(CallId Call, RequestId Id, HostAddress Target,
+                        const RequestContext &Context) = 0;
+
+  /// Tells the other node that the answer is no longer wanted.
+  virtual void cancelCall(CallId Call) = 0;
+
+  /// Answers a request. Exactly one answer is given to each request.
+  virtual void answer(RequestId Id, const Answer &Value) = 0;
+};
+
+} // namespace camphorpin
+
+#endif
--- /dev/null
+++ b/packages/decision/camphorpin/src/Engine/EngineOptions.h
@@ -0,0 +1,37 @@
+#ifndef CAMPHORPIN_SRC_ENGINE_ENGINEOPTIONS_H
+#define CAMPHORPIN_SRC_ENGINE_ENGINEOPTIONS_H
+
+#include "camphorpin/Core.h"
+
+#include <cstddef>
+#include <vector>
+
+namespace camphorpin {
+
+/// \class KnownPeer
+/// \brief A node that the settings name.
+struct KnownPeer {
+  HostAddress Address;
+  /// Empty for a node without a backend server.
+  ServiceName Service;
+  ZoneName Zone;
+  RegionName Region;
+};
+
+/// \class EngineOptions
+/// \brief What a node knows of itself when it starts.
+struct EngineOptions {
+  ProcessId Self;
+  /// Empty for a node without a backend server.
+  ServiceName Service;
+  ZoneName Zone;
+  RegionName Region;
+  std::vector<KnownPeer> Peers;
+  /// Requests in progress, as ingress node and beside the backend server
+  /// together. More are refused with NodeBusy. It bounds the engine's memory.
+  std::size_t MaxRequests = 16384;
+};
+
+} // namespace camphorpin
+
+#endif
--- /dev/null
+++ b/packages/decision/camphorpin/src/Engine/NodeEngine.h
@@ -0,0 +1,81 @@
+#ifndef CAMPHORPIN_SRC_ENGINE_NODEENGINE_H
+#define CAMPHORPIN_SRC_ENGINE_NODEENGINE_H
+
+#include "camphorpin/Core.h"
+#include "camphorpin/src/Engine/Actions.h"
+#include "camphorpin/src/Engine/EngineMessages.h"
+#include "camphorpin/src/Engine/EngineOptions.h"
+#include "camphorpin/src/Engine/NodeLifecycle.h"
+#include "camphorpin/src/Engine/PolicySource.h"
+
+#include <cstddef>
+#include <memory>
+#include <string_view>
+
+namespace camphorpin {
+
+/// \class NodeEngine
+/// \brief All decisions of one node.
+///
+/// Events come in through the functions that start with `on`; actions go out
+/// through Actions, also from within an event. The engine has no threads and
+/// reads no clock but the one it is given. Bodies do not enter it.
+///
+/// Each request gets exactly one answer. A completion with an unknown id, or
+/// one that came before, is dropped.
+class NodeEngine {
+public:
+  /// \param Out, Time, Source and Policies must outlive the engine.
+  NodeEngine(const EngineOptions &Options, Actions &Out, const Clock &Time,
+             Random &Source, const PolicySource &Policies);
+  ~NodeEngine();
+  NodeEngine(const NodeEngine &) = delete;
+  NodeEngine &operator=(const NodeEngine &) = delete;
+
+  /// The threads of the node run and its addresses are bound.
+  void onStarted();
+
+  /// A caller, or the local backend server, sent a request.
+  /// \pre \p Id was not used before.
+  void onRequest(RequestId Id, const RequestInfo &Info);
+
+  /// Another node sent a call for the local backend server.
+  /// \pre \p Id was not used before.
+  void onCall(RequestId Id, const RequestContext &Context);
+
+  /// Whoever sent the request no longer waits for the answer.
+  void onCancel(RequestId Id);
+
+  /// A run on the local backend server has ended.
+  void onBackendDone(RequestId Id, const BackendResult &Result);
+
+  /// A call to another node has ended.
+  void onCallDone(CallId Call, const CallResult &Result);
+
+  /// Starts the graceful drain: new work is refused from now on, and accepted
+  /// work finishes.
+  void onDrain();
+
+  /// Time has passed. To be called at nextWakeup() or earlier.
+  void tick();
+
+  /// \returns the time at which tick() has something to do.
+  Instant nextWakeup() const;
+
+  /// \returns the name of the lifecycle state.
+  std::string_view state() const;
+
+  /// \returns true when the node has left and nothing is in progress.
+  bool hasEnded() const;
+
+  /// \returns the number of requests that are not answered yet.
+  std::size_t inProgress() const;
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> State;
+};
+
+} // namespace camphorpin
+
+#endif
--- /dev/null
+++ b/packages/wire/camphorpin/src/Wire/Codec.cpp
@@ -0,0 +1,167 @@
+#include "camphorpin/src/Wire/Codec.h"
+
+#include <algorithm>
+#include <string_view>
+
+namespace camphorpin {
+
+namespace {
+
+/// The longest span of time that is accepted, so that sums cannot overflow.
+constexpr Duration MaxSpan = Duration::seconds(7 * 24 * 3600);
+
+std::string_view textOf(capnp::Text::Reader Source) {
+  return {Source.cStr(), Source.size()};
+}
+
+/// Splits the 8 bytes of a number in network byte order.
+void putBigEndian(std::uint64_t Value, std::uint8_t *Target) {
+  for (int Index = 7; Index >= 0; --Index) {
+    Target[Index] = static_cast<std::uint8_t>(Value);
+    Value >>= 8U;
+  }
+}
+
+std::uint64_t bigEndian(const std::uint8_t *Source) {
+  std::uint64_t Value = 0;
+  for (int Index = 0; Index < 8; ++Index)
+    Value = (Value << 8U) | Source[Index];
+  return Value;
+}
+
+bool isSpan(std::int64_t Ticks) {
+  return Ticks >= -MaxSpan.ticks() && Ticks <= MaxSpan.ticks();
+}
+
+/// Line breaks in a header would let a sender add headers of its own.
+bool isHeaderText(std::string_view Text) {
+  return std::none_of(Text.begin(), Text.end(), [](char C) {
+    return C == '\r' || C == '\n' || C == '\0';
+  });
+}
+
+bool isMethod(std::string_view Text) {
+  return Text.empty() || Text == "GET" || Text == "POST";
+}
+
+} // namespace
+
+void writeKey(wire::Key::Builder Target, const RequestKey &Value) {
+  Target.setHigh(bigEndian(Value.bytes().data()));
+  Target.setLow(bigEndian(Value.bytes().data() + 8));
+}
+
+RequestKey readKey(wire::Key::Reader Source) {
+  std::array<std::uint8_t, RequestKey::Size> Bytes{};
+  putBigEndian(Source.getHigh(), Bytes.data());
+  putBigEndian(Source.getLow(), Bytes.data() + 8);
+  return RequestKey::fromBytes(Bytes);
+}
+
+void writeProcess(wire::Process::Builder Target, const ProcessId &Value) {
+  Target.setIp(Value.Address.Ip);
+  Target.setPort(Value.Address.Port);
+  Target.setIncarnation(Value.Incarnation);
+}
+
+ProcessId readProcess(wire::Process::Reader Source) {
+  return ProcessId{HostAddress{Source.getIp(), Source.getPort()},
+                   Source.getIncarnation()};
+}
+
+void writeContext(wire::Context::Builder Target, const RequestContext &Value) {
+  writeKey(Target.initRoot(), Value.Root);
+  writeKey(Target.initKey(), Value.Key);
+  Target.setService(Value.Service.string());
+  Target.setOperation(Value.Operation.string());
+  Target.setCaller(Value.Caller.string());
+  Target.setRank(Value.Rank.index());
+  Target.setIdempotent(Value.Idempotent);
+  Target.setFirstSend(Value.FirstSend);
+  Target.setAge(Value.Age.ticks());
+  Target.setRemaining(Value.Remaining.ticks());
+  Target.setHopsLeft(Value.HopsLeft);
+  Target.setExtraAttempts(Value.ExtraAttempts);
+  Target.setCrashCount(Value.CrashCount);
+  Target.setFingerprint(Value.Fingerprint);
+}
+
+std::optional<RequestContext> readContext(wire::Context::Reader Source) {
+  const std::string_view Service = textOf(Source.getService());
+  const std::string_view Operation = textOf(Source.getOperation());
+  const std::string_view Caller = textOf(Source.getCaller());
+  if (!isValidName(Service) || !isValidName(Operation) || !isValidName(Caller))
+    return std::nullopt;
+  if (Source.getRank() >= MaxRanks || !isSpan(Source.getAge()) ||
+      !isSpan(Source.getRemaining()))
+    return std::nullopt;
+  RequestContext Value;
+  Value.Root = readKey(Source.getRoot());
+  Value.Key = readKey(Source.getKey());
+  Value.Service = ServiceName(Service);
+  Value.Operation = OperationName(Operation);
+  Value.Caller = CallerName(Caller);
+  Value.Rank = Rank(Source.getRank());
+  Value.Idempotent = Source.getIdempotent();
+  Value.FirstSend = Source.getFirstSend();
+  Value.Age = Duration::ticks(Source.getAge());
+  Value.Remaining = Duration::ticks(Source.getRemaining());
+  Value.HopsLeft = Source.getHopsLeft();
+  Value.ExtraAttempts = Source.getExtraAttempts();
+  Value.CrashCount = Source.getCrashCount();
+  Value.Fingerprint = Source.getFingerprint();
+  return Value;
+}
+
+void writePayload(wire::Payload::Builder Target, const Payload &Value) {
+  Target.setMethod(Value.Method);
+  Target.setQuery(Value.Query);
+  Target.setStatus(Value.Status);
+  const std::size_t Count = std::min(Value.Headers.size(), MaxHeaderFields);
+  capnp::List<wire::Header>::Builder Headers =
+      Target.initHeaders(static_cast<unsigned>(Count));
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    wire::Header::Builder Field = Headers[static_cast<unsigned>(Index)];
+    Field.setName(Value.Headers[Index].Name);
+    Field.setValue(Value.Headers[Index].Value);
+  }
+  Target.setBody(
+      kj::arrayPtr(reinterpret_cast<const kj::byte *>(Value.Body.data()),
+                   Value.Body.size()));
+}
+
+std::optional<Payload> readPayload(wire::Payload::Reader Source) {
+  const std::string_view Method = textOf(Source.getMethod());
+  const std::string_view Query = textOf(Source.getQuery());
+  if (!isMethod(Method) || !isHeaderText(Query) ||
+      Source.getHeaders().size() > MaxHeaderFields)
+    return std::nullopt;
+  Payload Value;
+  Value.Method = Method;
+  Value.Query = Query;
+  Value.Status = Source.getStatus();
+  for (wire::Header::Reader Field : Source.getHeaders()) {
+    const std::string_view Name = textOf(Field.getName());
+    const std::string_view Text = textOf(Field.getValue());
+    if (Name.empty() || !isHeaderText(Name) || !isHeaderText(Text))
+      return std::nullopt;
+    Value.Headers.push_back({std::string(Name), std::string(Text)});
+  }
+  const capnp::Data::Reader Body = Source.getBody();
+  Value.Body.assign(reinterpret_cast<const char *>(Body.begin()), Body.size());
+  return Value;
+}
+
+std::optional<Verdict> verdictFromCode(std::uint8_t Code) {
+  if (Code > static_cast<std::uint8_t>(Verdict::MayHaveRun))
+    return std::nullopt;
+  return static_cast<Verdict>(Code);
+}
+
+std::optional<RefusalReason> reasonFromCode(std::uint8_t Code) {
+  if (Code > static_cast<std::uint8_t>(RefusalReason::NodeBusy))
+    return std::nullopt;
+  return static_cast<RefusalReason>(Code);
+}
+
+} // namespace camphorpin
