Route by membership, log numbered events and count requests

Purpose: peers come from gossip instead of the settings; operators see events and metrics. A draining node refuses work for 1 s before it closes its ports, so that the leaving notice arrives first. Ruled out: boost::accumulators::tag::density, which fixes its buckets by the first samples, so that the series of two nodes could not be added.

--- a/packages/daemon/camphorpin/src/Daemon/DecisionThread.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/DecisionThread.cpp
@@ -9,10 +9,8 @@
 
 DecisionThread::DecisionThread(const EngineOptions &Options,
                                const PolicySource &Policies, const Clock &Time,
-                               Random &Source, EventQueue &Events,
-                               RpcThread &Rpc, BackendRunners *Runners)
-    : Time(Time), Events(Events), Rpc(Rpc), Runners(Runners),
-      Engine(Options, *this, Time, Source, Policies) {
+                               Random &Source, const DecisionPorts &Ports)
+    : Time(Time), Ports(Ports), Engine(Options, *this, Time, Source, Policies) {
   publish();
 }
 
@@ -38,7 +36,7 @@
     publish();
     const Duration Wait =
         std::max(Duration(), Engine.nextWakeup() - Time.now());
-    std::optional<NodeEvent> Event = Events.pop(Wait);
+    std::optional<NodeEvent> Event = Ports.Events.pop(Wait);
     if (Event)
       std::visit(
           [this](auto &&Value) {
@@ -61,14 +59,19 @@
 }
 
 void DecisionThread::handle(RequestArrived &&Event) {
-  Requests.emplace(Event.Id,
-                   Entry{std::move(Event.Body), std::move(Event.Sink), {}});
+  Requests.emplace(Event.Id, Entry{.Body = std::move(Event.Body),
+                                   .Sink = std::move(Event.Sink),
+                                   .Caller = Event.Info.Caller,
+                                   .Arrived = Time.now()});
   Engine.onRequest(Event.Id, Event.Info);
 }
 
 void DecisionThread::handle(CallArrived &&Event) {
-  Requests.emplace(Event.Id,
-                   Entry{std::move(Event.Body), std::move(Event.Sink), {}});
+  Requests.emplace(Event.Id, Entry{.Body = std::move(Event.Body),
+                                   .Sink = std::move(Event.Sink),
+                                   .Side = RequestSide::Served,
+                                   .Caller = Event.Context.Caller,
+                                   .Arrived = Time.now()});
   Engine.onCall(Event.Id, Event.Context);
 }
 
@@ -93,6 +96,10 @@
   Current.reset();
 }
 
+void DecisionThread::handle(DatagramArrived &&Event) {
+  Engine.onDatagram(Event.From, Event.Message);
+}
+
 void DecisionThread::handle(DrainRequested && /*Event*/) { Engine.onDrain(); }
 
 void DecisionThread::drop(RequestId Id) {
@@ -106,13 +113,14 @@
   const std::lock_guard<std::mutex> Lock(StatusMutex);
   Status.State = Engine.state();
   Status.InProgress = Engine.inProgress();
+  Status.Members = Engine.members();
 }
 
 void DecisionThread::startBackend(RequestId Id, const RequestContext &Context) {
   const auto Found = Requests.find(Id);
   const bool Started =
-      Runners != nullptr && Found != Requests.end() &&
-      Runners->run({Id, Context, Found->second.Body, Time.now()});
+      Ports.Runners != nullptr && Found != Requests.end() &&
+      Ports.Runners->run({Id, Context, Found->second.Body, Time.now()});
   if (Started) {
     Found->second.Token = contextToken(Id, Context.Key);
     return;
@@ -125,16 +133,16 @@
 
 void DecisionThread::cancelBackend(RequestId Id) {
   const auto Found = Requests.find(Id);
-  if (Runners != nullptr && Found != Requests.end() &&
+  if (Ports.Runners != nullptr && Found != Requests.end() &&
       !Found->second.Token.empty())
-    Runners->cancel(Found->second.Token);
+    Ports.Runners->cancel(Found->second.Token);
 }
 
 void DecisionThread::sendCall(CallId Call, RequestId Id, HostAddress Target,
                               const RequestContext &Context) {
   const auto Found = Requests.find(Id);
   if (Found != Requests.end() &&
-      Rpc.post(SendCall{Call, Target, Context, Found->second.Body})) {
+      Ports.Rpc.post(SendCall{Call, Target, Context, Found->second.Body})) {
     Calls.emplace(Call, Target);
     return;
   }
@@ -147,16 +155,32 @@
 void DecisionThread::cancelCall(CallId Call) {
   const auto Found = Calls.find(Call);
   if (Found != Calls.end())
-    Rpc.post(CancelCall{Call, Found->second});
+    Ports.Rpc.post(CancelCall{Call, Found->second});
 }
 
 void DecisionThread::answer(RequestId Id, const Answer &Value) {
   const auto Found = Requests.find(Id);
   if (Found == Requests.end() || std::exchange(Found->second.Answered, true))
     return;
+  const Entry &Request = Found->second;
+  Ports.Statistics.record({.Side = Request.Side,
+                           .Caller = Request.Caller,
+                           .Rank = Value.Rank,
+                           .Verdict = Value.Verdict,
+                           .Reason = Value.Reason,
+                           .Elapsed = Time.now() - Request.Arrived});
   const bool HasBody = Value.Source != BodySource::None;
   Found->second.Sink->deliver(Value, HasBody ? Current : nullptr);
   drop(Id);
 }
 
+void DecisionThread::sendDatagram(HostAddress To,
+                                  const GossipMessage &Message) {
+  Ports.Datagrams.send(To, Message);
+}
+
+void DecisionThread::logEvent(LogEvent Event, const LogFields &Fields) {
+  Ports.Log.write(Event, Fields);
+}
+
 } // namespace camphorpin
--- a/packages/daemon/camphorpin/src/Daemon/DecisionThread.h
+++ b/packages/daemon/camphorpin/src/Daemon/DecisionThread.h
@@ -2,7 +2,10 @@
 #define CAMPHORPIN_SRC_DAEMON_DECISIONTHREAD_H
 
 #include "camphorpin/src/Daemon/BackendRunners.h"
+#include "camphorpin/src/Daemon/DatagramThread.h"
+#include "camphorpin/src/Daemon/EventLog.h"
 #include "camphorpin/src/Daemon/EventQueue.h"
+#include "camphorpin/src/Daemon/Metrics.h"
 #include "camphorpin/src/Daemon/RpcThread.h"
 
 #include <atomic>
@@ -19,6 +22,19 @@
 struct NodeStatus {
   std::string State;
   std::size_t InProgress = 0;
+  std::size_t Members = 0;
+};
+
+/// \class DecisionPorts
+/// \brief The threads that the decision thread talks to. All must outlive it.
+struct DecisionPorts {
+  EventQueue &Events;
+  RpcThread &Rpc;
+  DatagramThread &Datagrams;
+  EventLog &Log;
+  Metrics &Statistics;
+  /// Null for a node without a backend server.
+  BackendRunners *Runners = nullptr;
 };
 
 /// \class DecisionThread
@@ -26,10 +42,8 @@
 /// bodies, which the engine only knows by number.
 class DecisionThread final : private Actions {
 public:
-  /// \param Runners null for a node without a backend server.
   DecisionThread(const EngineOptions &Options, const PolicySource &Policies,
-                 const Clock &Time, Random &Source, EventQueue &Events,
-                 RpcThread &Rpc, BackendRunners *Runners);
+                 const Clock &Time, Random &Source, const DecisionPorts &Ports);
   ~DecisionThread() override;
 
   void start();
@@ -48,6 +62,9 @@
     /// Set while the request runs on the local backend server.
     std::string Token;
     bool Answered = false;
+    RequestSide Side = RequestSide::Ingress;
+    CallerName Caller;
+    Instant Arrived;
   };
 
   void run();
@@ -56,6 +73,7 @@
   void handle(RequestCancelled &&Event);
   void handle(BackendDone &&Event);
   void handle(CallDone &&Event);
+  void handle(DatagramArrived &&Event);
   void handle(DrainRequested &&Event);
   void drop(RequestId Id);
   void publish();
@@ -66,11 +84,11 @@
                 const RequestContext &Context) override;
   void cancelCall(CallId Call) override;
   void answer(RequestId Id, const Answer &Value) override;
+  void sendDatagram(HostAddress To, const GossipMessage &Message) override;
+  void logEvent(LogEvent Event, const LogFields &Fields) override;
 
   const Clock &Time;
-  EventQueue &Events;
-  RpcThread &Rpc;
-  BackendRunners *Runners;
+  const DecisionPorts Ports;
   NodeEngine Engine;
   std::unordered_map<RequestId, Entry> Requests;
   std::unordered_map<CallId, HostAddress> Calls;
--- a/packages/daemon/camphorpin/src/Daemon/NodeDaemon.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/NodeDaemon.cpp
@@ -36,10 +36,11 @@
 NodeDaemon::NodeDaemon(const Settings &Options,
                        const DocumentPolicies &Policies)
     : Options(Options), Policies(Policies), Source(randomSeed()),
+      Log(Options.Logging, Time),
       Events(MaxRequests), Self{Options.Address,
                                 static_cast<std::uint64_t>(
                                     Time.wallNow().wholeMillis())},
-      Front(Options.Limits, Events), Admin(*this) {}
+      Datagrams(Events, Log), Front(Options.Limits, Events), Admin(*this) {}
 
 NodeDaemon::~NodeDaemon() = default;
 
@@ -55,6 +56,8 @@
                  .MaxBody = Options.Limits.Body,
                  .ConnectionSilence = Options.ConnectionSilence};
   this->Rpc = std::make_unique<RpcThread>(Rpc, Events);
+  if (!Datagrams.bind(Options.Address))
+    return bindError(Options.Address);
   if (!Front.bind(Options.HttpAddress))
     return bindError(Options.HttpAddress);
   if (!Admin.bind(Options.AdminAddress))
@@ -69,10 +72,20 @@
   if (Options.Backend)
     Runners = std::make_unique<BackendRunners>(*Options.Backend, Options.Limits,
                                                Time, Events);
+  const DecisionPorts Ports{.Events = Events,
+                            .Rpc = *Rpc,
+                            .Datagrams = Datagrams,
+                            .Log = Log,
+                            .Statistics = Statistics,
+                            .Runners = Runners.get()};
   Decisions = std::make_unique<DecisionThread>(engineOptions(Options, Self),
-                                               Policies, Time, Source, Events,
-                                               *Rpc, Runners.get());
+                                               Policies, Time, Source, Ports);
+  Log.write(LogEvent::NodeStarted, {{"address", Self.Address.toString()},
+                                    {"service", Options.Service.string()},
+                                    {"zone", Options.Zone.string()},
+                                    {"region", Options.Region.string()}});
   Rpc->start();
+  Datagrams.start();
   if (Runners)
     Runners->start();
   Decisions->start();
@@ -90,18 +103,28 @@
   Events.close();
   Front.stop();
   Rpc->stop();
+  Datagrams.stop();
   if (Runners)
     Runners->stop();
   Admin.stop();
+  Log.write(LogEvent::NodeEnded, {});
 }
 
-std::string NodeDaemon::metrics() const { return {}; }
+std::string NodeDaemon::metrics() const {
+  const NodeStatus Status = Decisions->status();
+  return Statistics.toText({{"camphorpin_requests_in_progress",
+                             "Requests that are not answered yet.",
+                             static_cast<double>(Status.InProgress)},
+                            {"camphorpin_members", "Members that are present.",
+                             static_cast<double>(Status.Members)}});
+}
 
 std::string NodeDaemon::status() const {
   const NodeStatus Status = Decisions->status();
   nlohmann::json Result;
   Result["state"] = Status.State;
   Result["inProgress"] = Status.InProgress;
+  Result["members"] = Status.Members;
   Result["service"] = Options.Service.string();
   Result["zone"] = Options.Zone.string();
   Result["region"] = Options.Region.string();
--- a/packages/daemon/camphorpin/src/Daemon/NodeDaemon.h
+++ b/packages/daemon/camphorpin/src/Daemon/NodeDaemon.h
@@ -41,8 +41,11 @@
   const DocumentPolicies &Policies;
   SystemClock Time;
   SeededRandom Source;
+  EventLog Log;
+  Metrics Statistics;
   EventQueue Events;
   ProcessId Self;
+  DatagramThread Datagrams;
   std::unique_ptr<RpcThread> Rpc;
   std::unique_ptr<BackendRunners> Runners;
   std::unique_ptr<DecisionThread> Decisions;
--- a/packages/daemon/camphorpin/src/Daemon/NodeEvent.h
+++ b/packages/daemon/camphorpin/src/Daemon/NodeEvent.h
@@ -61,13 +61,21 @@
   SharedPayload Body;
 };
 
+/// \class DatagramArrived
+/// \brief A datagram of another node.
+struct DatagramArrived {
+  HostAddress From;
+  GossipMessage Message;
+};
+
 /// \class DrainRequested
 /// \brief An operator or a signal starts the graceful drain.
 struct DrainRequested {};
 
 /// \brief Everything that the decision thread reacts to.
-using NodeEvent = std::variant<RequestArrived, CallArrived, RequestCancelled,
-                               BackendDone, CallDone, DrainRequested>;
+using NodeEvent =
+    std::variant<RequestArrived, CallArrived, RequestCancelled, BackendDone,
+                 CallDone, DatagramArrived, DrainRequested>;
 
 } // namespace camphorpin
 
--- a/packages/decision/camphorpin/src/Engine/Actions.h
+++ b/packages/decision/camphorpin/src/Engine/Actions.h
@@ -1,7 +1,9 @@
 #ifndef CAMPHORPIN_SRC_ENGINE_ACTIONS_H
 #define CAMPHORPIN_SRC_ENGINE_ACTIONS_H
 
+#include "camphorpin/Membership.h"
 #include "camphorpin/src/Engine/EngineMessages.h"
+#include "camphorpin/src/Engine/LogEvent.h"
 
 namespace camphorpin {
 
@@ -30,6 +32,12 @@
 
   /// Answers a request. Exactly one answer is given to each request.
   virtual void answer(RequestId Id, const Answer &Value) = 0;
+
+  /// Sends a datagram to another node. It may be lost.
+  virtual void sendDatagram(HostAddress To, const GossipMessage &Message) = 0;
+
+  /// Writes an event to the log of the process.
+  virtual void logEvent(LogEvent Event, const LogFields &Fields) = 0;
 };
 
 } // namespace camphorpin
--- a/packages/decision/camphorpin/src/Engine/CallOriginator.cpp
+++ b/packages/decision/camphorpin/src/Engine/CallOriginator.cpp
@@ -6,28 +6,49 @@
 
 namespace camphorpin::detail {
 
+namespace {
+
+/// \returns how a call ended as far as it tells about the called node.
+CallEnd callEnd(const CallResult &Result) {
+  if (Result.Verdict == Verdict::Ran)
+    return CallEnd::Answered;
+  const bool IsFault = Result.Reason == RefusalReason::PeerFailed ||
+                       Result.Reason == RefusalReason::BackendFailed ||
+                       Result.Reason == RefusalReason::Deadline;
+  return IsFault ? CallEnd::Failed : CallEnd::Refused;
+}
+
+} // namespace
+
 void CallOriginator::start(RequestId Id, const RequestContext &Context,
                            Instant Now) {
-  const std::optional<HostAddress> Target = Peers.pick(Context.Service);
+  const std::optional<ProcessId> Target = Peers.pick(Context.Service, {}, Now);
   if (!Target) {
-    Out.answer(Id, refusal(Context, RefusalReason::NoBackend));
+    Answers.answer(Id, refusal(Context, RefusalReason::NoBackend));
     return;
   }
   const CallId Call{++LastCall};
-  Request Entry{
-      .Context = Context, .Deadline = Now + Context.Remaining, .Call = Call};
+  Request Entry{.Context = Context,
+                .Deadline = Now + Context.Remaining,
+                .Call = Call,
+                .Target = *Target,
+                .SentAt = Now};
   Deadlines.add(Entry.Deadline, Id);
   Requests.emplace(Id, std::move(Entry));
   Calls.emplace(Call, Id);
-  Out.sendCall(Call, Id, *Target, Context);
+  Peers.callStarted(Context.Service, *Target, Now);
+  Out.sendCall(Call, Id, Target->Address, Context);
 }
 
 void CallOriginator::callDone(CallId Call, const CallResult &Result,
-                              Instant /*Now*/) {
+                              Instant Now) {
   const auto Found = Calls.find(Call);
   if (Found == Calls.end())
     return;
   const RequestIterator Entry = Requests.find(Found->second);
+  const Request &Request = Entry->second;
+  Peers.callEnded(Request.Context.Service, Request.Target, callEnd(Result),
+                  Now - Request.SentAt, Now);
   Answer Value{.Verdict = Result.Verdict,
                .Reason = Result.Reason,
                .UnusedAttempts = Result.UnusedAttempts,
@@ -39,20 +60,25 @@
   finish(Entry, Value);
 }
 
-void CallOriginator::cancel(RequestId Id) {
-  giveUp(Id, RefusalReason::Cancelled);
+void CallOriginator::cancel(RequestId Id, Instant Now) {
+  giveUp(Id, RefusalReason::Cancelled, Now);
 }
 
 void CallOriginator::tick(Instant Now) {
   while (const std::optional<RequestId> Id = Deadlines.takeDue(Now))
-    giveUp(*Id, RefusalReason::Deadline);
+    giveUp(*Id, RefusalReason::Deadline, Now);
 }
 
-void CallOriginator::giveUp(RequestId Id, RefusalReason Reason) {
+void CallOriginator::giveUp(RequestId Id, RefusalReason Reason, Instant Now) {
   const RequestIterator Entry = Requests.find(Id);
   if (Entry == Requests.end())
     return;
-  Out.cancelCall(Entry->second.Call);
+  const Request &Request = Entry->second;
+  const bool IsLate = Reason == RefusalReason::Deadline;
+  Peers.callEnded(Request.Context.Service, Request.Target,
+                  IsLate ? CallEnd::Failed : CallEnd::Cancelled,
+                  Now - Request.SentAt, Now);
+  Out.cancelCall(Request.Call);
   finish(Entry, {.Verdict = Verdict::MayHaveRun, .Reason = Reason});
 }
 
@@ -61,7 +87,7 @@
   Deadlines.remove(Entry->second.Deadline, Id);
   Calls.erase(Entry->second.Call);
   Requests.erase(Entry);
-  Out.answer(Id, Value);
+  Answers.answer(Id, Value);
 }
 
 } // namespace camphorpin::detail
--- a/packages/decision/camphorpin/src/Engine/CallOriginator.h
+++ b/packages/decision/camphorpin/src/Engine/CallOriginator.h
@@ -2,8 +2,9 @@
 #define CAMPHORPIN_SRC_ENGINE_CALLORIGINATOR_H
 
 #include "camphorpin/src/Engine/Actions.h"
+#include "camphorpin/src/Engine/AnswerGate.h"
 #include "camphorpin/src/Engine/DeadlineQueue.h"
-#include "camphorpin/src/Engine/PeerDirectory.h"
+#include "camphorpin/src/Engine/MemberDirectory.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -15,7 +16,8 @@
 /// \brief The requests that entered here and were sent on to other nodes.
 class CallOriginator {
 public:
-  CallOriginator(Actions &Out, PeerDirectory &Peers) : Out(Out), Peers(Peers) {}
+  CallOriginator(Actions &Out, AnswerGate &Answers, MemberDirectory &Peers)
+      : Out(Out), Answers(Answers), Peers(Peers) {}
 
   /// Sends a request to a node beside a backend server of its service. It is
   /// answered now or later, exactly once.
@@ -25,7 +27,7 @@
   void callDone(CallId Call, const CallResult &Result, Instant Now);
 
   /// Nobody waits for the answer any longer.
-  void cancel(RequestId Id);
+  void cancel(RequestId Id, Instant Now);
 
   /// Answers the requests whose deadline has passed.
   void tick(Instant Now);
@@ -38,15 +40,18 @@
     RequestContext Context;
     Instant Deadline;
     CallId Call{};
+    ProcessId Target;
+    Instant SentAt;
   };
 
   using RequestIterator = std::unordered_map<RequestId, Request>::iterator;
 
   void finish(RequestIterator Entry, const Answer &Value);
-  void giveUp(RequestId Id, RefusalReason Reason);
+  void giveUp(RequestId Id, RefusalReason Reason, Instant Now);
 
   Actions &Out;
-  PeerDirectory &Peers;
+  AnswerGate &Answers;
+  MemberDirectory &Peers;
   std::unordered_map<RequestId, Request> Requests;
   std::unordered_map<CallId, RequestId> Calls;
   DeadlineQueue Deadlines;
--- a/packages/decision/camphorpin/src/Engine/CallServer.cpp
+++ b/packages/decision/camphorpin/src/Engine/CallServer.cpp
@@ -7,11 +7,11 @@
 void CallServer::accept(RequestId Id, const RequestContext &Context,
                         Instant Now) {
   if (Context.Service != Service) {
-    Out.answer(Id, {.Reason = RefusalReason::NoBackend});
+    Answers.answer(Id, {.Reason = RefusalReason::NoBackend});
     return;
   }
   if (Context.Remaining <= Duration()) {
-    Out.answer(Id, {.Reason = RefusalReason::Deadline});
+    Answers.answer(Id, {.Reason = RefusalReason::Deadline});
     return;
   }
   Call Entry{
@@ -32,29 +32,27 @@
     Value.SourceId = static_cast<std::uint64_t>(Id);
   }
   Deadlines.remove(Found->second.Deadline, Id);
-  answerOnce(Id, Found->second, Value);
+  Answers.answer(Id, Value);
   Calls.erase(Found);
 }
 
 void CallServer::cancel(RequestId Id) {
   const auto Found = Calls.find(Id);
-  if (Found == Calls.end() || Found->second.Answered)
+  if (Found == Calls.end() || !Answers.isOpen(Id))
     return;
   Out.cancelBackend(Id);
-  answerOnce(
-      Id, Found->second,
-      {.Verdict = Verdict::MayHaveRun, .Reason = RefusalReason::Cancelled});
+  Answers.answer(
+      Id, {.Verdict = Verdict::MayHaveRun, .Reason = RefusalReason::Cancelled});
 }
 
 void CallServer::tick(Instant Now) {
   while (const std::optional<RequestId> Id = Deadlines.takeDue(Now)) {
     const auto Found = Calls.find(*Id);
-    if (Found == Calls.end() || Found->second.Answered)
+    if (Found == Calls.end() || !Answers.isOpen(*Id))
       continue;
     Out.cancelBackend(*Id);
-    answerOnce(
-        *Id, Found->second,
-        {.Verdict = Verdict::MayHaveRun, .Reason = RefusalReason::Deadline});
+    Answers.answer(*Id, {.Verdict = Verdict::MayHaveRun,
+                         .Reason = RefusalReason::Deadline});
   }
 }
 
@@ -80,10 +78,4 @@
   return Nested;
 }
 
-void CallServer::answerOnce(RequestId Id, Call &Entry, const Answer &Value) {
-  if (std::exchange(Entry.Answered, true))
-    return;
-  Out.answer(Id, Value);
-}
-
 } // namespace camphorpin::detail
--- a/packages/decision/camphorpin/src/Engine/CallServer.h
+++ b/packages/decision/camphorpin/src/Engine/CallServer.h
@@ -2,6 +2,7 @@
 #define CAMPHORPIN_SRC_ENGINE_CALLSERVER_H
 
 #include "camphorpin/src/Engine/Actions.h"
+#include "camphorpin/src/Engine/AnswerGate.h"
 #include "camphorpin/src/Engine/DeadlineQueue.h"
 
 #include <cstddef>
@@ -27,8 +28,8 @@
 /// \brief The calls that other nodes sent to the local backend server.
 class CallServer {
 public:
-  CallServer(Actions &Out, ServiceName Service)
-      : Out(Out), Service(std::move(Service)) {}
+  CallServer(Actions &Out, AnswerGate &Answers, ServiceName Service)
+      : Out(Out), Answers(Answers), Service(std::move(Service)) {}
 
   /// Takes a call. It is answered now or later, exactly once.
   void accept(RequestId Id, const RequestContext &Context, Instant Now);
@@ -58,15 +59,13 @@
     RequestContext Context;
     Instant Arrived;
     Instant Deadline;
-    bool Answered = false;
     /// Calls made so far, by target.
     std::map<std::string, std::uint32_t> Ordinals;
     std::unordered_set<RequestKey> Children;
   };
 
-  void answerOnce(RequestId Id, Call &Entry, const Answer &Value);
-
   Actions &Out;
+  AnswerGate &Answers;
   ServiceName Service;
   std::unordered_map<RequestId, Call> Calls;
   DeadlineQueue Deadlines;
--- a/packages/decision/camphorpin/src/Engine/EngineMessages.h
+++ b/packages/decision/camphorpin/src/Engine/EngineMessages.h
@@ -75,8 +75,10 @@
   /// Number of the request or call that holds the body.
   std::uint64_t SourceId = 0;
   std::uint8_t UnusedAttempts = 0;
-  Rank LowestAccepted = Rank(MaxRanks - 1);
+  camphorpin::Rank LowestAccepted = camphorpin::Rank(MaxRanks - 1);
   bool Leaving = false;
+  /// The rank of the request, for metrics.
+  camphorpin::Rank Rank = camphorpin::Rank(MaxRanks - 1);
   /// Time after which a caller should try again, for refusals.
   Duration RetryAfter;
 };
--- /dev/null
+++ b/packages/decision/camphorpin/src/Engine/LogEvent.cpp
@@ -0,0 +1,90 @@
+#include "camphorpin/src/Engine/LogEvent.h"
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+
+namespace camphorpin {
+
+namespace {
+
+constexpr std::array Catalogue = {
+    LogEventInfo{LogEvent::NodeStarted, LogSeverity::Info, "node-started",
+                 "address,service,zone,region",
+                 "All addresses are bound and the threads run."},
+    LogEventInfo{LogEvent::StateChanged, LogSeverity::Info, "state-changed",
+                 "from,to", "The lifecycle of the node moved on."},
+    LogEventInfo{LogEvent::DrainRequested, LogSeverity::Info, "drain-requested",
+                 "inProgress",
+                 "A signal or an operator asked the node to leave. New work is "
+                 "refused, accepted work finishes."},
+    LogEventInfo{LogEvent::NodeEnded, LogSeverity::Info, "node-ended", "",
+                 "Everything that was accepted is answered; the process "
+                 "exits."},
+    LogEventInfo{LogEvent::ConnectionOpened, LogSeverity::Debug,
+                 "connection-opened", "peer",
+                 "A connection to another node is open."},
+    LogEventInfo{LogEvent::ConnectionFailed, LogSeverity::Warning,
+                 "connection-failed", "peer,error",
+                 "A connection to another node could not be opened. Calls that "
+                 "waited for it are refused as not run."},
+    LogEventInfo{LogEvent::ConnectionReplaced, LogSeverity::Warning,
+                 "connection-replaced", "peer,calls",
+                 "A connection made no progress while a new one answered. It "
+                 "is closed; its calls may have run. Check the network between "
+                 "the hosts if this recurs."},
+    LogEventInfo{LogEvent::VersionMismatch, LogSeverity::Error,
+                 "version-mismatch", "peer",
+                 "The other node speaks no common protocol version. Finish the "
+                 "rollout that left it more than one version behind."},
+    LogEventInfo{LogEvent::MessageRejected, LogSeverity::Warning,
+                 "message-rejected", "peer,kind",
+                 "A message of another node does not follow the protocol and "
+                 "was refused."},
+    LogEventInfo{LogEvent::RequestRejected, LogSeverity::Debug,
+                 "request-rejected", "remote,status",
+                 "An HTTP request is malformed or exceeds a limit."},
+    LogEventInfo{LogEvent::NodeOverloaded, LogSeverity::Warning,
+                 "node-overloaded", "ring",
+                 "An internal ring is full and work is refused as not run."},
+    LogEventInfo{LogEvent::MemberChanged, LogSeverity::Debug, "member-changed",
+                 "member,service,state",
+                 "What this node knows of another member has changed."},
+    LogEventInfo{LogEvent::ZoneChanged, LogSeverity::Warning, "zone-changed",
+                 "zone,reachable",
+                 "A whole availability zone became unreachable or reachable "
+                 "again. Its members are kept, and routing avoids them."},
+    LogEventInfo{LogEvent::SelfRenewed, LogSeverity::Warning, "self-renewed",
+                 "incarnation",
+                 "A later incarnation of this node's address was heard, for "
+                 "example because the wall clock went back. The node has taken "
+                 "a higher one."},
+};
+
+} // namespace
+
+std::span<const LogEventInfo> logEventCatalogue() { return Catalogue; }
+
+const LogEventInfo &infoOf(LogEvent Event) {
+  const auto Found = std::find_if(
+      Catalogue.begin(), Catalogue.end(),
+      [Event](const LogEventInfo &Entry) { return Entry.Event == Event; });
+  assert(Found != Catalogue.end() && "each event is in the catalogue");
+  return *Found;
+}
+
+std::string_view toString(LogSeverity Value) {
+  switch (Value) {
+  case LogSeverity::Debug:
+    return "debug";
+  case LogSeverity::Info:
+    return "info";
+  case LogSeverity::Warning:
+    return "warning";
+  case LogSeverity::Error:
+    return "error";
+  }
+  return "error";
+}
+
+} // namespace camphorpin
--- /dev/null
+++ b/packages/decision/camphorpin/src/Engine/MemberDirectory.cpp
@@ -0,0 +1,133 @@
+#include "camphorpin/src/Engine/MemberDirectory.h"
+
+#include <array>
+#include <string>
+#include <string_view>
+
+namespace camphorpin::detail {
+
+namespace {
+
+/// Time between two attempts to join.
+constexpr Duration JoinInterval = Duration::seconds(1);
+/// Time after which a node that reaches no entry point serves its own backend
+/// server alone, while it goes on trying.
+constexpr Duration JoinPatience = Duration::seconds(3);
+
+std::string_view memberStateName(MemberState Value) {
+  // In the order of the enumerators.
+  constexpr std::array<std::string_view, 5> Names = {"alive", "suspect", "dead",
+                                                     "leaving", "left"};
+  return Names.at(static_cast<std::size_t>(Value));
+}
+
+MemberRecord selfRecord(const EngineOptions &Options) {
+  return {.Process = Options.Self,
+          .Service = Options.Service,
+          .Zone = Options.Zone,
+          .Region = Options.Region};
+}
+
+} // namespace
+
+MemberDirectory::MemberDirectory(const EngineOptions &Options, Actions &Out,
+                                 Random &Source)
+    : Out(Out), Source(Source),
+      Members(selfRecord(Options), MembershipSettings(), Source, *this) {
+  for (const KnownPeer &Peer : Options.Peers)
+    EntryPoints.push_back(Peer.Address);
+}
+
+void MemberDirectory::tick(Instant Now) {
+  if (!FirstTick)
+    FirstTick = Now;
+  if (!Members.joined() && Now >= NextJoin) {
+    NextJoin = Now + JoinInterval;
+    Members.join(EntryPoints, Now);
+  }
+  Members.tick(Now);
+}
+
+bool MemberDirectory::mayServe(Instant Now) const {
+  return Members.joined() || EntryPoints.empty() ||
+         (FirstTick && Now - *FirstTick >= JoinPatience);
+}
+
+void MemberDirectory::onGossip(HostAddress From, const GossipMessage &Message,
+                               Instant Now) {
+  Members.onGossip(From, Message, Now);
+}
+
+std::optional<ProcessId>
+MemberDirectory::pick(const ServiceName &Service,
+                      std::span<const ProcessId> Excluded, Instant Now) {
+  return route(Service, Now).Router.pick(Excluded, Source, Now);
+}
+
+void MemberDirectory::callStarted(const ServiceName &Service,
+                                  const ProcessId &Peer, Instant Now) {
+  route(Service, Now).Router.started(Peer, Now);
+}
+
+void MemberDirectory::callEnded(const ServiceName &Service,
+                                const ProcessId &Peer, CallEnd End,
+                                Duration Latency, Instant Now) {
+  route(Service, Now).Router.ended(Peer, End, Latency, Now);
+}
+
+Duration MemberDirectory::expectedLatency(const ServiceName &Service,
+                                          const ProcessId &Peer) {
+  const auto Found = Routes.find(Service);
+  if (Found == Routes.end())
+    return {};
+  const PeerStats *Stats = Found->second.Router.stats(Peer);
+  return Stats != nullptr ? Duration::fromMillis(Stats->smoothedLatencyMs())
+                          : Duration();
+}
+
+MemberDirectory::Route &MemberDirectory::route(const ServiceName &Service,
+                                               Instant Now) {
+  Route &Entry =
+      Routes.try_emplace(Service, Route{ServiceRouter(Members.self())})
+          .first->second;
+  if (!Entry.Stale)
+    return Entry;
+  Entry.Stale = false;
+  std::vector<MemberRecord> Candidates;
+  for (const HostAddress &Address : Members.table().membersOf(Service)) {
+    const MemberRecord *Record = Members.table().find(Address);
+    if (Record->takesWork() && Members.zoneReachable(Record->Zone))
+      Candidates.push_back(*Record);
+  }
+  Entry.Router.update(Candidates, Now);
+  return Entry;
+}
+
+void MemberDirectory::sendGossip(HostAddress To, const GossipMessage &Message) {
+  Out.sendDatagram(To, Message);
+}
+
+void MemberDirectory::memberChanged(const MemberRecord &Record) {
+  // An address may have changed its service, which makes any route stale.
+  for (auto &[Service, Entry] : Routes)
+    Entry.Stale = true;
+  Out.logEvent(LogEvent::MemberChanged,
+               {{"member", Record.Process.Address.toString()},
+                {"service", Record.Service.string()},
+                {"state", std::string(memberStateName(Record.State))}});
+}
+
+void MemberDirectory::zoneChanged(const ZoneName &Zone, bool Reachable) {
+  for (auto &[Service, Entry] : Routes)
+    Entry.Stale = true;
+  Out.logEvent(
+      LogEvent::ZoneChanged,
+      {{"zone", Zone.string()}, {"reachable", Reachable ? "true" : "false"}});
+}
+
+void MemberDirectory::selfRenewed(const ProcessId &Renewed) {
+  Out.logEvent(LogEvent::SelfRenewed,
+               {{"incarnation", std::to_string(Renewed.Incarnation)}});
+}
+
+} // namespace camphorpin::detail
--- a/packages/decision/camphorpin/src/Engine/NodeEngine.cpp
+++ b/packages/decision/camphorpin/src/Engine/NodeEngine.cpp
@@ -2,6 +2,7 @@
 
 #include "camphorpin/src/Engine/CallOriginator.h"
 #include "camphorpin/src/Engine/CallServer.h"
+#include "camphorpin/src/Engine/MemberDirectory.h"
 #include "camphorpin/src/Engine/Refusal.h"
 
 #include <algorithm>
@@ -16,6 +17,10 @@
 
 /// Interval of the periodic work of the modules.
 constexpr Duration TickPeriod = Duration::millis(50);
+/// A draining node refuses work for this long before its ports close, so that
+/// the leaving notice reaches its callers first and no call meets a closed
+/// connection.
+constexpr Duration DrainLinger = Duration::seconds(1);
 
 } // namespace
 
@@ -24,14 +29,19 @@
   Impl(const EngineOptions &Options, Actions &Out, const Clock &Time,
        Random &Source, const PolicySource &Policies)
       : Options(Options), Out(Out), Time(Time), Source(Source),
-        Policies(Policies), Peers(Options), Server(Out, Options.Service),
-        Originator(Out, Peers) {}
+        Policies(Policies), Members(Options, Out, Source), Answers(Out),
+        Server(Out, Answers, Options.Service),
+        Originator(Out, Answers, Members) {}
 
   void request(RequestId Id, const RequestInfo &Info);
   void call(RequestId Id, const RequestContext &Context);
   void advanceLifecycle();
+  bool move(LifecycleEvent Event);
+  void announceExit();
   std::size_t inProgress() const {
-    return Server.inProgress() + Originator.inProgress();
+    // A run may still be going on after its call was answered.
+    return std::max(Answers.size(),
+                    Server.inProgress() + Originator.inProgress());
   }
 
   EngineOptions Options;
@@ -39,10 +49,12 @@
   const Clock &Time;
   Random &Source;
   const PolicySource &Policies;
-  detail::PeerDirectory Peers;
+  detail::MemberDirectory Members;
+  detail::AnswerGate Answers;
   detail::CallServer Server;
   detail::CallOriginator Originator;
   NodeLifecycle Lifecycle;
+  Instant DrainStart;
 
 private:
   const OperationPolicy *operation(const RequestInfo &Info) const;
@@ -89,9 +101,11 @@
 }
 
 void NodeEngine::Impl::request(RequestId Id, const RequestInfo &Info) {
+  if (!Answers.open(Id))
+    return;
   const OperationPolicy *Policy = operation(Info);
   if (Policy == nullptr) {
-    Out.answer(Id, badRequest(RefusalReason::BadRequest));
+    Answers.answer(Id, badRequest(RefusalReason::BadRequest));
     return;
   }
   RequestContext Context;
@@ -101,13 +115,13 @@
     const std::optional<NestedCall> Nested =
         Server.nest(*Info.Parent, Target, Info.Step, Time.now());
     if (!Nested) {
-      Out.answer(Id, badRequest(RefusalReason::BadRequest));
+      Answers.answer(Id, badRequest(RefusalReason::BadRequest));
       return;
     }
     Context = inherited(*Nested, Info, *Policy);
   } else {
     if (!Policy->Idempotent && !Info.Key) {
-      Out.answer(Id, badRequest(RefusalReason::KeyRequired));
+      Answers.answer(Id, badRequest(RefusalReason::KeyRequired));
       return;
     }
     Context = fresh(Info, *Policy);
@@ -116,6 +130,7 @@
   Context.Operation = Info.Operation;
   Context.Rank = Policy->Rank;
   Context.Idempotent = Policy->Idempotent;
+  Answers.setRank(Id, Policy->Rank);
   dispatch(Id, std::move(Context), Info);
 }
 
@@ -133,7 +148,7 @@
   else if (Context.Remaining <= Duration())
     Reason = RefusalReason::Deadline;
   if (Reason != RefusalReason::None) {
-    Out.answer(Id, refusal(Context, Reason));
+    Answers.answer(Id, refusal(Context, Reason));
     return;
   }
   --Context.HopsLeft;
@@ -141,25 +156,45 @@
 }
 
 void NodeEngine::Impl::call(RequestId Id, const RequestContext &Context) {
+  if (!Answers.open(Id))
+    return;
+  Answers.setRank(Id, Context.Rank);
   RefusalReason Reason = RefusalReason::None;
   if (!Lifecycle.acceptsWork())
     Reason = RefusalReason::Draining;
   else if (inProgress() >= Options.MaxRequests)
     Reason = RefusalReason::NodeBusy;
   if (Reason != RefusalReason::None) {
-    Answer Value = refusal(Context, Reason);
-    Value.Leaving = Reason == RefusalReason::Draining;
-    Out.answer(Id, Value);
+    Answers.answer(Id, refusal(Context, Reason));
     return;
   }
   Server.accept(Id, Context, Time.now());
 }
 
+bool NodeEngine::Impl::move(LifecycleEvent Event) {
+  const std::string Before(Lifecycle.state());
+  if (!Lifecycle.handle(Event))
+    return false;
+  Out.logEvent(LogEvent::StateChanged,
+               {{"from", Before}, {"to", std::string(Lifecycle.state())}});
+  return true;
+}
+
+void NodeEngine::Impl::announceExit() {
+  const Instant Now = Time.now();
+  Members.exit(Now);
+  // Sends the urgent notice, because no other tick follows.
+  Members.tick(Now);
+}
+
 void NodeEngine::Impl::advanceLifecycle() {
-  if (Lifecycle.isDraining() && inProgress() == 0)
-    Lifecycle.handle(LifecycleEvent::WorkFinished);
-  if (Lifecycle.isLeaving())
-    Lifecycle.handle(LifecycleEvent::HandedOver);
+  if (Members.mayServe(Time.now()))
+    move(LifecycleEvent::Joined);
+  if (Lifecycle.isDraining() && inProgress() == 0 &&
+      Time.now() - DrainStart >= DrainLinger)
+    move(LifecycleEvent::WorkFinished);
+  if (Lifecycle.isLeaving() && move(LifecycleEvent::HandedOver))
+    announceExit();
 }
 
 NodeEngine::NodeEngine(const EngineOptions &Options, Actions &Out,
@@ -170,8 +205,8 @@
 NodeEngine::~NodeEngine() = default;
 
 void NodeEngine::onStarted() {
-  State->Lifecycle.handle(LifecycleEvent::Started);
-  State->Lifecycle.handle(LifecycleEvent::Joined);
+  State->move(LifecycleEvent::Started);
+  tick();
 }
 
 void NodeEngine::onRequest(RequestId Id, const RequestInfo &Info) {
@@ -184,7 +219,7 @@
 
 void NodeEngine::onCancel(RequestId Id) {
   State->Server.cancel(Id);
-  State->Originator.cancel(Id);
+  State->Originator.cancel(Id, State->Time.now());
 }
 
 void NodeEngine::onBackendDone(RequestId Id, const BackendResult &Result) {
@@ -197,13 +232,25 @@
   State->advanceLifecycle();
 }
 
+void NodeEngine::onDatagram(HostAddress From, const GossipMessage &Message) {
+  State->Members.onGossip(From, Message, State->Time.now());
+  State->advanceLifecycle();
+}
+
 void NodeEngine::onDrain() {
-  State->Lifecycle.handle(LifecycleEvent::Drain);
+  if (State->move(LifecycleEvent::Drain)) {
+    State->Out.logEvent(LogEvent::DrainRequested,
+                        {{"inProgress", std::to_string(inProgress())}});
+    State->DrainStart = State->Time.now();
+    State->Answers.setLeaving();
+    State->Members.leave(State->Time.now());
+  }
   State->advanceLifecycle();
 }
 
 void NodeEngine::tick() {
   const Instant Now = State->Time.now();
+  State->Members.tick(Now);
   State->Server.tick(Now);
   State->Originator.tick(Now);
   State->advanceLifecycle();
@@ -219,6 +266,10 @@
 
 bool NodeEngine::hasEnded() const { return State->Lifecycle.hasEnded(); }
 
+std::size_t NodeEngine::members() const {
+  return State->Members.members().table().present();
+}
+
 std::size_t NodeEngine::inProgress() const { return State->inProgress(); }
 
 } // namespace camphorpin
--- a/packages/decision/camphorpin/src/Engine/NodeEngine.h
+++ b/packages/decision/camphorpin/src/Engine/NodeEngine.h
@@ -52,6 +52,9 @@
   /// A call to another node has ended.
   void onCallDone(CallId Call, const CallResult &Result);
 
+  /// A datagram of another node arrived.
+  void onDatagram(HostAddress From, const GossipMessage &Message);
+
   /// Starts the graceful drain: new work is refused from now on, and accepted
   /// work finishes.
   void onDrain();
@@ -68,6 +71,9 @@
   /// \returns true when the node has left and nothing is in progress.
   bool hasEnded() const;
 
+  /// \returns the number of members that are present, this node included.
+  std::size_t members() const;
+
   /// \returns the number of requests that are not answered yet.
   std::size_t inProgress() const;
 
--- a/packages/wire/camphorpin/Wire.h
+++ b/packages/wire/camphorpin/Wire.h
@@ -5,6 +5,7 @@
 /// from and to the types of the decision library. What is read from a message
 /// is checked here, so that no invalid value reaches a decision.
 #include "camphorpin/src/Wire/Codec.h"
+#include "camphorpin/src/Wire/GossipCodec.h"
 #include "camphorpin/src/Wire/Payload.h"
 #include "camphorpin/src/Wire/ProtocolVersion.h"
 
