Declare the interfaces of claims, retries and the crash guard

The engine and the wire codec are written against these headers in parallel, so they come before the code. A home set lists former homes with the epochs of their tenure, so that a reader of one version alone can tell the home of a key in every epoch since the horizon. Ruled out: a list of the previous homes only, since a reader that skips an epoch would take a key whose last owner it cannot name.

--- /dev/null
+++ b/packages/decision/camphorpin/src/Claims/HomeSetKeeper.h
@@ -0,0 +1,106 @@
+#ifndef CAMPHORPIN_SRC_CLAIMS_HOMESETKEEPER_H
+#define CAMPHORPIN_SRC_CLAIMS_HOMESETKEEPER_H
+
+#include "camphorpin/Core.h"
+#include "camphorpin/src/Claims/ClaimActions.h"
+#include "camphorpin/src/Claims/ClaimOptions.h"
+#include "camphorpin/src/Claims/HomeSet.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace camphorpin {
+
+/// \brief The state of a process as the membership of this node sees it.
+enum class HomeMemberState : std::uint8_t { Alive, Leaving, Dead };
+
+/// \class HomeMember
+/// \brief A process of the service.
+struct HomeMember {
+  ProcessId Process;
+  ZoneName Zone;
+  HomeMemberState State = HomeMemberState::Alive;
+};
+
+/// \class KeeperOptions
+/// \brief When a change of a home set is proposed.
+struct KeeperOptions {
+  /// Changes that are seen within this time go into one record.
+  Duration Coalesce = Duration::seconds(2);
+  /// The same, when this process itself leaves: nobody else waits for it.
+  Duration CoalesceLeaving = Duration::millis(200);
+  /// The next process in the order proposes so much later.
+  Duration RankDelay = Duration::seconds(3);
+  /// A proposal whose effect is not seen is repeated after this time.
+  Duration RepeatAfter = Duration::seconds(10);
+  /// Smallest time between two changes; doubles with each change that follows
+  /// soon, up to the largest.
+  Duration MinInterval = Duration::seconds(2);
+  Duration MaxInterval = Duration::seconds(60);
+};
+
+/// \class HomeSetActions
+/// \brief What the keeper does to the outside.
+class HomeSetActions {
+public:
+  virtual ~HomeSetActions() = default;
+
+  /// Appends a change of homes/<service> with base Next.epoch() - 1. Others may
+  /// propose at the same time; the log accepts one.
+  virtual void proposeHomes(const HomeSet &Next) = 0;
+};
+
+/// \class HomeSetKeeper
+/// \brief Proposes changes of the home set of one service.
+///
+/// Every process of the service has one. They take turns by a hash of the
+/// epoch, without agreement; compare-and-set in the log decides.
+class HomeSetKeeper {
+public:
+  HomeSetKeeper(const ProcessId &Self, const KeeperOptions &Options,
+                const ClaimOptions &Claims, HomeSetActions &Actions,
+                const ProcessFacts &Facts)
+      : Self(Self), Options(Options), Claims(Claims), Actions(Actions),
+        Facts(Facts) {}
+
+  /// A home set was read from the log.
+  void onHomeSet(const HomeSet &Value, Instant Now);
+
+  /// \param Value all known processes of the service, this one included. A home
+  /// that is not listed stays a home, because nothing is known about it.
+  void onMembers(std::span<const HomeMember> Value);
+
+  void tick(Instant Now);
+
+private:
+  std::vector<HomeCandidate> wanted() const;
+  bool differs(std::span<const HomeCandidate> Wanted) const;
+  Epoch firstFormerToKeep(Instant Now) const;
+  Duration turn() const;
+  bool leaving() const;
+
+  ProcessId Self;
+  KeeperOptions Options;
+  ClaimOptions Claims;
+  HomeSetActions &Actions;
+  const ProcessFacts &Facts;
+  HomeSet Set;
+  std::vector<HomeMember> Members;
+  /// When this process first saw a former home, and first knew of its end.
+  struct FormerSeen {
+    Instant Since;
+    std::optional<Instant> EndedSince;
+  };
+  std::map<ProcessId, FormerSeen> Seen;
+  std::optional<Instant> DifferentSince;
+  std::optional<Instant> ProposedAt;
+  Instant ChangedAt;
+  Duration Interval;
+};
+
+} // namespace camphorpin
+
+#endif
--- /dev/null
+++ b/packages/decision/camphorpin/src/Claims/SourceResolver.h
@@ -0,0 +1,131 @@
+#ifndef CAMPHORPIN_SRC_CLAIMS_SOURCERESOLVER_H
+#define CAMPHORPIN_SRC_CLAIMS_SOURCERESOLVER_H
+
+#include "camphorpin/Core.h"
+#include "camphorpin/src/Claims/ClaimActions.h"
+#include "camphorpin/src/Claims/ClaimOptions.h"
+#include "camphorpin/src/Claims/HomeSet.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace camphorpin {
+
+/// \brief What a home knows about the past of a key that its table lacks.
+enum class KeyPast : std::uint8_t {
+  /// No other process has run it or can run it.
+  Clear,
+  /// A former home of the key is not resolved yet.
+  Unresolved,
+  /// It may have run at a process whose table is lost.
+  MayHaveRun,
+};
+
+/// \class SourceResolver
+/// \brief Resolves the former homes of the keys that this process owns.
+///
+/// A source is a process that owned such a key in an earlier epoch. It is
+/// resolved when it can start nothing of the epochs in which it owned the key,
+/// and its table is known or a cutoff stands for it. The owners of a key are
+/// followed back in time until one that knew the whole past of its keys.
+/// State: one record for each listed home and former home.
+class SourceResolver {
+public:
+  SourceResolver(const ProcessId &Self, const ClaimOptions &Options,
+                 ClaimActions &Actions, const ProcessFacts &Facts)
+      : Self(Self), Options(Options), Actions(Actions), Facts(Facts) {}
+
+  /// Takes over a newer home set.
+  /// \pre Value.epoch() is greater than that of the set before.
+  void adopt(const HomeSet &Value, Instant Now);
+
+  /// \returns true if the page belongs to an open question; its entries must
+  /// then be merged into the table before the next call.
+  bool expects(const ResolvePage &Page) const;
+
+  /// \pre expects(Page), and its entries are in the table.
+  void accept(const ResolvePage &Page, Instant Now);
+
+  /// Repeats questions, applies proofs of end and waits that have passed.
+  void tick(Instant Now, Instant WallNow);
+
+  KeyPast past(const RequestKey &Key) const;
+
+  /// \returns true if the past of all keys of this epoch is known.
+  bool settled() const;
+
+  const ClaimKnowledge &knowledge() const { return Known; }
+
+  const HomeSet &homes() const { return Set; }
+
+  /// \returns the number of sources that are not resolved.
+  std::size_t unresolved() const;
+
+  /// \returns the former homes, still running as far as is known, whose tables
+  /// this process has taken over since the last call.
+  std::vector<ProcessId> takeResolved();
+
+private:
+  /// The answer of a former home or of one mirror, read page by page.
+  struct Question {
+    Epoch LinkSince = 0;
+    ProcessId To;
+    RequestKey After;
+    std::optional<ClaimKnowledge> First;
+    Instant SentAt;
+    bool Sent = false;
+  };
+  struct Source {
+    bool Resolved = false;
+    /// Resolved by a cutoff instead of a table.
+    bool TableLost = false;
+    std::vector<Epoch> Settled;
+    Instant AskedAt;
+    Question Home;
+    /// The mirror that is asked, if one is.
+    std::optional<Question> Mirror;
+    std::size_t NextLink = 0;
+    bool MirrorsFailed = false;
+  };
+  /// A cutoff and the epoch below which the process can start nothing.
+  struct Fence {
+    Instant Time;
+    Epoch Below = 0;
+  };
+
+  bool isRelevant(const HomeTenure &Tenure, Epoch Value) const;
+  bool isStop(const HomeTenure &Tenure, Epoch Value) const;
+  bool ensure(const ProcessId &Process, Instant Now);
+  bool levelStops(Epoch Value, Instant Now, bool &Open);
+  void refresh(Instant Now);
+  void ask(Source &Value, Question &Asked, const ProcessId &Process,
+           Instant Now);
+  void askMirror(Source &Value, const ProcessId &Process, Instant Now);
+  void nextMirror(Source &Value, const ProcessId &Process);
+  void tickSource(Source &Value, const ProcessId &Process, Instant Now,
+                  Instant WallNow);
+  void cutOff(Source &Value, const ProcessId &Process, Instant WallNow);
+  void addKnowledge(const ClaimKnowledge &Added);
+  Epoch requiredFence(const ProcessId &Process) const;
+  Instant firstRead(Epoch Value) const;
+  bool cutsOff(const ProcessId &Owner, const RequestKey &Key) const;
+
+  ProcessId Self;
+  ClaimOptions Options;
+  ClaimActions &Actions;
+  const ProcessFacts &Facts;
+  HomeSet Set;
+  ClaimKnowledge Known;
+  std::map<ProcessId, Source> Sources;
+  std::map<ProcessId, Fence> Fences;
+  /// When this process first read each epoch.
+  std::map<Epoch, Instant> ReadAt;
+  std::vector<ProcessId> NewlyResolved;
+};
+
+} // namespace camphorpin
+
+#endif
--- /dev/null
+++ b/packages/decision/camphorpin/src/Crash/CrashGuard.h
@@ -0,0 +1,107 @@
+#ifndef CAMPHORPIN_SRC_CRASH_CRASHGUARD_H
+#define CAMPHORPIN_SRC_CRASH_CRASHGUARD_H
+
+#include "camphorpin/Core.h"
+#include "camphorpin/src/Crash/CrashReport.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <span>
+#include <vector>
+
+namespace camphorpin {
+
+/// \class CrashOptions
+/// \brief Limits and periods of the crash guard.
+struct CrashOptions {
+  /// How long a suspicion and a refusal last.
+  Duration Retention = Duration::seconds(600);
+  /// Crashes with the request running after which it is refused.
+  std::uint8_t MaxCrashes = 2;
+  /// Fingerprints that are remembered. The oldest is replaced, first among
+  /// those with one crash, so that a crash of a server with many running
+  /// requests cannot displace a refusal.
+  std::size_t MaxSuspects = 1024;
+  /// How often a report is passed on.
+  std::uint8_t Transmissions = 8;
+};
+
+/// \brief Whether a request may start on the local backend server.
+enum class CrashChoice : std::uint8_t {
+  Start,
+  /// Another suspect is running here. Hold the request or refuse it not-run.
+  Isolate,
+  /// Refuse it not-run with RefusalReason::CrashSuspect.
+  Refuse,
+};
+
+/// \class CrashGuard
+/// \brief Limits the crashes that one request can cause. See section 4.7 of the
+/// design.
+///
+/// Bounds: CrashOptions::MaxSuspects fingerprints and one record for each
+/// running request.
+class CrashGuard {
+public:
+  CrashGuard(const ProcessId &Self, const CrashOptions &Options)
+      : Self(Self), Options(Options) {}
+
+  /// \param CrashCount RequestContext::CrashCount: what the sender knows.
+  /// \returns whether the request may start; Start counts it as running.
+  CrashChoice start(std::uint64_t RunId, std::uint64_t Fingerprint,
+                    std::uint8_t CrashCount, Instant Now);
+
+  /// \returns the number of crashes to pass on with a call, or to use for a
+  /// refusal before it is sent.
+  std::uint8_t crashCount(std::uint64_t Fingerprint, Instant Now) const;
+
+  /// \returns true if the request has to be refused anywhere in the fleet.
+  bool refuses(std::uint64_t Fingerprint, Instant Now) const;
+
+  /// The run has ended.
+  /// \param Completed the backend server gave a whole answer.
+  void end(std::uint64_t RunId, bool Completed, Instant Now);
+
+  /// The local backend server has crashed: it lost all its connections while
+  /// this node is alive. All runs have ended.
+  void onBackendCrash(Instant Now);
+
+  void onReport(const CrashReport &Report, Instant Now);
+
+  /// \returns up to \p Limit reports to pass on, newest first.
+  std::vector<CrashReport> takeReports(std::size_t Limit, Instant Now);
+
+  void tick(Instant Now);
+
+  std::size_t suspects() const { return Suspects.size(); }
+
+private:
+  struct Suspect {
+    /// Distinct crashes, at most MaxCrashes are counted.
+    std::vector<std::uint64_t> CrashIds;
+    Instant LastCrash;
+    /// A completed run cleared the suspicion.
+    bool Cleared = false;
+    std::uint8_t TransmissionsLeft = 0;
+  };
+  struct Run {
+    std::uint64_t Fingerprint = 0;
+    bool IsSuspect = false;
+  };
+
+  Suspect *insert(std::uint64_t Fingerprint);
+  void addCrash(std::uint64_t Fingerprint, std::uint64_t CrashId, Instant When);
+  bool expired(const Suspect &Value, Instant Now) const;
+  bool suspectRuns() const;
+
+  ProcessId Self;
+  CrashOptions Options;
+  std::uint64_t CrashCounter = 0;
+  std::map<std::uint64_t, Suspect> Suspects;
+  std::map<std::uint64_t, Run> Running;
+};
+
+} // namespace camphorpin
+
+#endif
--- /dev/null
+++ b/packages/decision/camphorpin/src/Crash/CrashReport.h
@@ -0,0 +1,25 @@
+#ifndef CAMPHORPIN_SRC_CRASH_CRASHREPORT_H
+#define CAMPHORPIN_SRC_CRASH_CRASHREPORT_H
+
+#include "camphorpin/Core.h"
+
+#include <cstdint>
+
+namespace camphorpin {
+
+/// \class CrashReport
+/// \brief News about a request for all nodes. It may arrive any number of
+/// times, in any order.
+struct CrashReport {
+  /// See RequestContext::Fingerprint.
+  std::uint64_t Fingerprint = 0;
+  /// Identifies the crash of a backend server; 0 in a report that clears the
+  /// suspicion.
+  std::uint64_t CrashId = 0;
+  /// Age of the news. It ends at CrashOptions::Retention.
+  Duration Age;
+};
+
+} // namespace camphorpin
+
+#endif
--- /dev/null
+++ b/packages/decision/camphorpin/src/Retry/RetryPolicy.h
@@ -0,0 +1,56 @@
+#ifndef CAMPHORPIN_SRC_RETRY_RETRYPOLICY_H
+#define CAMPHORPIN_SRC_RETRY_RETRYPOLICY_H
+
+#include "camphorpin/Core.h"
+#include "camphorpin/src/Retry/AttemptBudget.h"
+#include "camphorpin/src/Retry/RetryRatio.h"
+
+#include <cstdint>
+
+namespace camphorpin {
+
+/// \class AttemptFailure
+/// \brief An attempt of a call that brought no answer of the backend server.
+struct AttemptFailure {
+  camphorpin::Verdict Verdict = camphorpin::Verdict::MayHaveRun;
+  RefusalReason Reason = RefusalReason::None;
+  bool Idempotent = false;
+  /// The called node or its backend server failed or refused, not a call
+  /// further down that was already retried by the hop above it.
+  bool Direct = false;
+  /// Time that is left until the deadline of the call.
+  Duration Remaining;
+  /// Smoothed duration of calls on this edge.
+  Duration ExpectedDuration;
+};
+
+/// \brief Whether to repeat an attempt, and if not, why.
+enum class RetryChoice : std::uint8_t {
+  Retry,
+  /// Another hop is directly above the failure.
+  NotDirect,
+  /// The work may have run and must not run twice.
+  Unsafe,
+  /// Another attempt would meet the same refusal.
+  Useless,
+  /// The deadline would pass before an answer.
+  NoTime,
+  /// The request has no extra attempt left.
+  NoBudget,
+  /// The edge has used up its share of retries.
+  NoRatio,
+};
+
+/// \class RetryPolicy
+/// \brief Decides about a retry of one call.
+class RetryPolicy {
+public:
+  /// Decides, and on RetryChoice::Retry takes one extra attempt from \p Budget
+  /// and one retry from \p Ratio.
+  static RetryChoice decide(const AttemptFailure &Failure,
+                            AttemptBudget &Budget, RetryRatio &Ratio);
+};
+
+} // namespace camphorpin
+
+#endif
--- /dev/null
+++ b/packages/decision/camphorpin/src/Retry/RetryRatio.h
@@ -0,0 +1,36 @@
+#ifndef CAMPHORPIN_SRC_RETRY_RETRYRATIO_H
+#define CAMPHORPIN_SRC_RETRY_RETRYRATIO_H
+
+#include <cstdint>
+
+namespace camphorpin {
+
+/// \class RetryRatio
+/// \brief Keeps the retries on one edge (calling and called service) to a share
+/// of the first attempts.
+class RetryRatio {
+public:
+  /// Retries that may follow each other after a quiet time. Without a reserve a
+  /// rarely used edge could never retry.
+  static constexpr double Burst = 3;
+
+  /// \param Ratio retries per first attempt, in [0, 1].
+  explicit RetryRatio(double Ratio);
+
+  /// Counts a first attempt.
+  void onFirstAttempt();
+
+  /// \returns true if a retry is allowed now, and takes it.
+  bool takeRetry();
+
+  /// \returns true if takeRetry() would succeed.
+  bool allows() const { return Tokens >= 1; }
+
+private:
+  double Ratio;
+  double Tokens = Burst;
+};
+
+} // namespace camphorpin
+
+#endif
