--- /dev/null
+++ b/packages/decision/camphorpin/src/Claims/ClaimHome.cpp
@@ -0,0 +1,407 @@
+#include "camphorpin/src/Claims/ClaimHome.h"
+
+#include <algorithm>
+#include <cassert>
+#include <vector>
+
+namespace camphorpin {
+
+namespace {
+
+/// HandOverDone is not answered, so it is sent several times.
+constexpr std::uint8_t HandOverDoneSends = 5;
+
+/// Bytes that an answer takes beside its content, so that empty answers are
+/// bounded too.
+constexpr std::size_t AnswerOverhead = 64;
+
+} // namespace
+
+ClaimHome::ClaimHome(const ProcessId &Self, const ClaimOptions &Options,
+                     ClaimActions &Actions, const ProcessFacts &Facts,
+                     const Clock &Time)
+    : Self(Self), Options(Options), Actions(Actions), Time(Time),
+      Table(Options.MaxKeys), Resolver(Self, Options, Actions, Facts),
+      Sync(Self, Options, Actions, Table) {}
+
+void ClaimHome::adopt(const HomeSet &Set) {
+  if (Set.epoch() <= epoch())
+    return;
+  for (auto &[Key, Value] : Waiting)
+    withdraw(Value);
+  Resolver.adopt(Set, Time.now());
+  if (const HomeTenure *Own = Set.find(Self))
+    Sync.pair(Own->Mirrors.front(), Set.epoch());
+  pushKnowledge();
+  Sync.tick(Time.now());
+  advanceAll();
+}
+
+void ClaimHome::onLogRead(Instant SentAt) {
+  if (!LogReadAt || *LogReadAt < SentAt)
+    LogReadAt = SentAt;
+}
+
+void ClaimHome::onSend(const ClaimSend &Send) {
+  NewestHeard = std::max(NewestHeard, Send.SenderEpoch);
+  if (Waiting.contains(Send.Key)) {
+    Actions.decided(Send.Id, {.Outcome = ClaimOutcome::Join, .Epoch = epoch()});
+    return;
+  }
+  if (Waiting.size() >= Options.MaxWaiting) {
+    refuse(Send, refusalVerdict(Send.FirstSend), RefusalReason::NodeBusy);
+    return;
+  }
+  Waiting.emplace(Send.Key, Waiter{Send});
+  advanceKey(Send.Key);
+}
+
+void ClaimHome::finish(const RequestKey &Key, AnswerId Answer,
+                       std::size_t Bytes) {
+  ClaimEntry *Entry = Table.find(Key);
+  // The entry may have expired while the work ran.
+  if (Entry == nullptr || Entry->State != ClaimState::Running) {
+    Actions.dropAnswer(Answer);
+    return;
+  }
+  Entry->State = ClaimState::Finished;
+  Entry->HasAnswer = true;
+  const std::size_t Cost = Bytes + AnswerOverhead;
+  Answers[Entry->Serial] = StoredAnswer{Key, Answer, Cost};
+  AnswerBytes += Cost;
+  evictAnswers();
+}
+
+void ClaimHome::fail(const RequestKey &Key) {
+  ClaimEntry *Entry = Table.find(Key);
+  if (Entry != nullptr && Entry->State == ClaimState::Running)
+    Entry->State = ClaimState::Unknown;
+}
+
+void ClaimHome::release(const RequestKey &Key) {
+  ClaimEntry *Entry = Table.find(Key);
+  if (Entry == nullptr || Entry->State != ClaimState::Running)
+    return;
+  if (Sync.link().Mirror)
+    Actions.sendClaim(*Sync.link().Mirror,
+                      ReleaseClaim{Self, Entry->Serial, Key});
+  Table.erase(Key);
+}
+
+void ClaimHome::onMessage(const CopyAnswer &Message) {
+  const auto Found = Waiting.find(Message.Key);
+  if (Found == Waiting.end() || Found->second.Serial != Message.Serial ||
+      Sync.link().Mirror != Message.Mirror)
+    return;
+  Waiter &Value = Found->second;
+  if (!Message.Accepted) {
+    withdraw(Value);
+    Value.RetryAt = Time.now() + Options.ResendAfter;
+    return;
+  }
+  const bool Late = Value.Send.Deadline <= Time.now();
+  if (Late || logIsSilent()) {
+    withdraw(Value);
+    const ClaimSend Send = Value.Send;
+    Waiting.erase(Found);
+    // The mirror has confirmed after the send arrived that nobody else owned
+    // the key, and the claim is taken back.
+    refuse(Send, Verdict::NotRun,
+           Late ? RefusalReason::Deadline : RefusalReason::LogSilent);
+    return;
+  }
+  const ClaimSend Send = Value.Send;
+  Waiting.erase(Found);
+  const ClaimEntry *Entry = Table.find(Send.Key);
+  if (Entry != nullptr && Entry->State == ClaimState::Copying)
+    run(Send, Message.Serial);
+  else if (Entry != nullptr)
+    answerKnown(Send, *Entry);
+  else
+    refuse(Send, Verdict::MayHaveRun, RefusalReason::KeyExpired);
+}
+
+void ClaimHome::onMessage(const SyncAnswer &Message) {
+  Sync.onMessage(Message, Time.now());
+  if (Sync.ready())
+    advanceAll();
+}
+
+void ClaimHome::onMessage(const ResolveRequest &Message) {
+  if (Message.LinkSince != 0 || Message.Home != Self ||
+      Message.Epoch != epoch())
+    return;
+  EntryPage Found = Table.page(Message.After, Options.PageEntries,
+                               [this, &Message](const RequestKey &Key) {
+                                 const HomeTenure *Owner = homes().homeOf(Key);
+                                 return Owner != nullptr &&
+                                        Owner->Process == Message.Requester;
+                               });
+  ResolvePage Page;
+  Page.Home = Self;
+  Page.Epoch = Message.Epoch;
+  Page.After = Message.After;
+  Page.Complete = true;
+  Page.More = Found.More;
+  Page.Knowledge = Resolver.knowledge();
+  Page.Entries = std::move(Found.Entries);
+  Actions.sendClaim(Message.Requester, Page);
+}
+
+void ClaimHome::onMessage(const ResolvePage &Message) {
+  if (!Resolver.expects(Message))
+    return;
+  Table.merge(Message.Entries);
+  Sync.add(Message.Entries);
+  Resolver.accept(Message, Time.now());
+  pushKnowledge();
+  Sync.tick(Time.now());
+  advanceAll();
+}
+
+void ClaimHome::onMessage(const HandOverDone &Message) {
+  Epoch &Done = DoneBy[Message.Requester];
+  Done = std::max(Done, Message.Epoch);
+}
+
+void ClaimHome::tick() {
+  Resolver.tick(Time.now(), Time.wallNow());
+  pushKnowledge();
+  Sync.tick(Time.now());
+  expireWaiting();
+  advanceAll();
+  repeatCopies();
+  announceTakeovers();
+  Table.expireBefore(Time.wallNow() - Options.tableRetention());
+}
+
+bool ClaimHome::mayLeave() const {
+  if (epoch() == 0 || homes().find(Self) != nullptr || !Waiting.empty())
+    return false;
+  Epoch FirstWithout = 0;
+  for (const HomeTenure &Former : homes().formers())
+    if (Former.Process == Self)
+      FirstWithout = std::max(FirstWithout, Former.Until + 1);
+  return std::all_of(homes().homes().begin(), homes().homes().end(),
+                     [this, FirstWithout](const HomeTenure &Home) {
+                       const auto Done = DoneBy.find(Home.Process);
+                       return FirstWithout == 0 ||
+                              (Done != DoneBy.end() &&
+                               Done->second >= FirstWithout);
+                     });
+}
+
+bool ClaimHome::settled() const {
+  return homes().find(Self) != nullptr && Resolver.settled() && Sync.ready();
+}
+
+void ClaimHome::refuse(const ClaimSend &Send, Verdict Value,
+                       RefusalReason Reason) {
+  Actions.decided(Send.Id, {.Outcome = ClaimOutcome::Refuse,
+                            .Verdict = Value,
+                            .Reason = Reason,
+                            .Epoch = epoch()});
+}
+
+void ClaimHome::run(const ClaimSend &Send, std::uint64_t Serial) {
+  ClaimEntry Entry;
+  Entry.Serial = Serial;
+  Entry.State = ClaimState::Running;
+  Table.put(Send.Key, Entry);
+  Actions.decided(Send.Id, {.Outcome = ClaimOutcome::Run, .Epoch = epoch()});
+}
+
+void ClaimHome::answerKnown(const ClaimSend &Send, const ClaimEntry &Entry) {
+  ClaimDecision Decision;
+  Decision.Epoch = epoch();
+  switch (Entry.State) {
+  case ClaimState::Copying:
+  case ClaimState::Running:
+    Decision.Outcome = ClaimOutcome::Join;
+    break;
+  case ClaimState::Finished:
+    Decision.Verdict = Verdict::Ran;
+    Decision.Reason = RefusalReason::AnswerExpired;
+    if (Entry.HasAnswer) {
+      Decision.Outcome = ClaimOutcome::Answer;
+      Decision.Reason = RefusalReason::None;
+      Decision.Answer = Answers.at(Entry.Serial).Id;
+    }
+    break;
+  case ClaimState::Unknown:
+    Decision.Reason = RefusalReason::BackendFailed;
+    break;
+  }
+  Actions.decided(Send.Id, Decision);
+}
+
+bool ClaimHome::refusedByAge(const ClaimSend &Send) {
+  const Duration Age = Time.wallNow() - Send.Key.createdAt();
+  if (Age >= Options.KeyRetention) {
+    refuse(Send, Verdict::MayHaveRun, RefusalReason::KeyExpired);
+    return true;
+  }
+  if (Age < Duration() - MaxClockSkew) {
+    refuse(Send, refusalVerdict(Send.FirstSend), RefusalReason::BadRequest);
+    return true;
+  }
+  return false;
+}
+
+bool ClaimHome::logIsSilent() const {
+  return !LogReadAt || Time.now() - *LogReadAt >= Options.LogSilenceBound;
+}
+
+ClaimHome::Check ClaimHome::check(const ClaimSend &Send) {
+  const Verdict Unknown = refusalVerdict(Send.FirstSend);
+  if (refusedByAge(Send))
+    return Check::Refused;
+  if (NewestHeard > epoch())
+    return Check::Wait;
+  const HomeTenure *Owner = homes().homeOf(Send.Key);
+  if (Owner == nullptr || Owner->Process != Self) {
+    refuse(Send, Unknown, RefusalReason::HomeChanging);
+    return Check::Refused;
+  }
+  if (logIsSilent()) {
+    refuse(Send, Unknown, RefusalReason::LogSilent);
+    return Check::Refused;
+  }
+  const KeyPast Past = Resolver.past(Send.Key);
+  if (Past == KeyPast::MayHaveRun) {
+    refuse(Send, Verdict::MayHaveRun, RefusalReason::HomeChanging);
+    return Check::Refused;
+  }
+  if (Past == KeyPast::Unresolved || !Sync.ready())
+    return Check::Wait;
+  if (Table.full()) {
+    refuse(Send, Unknown, RefusalReason::NodeBusy);
+    return Check::Refused;
+  }
+  return Check::Pass;
+}
+
+bool ClaimHome::advance(Waiter &Value) {
+  const ClaimEntry *Entry = Table.find(Value.Send.Key);
+  if (Value.Serial && Entry != nullptr && Entry->State == ClaimState::Copying)
+    return false;
+  Value.Serial.reset();
+  const ClaimSend Send = Value.Send;
+  if (Entry != nullptr) {
+    answerKnown(Send, *Entry);
+    return true;
+  }
+  if (Time.now() < Value.RetryAt)
+    return false;
+  const Check Result = check(Send);
+  if (Result != Check::Pass)
+    return Result == Check::Refused;
+  const std::uint64_t Serial = ++LastSerial;
+  if (!Sync.link().Mirror) {
+    run(Send, Serial);
+    return true;
+  }
+  ClaimEntry Copying;
+  Copying.Serial = Serial;
+  Copying.State = ClaimState::Copying;
+  Table.put(Send.Key, Copying);
+  Value.Serial = Serial;
+  sendCopy(Value);
+  return false;
+}
+
+void ClaimHome::advanceKey(const RequestKey &Key) {
+  const auto Found = Waiting.find(Key);
+  if (Found == Waiting.end())
+    return;
+  // The node may call back while the decision is announced, so the send is
+  // taken out before.
+  Waiter Value = Found->second;
+  Waiting.erase(Found);
+  if (!advance(Value))
+    Waiting.emplace(Key, Value);
+}
+
+void ClaimHome::advanceAll() {
+  std::vector<RequestKey> Keys;
+  for (const auto &[Key, Value] : Waiting)
+    if (!Value.Serial)
+      Keys.push_back(Key);
+  for (const RequestKey &Key : Keys)
+    advanceKey(Key);
+}
+
+void ClaimHome::sendCopy(Waiter &Value) {
+  Value.SentAt = Time.now();
+  Actions.sendClaim(*Sync.link().Mirror,
+                    CopyClaim{Self, epoch(), Sync.link().Since, *Value.Serial,
+                              Value.Send.Key});
+}
+
+void ClaimHome::withdraw(Waiter &Value) {
+  if (!Value.Serial)
+    return;
+  const ClaimEntry *Entry = Table.find(Value.Send.Key);
+  if (Entry != nullptr && Entry->State == ClaimState::Copying)
+    Table.erase(Value.Send.Key);
+  if (Sync.link().Mirror)
+    Actions.sendClaim(*Sync.link().Mirror,
+                      ReleaseClaim{Self, *Value.Serial, Value.Send.Key});
+  Value.Serial.reset();
+}
+
+void ClaimHome::expireWaiting() {
+  std::vector<ClaimSend> Late;
+  for (auto Position = Waiting.begin(); Position != Waiting.end();) {
+    if (Position->second.Send.Deadline > Time.now()) {
+      ++Position;
+      continue;
+    }
+    withdraw(Position->second);
+    Late.push_back(Position->second.Send);
+    Position = Waiting.erase(Position);
+  }
+  for (const ClaimSend &Send : Late)
+    refuse(Send, refusalVerdict(Send.FirstSend), RefusalReason::HomeChanging);
+}
+
+void ClaimHome::repeatCopies() {
+  for (auto &[Key, Value] : Waiting)
+    if (Value.Serial && Time.now() - Value.SentAt >= Options.ResendAfter)
+      sendCopy(Value);
+}
+
+void ClaimHome::announceTakeovers() {
+  for (const ProcessId &Process : Resolver.takeResolved())
+    ToTell[Process] = HandOverDoneSends;
+  // A former home may exit after this news, so the mirror must have its table.
+  if (!Sync.idle() || Time.now() - ToldAt < Options.ResendAfter)
+    return;
+  ToldAt = Time.now();
+  for (auto &[Process, Left] : ToTell) {
+    Actions.sendClaim(Process, HandOverDone{Self, epoch()});
+    --Left;
+  }
+  std::erase_if(ToTell, [](const auto &Entry) { return Entry.second == 0; });
+}
+
+void ClaimHome::evictAnswers() {
+  while (AnswerBytes > Options.MaxAnswerBytes) {
+    const auto Oldest = Answers.begin();
+    AnswerBytes -= Oldest->second.Bytes;
+    if (ClaimEntry *Entry = Table.find(Oldest->second.Key))
+      Entry->HasAnswer = false;
+    const AnswerId Id = Oldest->second.Id;
+    Answers.erase(Oldest);
+    Actions.dropAnswer(Id);
+  }
+}
+
+void ClaimHome::pushKnowledge() {
+  if (PushedRevision == Resolver.revision())
+    return;
+  PushedRevision = Resolver.revision();
+  Sync.setKnowledge(Resolver.knowledge());
+}
+
+} // namespace camphorpin
--- a/packages/decision/camphorpin/src/Claims/ClaimHome.h
+++ b/packages/decision/camphorpin/src/Claims/ClaimHome.h
@@ -24,7 +24,12 @@
 /// Usage by the node: onSend() for each keyed, non-idempotent call that arrives
 /// at this node; the decision comes through ClaimActions::decided(). After the
 /// outcome Run the node starts the work at once and reports finish(), fail() or
-/// release() exactly once. Sends with the outcome Join get the same answer.
+/// release() exactly once. Sends with the outcome Join get the same answer,
+/// but when the other send is refused before it runs, each gets the
+/// refusalVerdict() of its own FirstSend.
+///
+/// ClaimActions::sendClaim() may name this process itself, when it is the
+/// mirror of a former home; the message is then to be delivered like any other.
 ///
 /// Bounds: ClaimOptions::MaxKeys keys (more only while tables of former homes
 /// arrive), MaxWaiting sends, MaxAnswerBytes of answers.
@@ -94,10 +99,11 @@
     /// Set while the copy is on the way to the mirror.
     std::optional<std::uint64_t> Serial;
     Instant SentAt;
+    /// The mirror refused the copy; there is no new attempt before this time.
+    Instant RetryAt;
   };
   struct StoredAnswer {
     RequestKey Key;
-    std::uint64_t Serial = 0;
     AnswerId Id = 0;
     std::size_t Bytes = 0;
   };
@@ -110,16 +116,19 @@
   Check check(const ClaimSend &Send);
   bool refusedByAge(const ClaimSend &Send);
   bool logIsSilent() const;
-  /// \returns true if the send needs to wait no longer.
+  /// Decides about the send if that is possible now, or sends the copy.
+  /// \returns true if the send is decided and must be forgotten.
   bool advance(Waiter &Value);
+  void advanceKey(const RequestKey &Key);
+  void pushKnowledge();
   void advanceAll();
   void sendCopy(Waiter &Value);
+  /// Takes back a copy that is on the way. The key does not run.
   void withdraw(Waiter &Value);
   void expireWaiting();
   void repeatCopies();
   void announceTakeovers();
   void evictAnswers();
-  const StoredAnswer *findAnswer(std::uint64_t Serial) const;
 
   ProcessId Self;
   ClaimOptions Options;
@@ -141,6 +150,7 @@
   /// Former homes to be told, with the number of messages left.
   std::map<ProcessId, std::uint8_t> ToTell;
   Instant ToldAt;
+  std::uint64_t PushedRevision = 0;
 };
 
 } // namespace camphorpin
--- /dev/null
+++ b/packages/decision/camphorpin/src/Claims/HomeSet.cpp
@@ -0,0 +1,304 @@
+#include "camphorpin/src/Claims/HomeSet.h"
+
+#include <algorithm>
+#include <cassert>
+#include <map>
+#include <nlohmann/json.hpp>
+
+namespace camphorpin {
+
+namespace {
+
+constexpr const char *NoMirror = "";
+
+/// The weight of a process for a key; the heaviest home owns the key.
+std::uint64_t weight(const ProcessId &Process, std::uint64_t KeyHash) {
+  return stableHash(KeyHash, Process.stableHash());
+}
+
+nlohmann::json printProcess(const ProcessId &Value) {
+  return {{"address", Value.Address.toString()},
+          {"incarnation", Value.Incarnation}};
+}
+
+nlohmann::json printTenure(const HomeTenure &Value) {
+  nlohmann::json Result = printProcess(Value.Process);
+  Result["zone"] = Value.Zone.string();
+  Result["since"] = Value.Since;
+  if (Value.Until != 0)
+    Result["until"] = Value.Until;
+  nlohmann::json &Mirrors = Result["mirrors"] = nlohmann::json::array();
+  for (const MirrorLink &Link : Value.Mirrors) {
+    nlohmann::json Entry = nlohmann::json::object();
+    if (Link.Mirror)
+      Entry = printProcess(*Link.Mirror);
+    else
+      Entry["address"] = NoMirror;
+    Entry["since"] = Link.Since;
+    Mirrors.push_back(std::move(Entry));
+  }
+  return Result;
+}
+
+// The readers throw on malformed input; HomeSet::parse() catches.
+
+ProcessId readProcess(const nlohmann::json &Value) {
+  const std::optional<HostAddress> Address =
+      HostAddress::parse(Value.at("address").get<std::string>());
+  return {Address.value(), Value.at("incarnation").get<std::uint64_t>()};
+}
+
+MirrorLink readLink(const nlohmann::json &Value) {
+  MirrorLink Link;
+  Link.Since = Value.at("since").get<Epoch>();
+  if (Value.at("address").get<std::string>() != NoMirror)
+    Link.Mirror = readProcess(Value);
+  return Link;
+}
+
+HomeTenure readTenure(const nlohmann::json &Value, bool IsFormer) {
+  HomeTenure Tenure;
+  Tenure.Process = readProcess(Value);
+  Tenure.Zone = ZoneName(Value.at("zone").get<std::string>());
+  Tenure.Since = Value.at("since").get<Epoch>();
+  if (IsFormer)
+    Tenure.Until = Value.at("until").get<Epoch>();
+  for (const nlohmann::json &Link : Value.at("mirrors"))
+    Tenure.Mirrors.push_back(readLink(Link));
+  return Tenure;
+}
+
+bool isValid(const HomeTenure &Tenure, Epoch Number, bool IsFormer) {
+  if (!isValidName(Tenure.Zone.view()) || Tenure.Since == 0 ||
+      Tenure.Since > Number || Tenure.Mirrors.empty() ||
+      Tenure.Mirrors.size() > MaxMirrorLinks)
+    return false;
+  if (IsFormer && (Tenure.Until < Tenure.Since || Tenure.Until >= Number))
+    return false;
+  for (std::size_t Index = 1; Index < Tenure.Mirrors.size(); ++Index)
+    if (Tenure.Mirrors[Index].Since >= Tenure.Mirrors[Index - 1].Since)
+      return false;
+  return Tenure.Mirrors.back().Since >= Tenure.Since &&
+         Tenure.Mirrors.front().Since <= Number;
+}
+
+bool areValid(std::span<const HomeTenure> Tenures, Epoch Number,
+              bool IsFormer) {
+  return Tenures.size() <= MaxHomes &&
+         std::all_of(Tenures.begin(), Tenures.end(),
+                     [Number, IsFormer](const HomeTenure &Tenure) {
+                       return isValid(Tenure, Number, IsFormer);
+                     });
+}
+
+bool hasRepeatedProcess(std::span<const HomeTenure> Homes) {
+  for (std::size_t Index = 1; Index < Homes.size(); ++Index)
+    if (Homes[Index].Process <= Homes[Index - 1].Process)
+      return true;
+  return false;
+}
+
+/// How well \p Candidate serves as mirror of \p Home; 0 if it cannot.
+int mirrorQuality(const HomeTenure &Home, const HomeTenure &Candidate) {
+  if (Candidate.Process.Address.Ip == Home.Process.Address.Ip)
+    return 0;
+  return Candidate.Zone == Home.Zone ? 1 : 2;
+}
+
+class HeaviestTenure {
+public:
+  HeaviestTenure(std::uint64_t KeyHash, Epoch Value)
+      : KeyHash(KeyHash), Value(Value) {}
+
+  void consider(std::span<const HomeTenure> Tenures) {
+    for (const HomeTenure &Tenure : Tenures) {
+      if (!Tenure.covers(Value))
+        continue;
+      const std::uint64_t Weight = weight(Tenure.Process, KeyHash);
+      if (Best != nullptr && Weight <= BestWeight)
+        continue;
+      Best = &Tenure;
+      BestWeight = Weight;
+    }
+  }
+
+  const HomeTenure *best() const { return Best; }
+
+private:
+  std::uint64_t KeyHash;
+  Epoch Value;
+  const HomeTenure *Best = nullptr;
+  std::uint64_t BestWeight = 0;
+};
+
+} // namespace
+
+std::optional<HomeSet> HomeSet::parse(std::string_view Json) {
+  const nlohmann::json Root = nlohmann::json::parse(Json, nullptr, false);
+  if (!Root.is_object())
+    return std::nullopt;
+  HomeSet Set;
+  try {
+    Set.Number = Root.at("epoch").get<camphorpin::Epoch>();
+    Set.FirstKnown = Root.at("horizon").get<camphorpin::Epoch>();
+    for (const nlohmann::json &Home : Root.at("homes"))
+      Set.Homes.push_back(readTenure(Home, false));
+    for (const nlohmann::json &Former : Root.at("formers"))
+      Set.Formers.push_back(readTenure(Former, true));
+  } catch (const std::exception &) {
+    return std::nullopt;
+  }
+  if (!areValid(Set.Homes, Set.Number, false) ||
+      !areValid(Set.Formers, Set.Number, true) ||
+      hasRepeatedProcess(Set.Homes) || Set.FirstKnown == 0)
+    return std::nullopt;
+  return Set;
+}
+
+std::string HomeSet::toJson() const {
+  nlohmann::json Root;
+  Root["epoch"] = Number;
+  Root["horizon"] = FirstKnown;
+  Root["homes"] = nlohmann::json::array();
+  for (const HomeTenure &Home : Homes)
+    Root["homes"].push_back(printTenure(Home));
+  Root["formers"] = nlohmann::json::array();
+  for (const HomeTenure &Former : Formers)
+    Root["formers"].push_back(printTenure(Former));
+  return Root.dump();
+}
+
+const HomeTenure *HomeSet::homeOf(const RequestKey &Key) const {
+  HeaviestTenure Search(Key.stableHash(), Number);
+  Search.consider(Homes);
+  return Search.best();
+}
+
+const HomeTenure *HomeSet::homeAt(camphorpin::Epoch Past,
+                                  const RequestKey &Key) const {
+  assert(Past >= FirstKnown && Past <= Number && "the epoch is not known");
+  HeaviestTenure Search(Key.stableHash(), Past);
+  Search.consider(Homes);
+  Search.consider(Formers);
+  return Search.best();
+}
+
+const HomeTenure *HomeSet::find(const ProcessId &Process) const {
+  const auto Found = std::find_if(
+      Homes.begin(), Homes.end(),
+      [&Process](const HomeTenure &Home) { return Home.Process == Process; });
+  return Found != Homes.end() ? &*Found : nullptr;
+}
+
+HomeChain HomeSet::chain(const ProcessId &Process) const {
+  HomeChain Result;
+  std::vector<const HomeTenure *> Tenures;
+  for (const HomeTenure &Former : Formers)
+    if (Former.Process == Process)
+      Tenures.push_back(&Former);
+  if (const HomeTenure *Home = find(Process))
+    Tenures.push_back(Home);
+  std::sort(Tenures.begin(), Tenures.end(),
+            [](const HomeTenure *Left, const HomeTenure *Right) {
+              return Left->Since > Right->Since;
+            });
+  Result.Whole = true;
+  for (const HomeTenure *Tenure : Tenures) {
+    Result.Links.insert(Result.Links.end(), Tenure->Mirrors.begin(),
+                        Tenure->Mirrors.end());
+    if (Tenure->Mirrors.back().Since == Tenure->Since)
+      continue;
+    Result.Whole = false;
+    break;
+  }
+  return Result;
+}
+
+HomeSet HomeSet::next(std::span<const HomeCandidate> Wanted) const {
+  assert(Wanted.size() <= MaxHomes && "too many homes");
+  HomeSet Result;
+  Result.Number = Number + 1;
+  Result.FirstKnown = FirstKnown;
+  Result.Formers = Formers;
+  std::map<ProcessId, ZoneName> Missing;
+  for (const HomeCandidate &Candidate : Wanted)
+    Missing.emplace(Candidate.Process, Candidate.Zone);
+  assert(Missing.size() == Wanted.size() && "a process is a home once");
+  for (const HomeTenure &Home : Homes) {
+    const bool Stays = Missing.erase(Home.Process) > 0;
+    (Stays ? Result.Homes : Result.Formers).push_back(Home);
+    if (!Stays)
+      Result.Formers.back().Until = Number;
+  }
+  for (const auto &[Process, Zone] : Missing) {
+    HomeTenure Added;
+    Added.Process = Process;
+    Added.Zone = Zone;
+    Added.Since = Result.Number;
+    Result.Homes.push_back(std::move(Added));
+  }
+  std::sort(Result.Homes.begin(), Result.Homes.end(),
+            [](const HomeTenure &Left, const HomeTenure &Right) {
+              return Left.Process < Right.Process;
+            });
+  Result.chooseMirrors();
+  return Result;
+}
+
+HomeSet HomeSet::withoutFormersBefore(camphorpin::Epoch FirstKept) const {
+  HomeSet Result = *this;
+  std::erase_if(Result.Formers, [FirstKept, &Result](const HomeTenure &Former) {
+    if (Former.Until >= FirstKept)
+      return false;
+    Result.FirstKnown = std::max(Result.FirstKnown, Former.Until + 1);
+    return true;
+  });
+  return Result;
+}
+
+void HomeSet::chooseMirrors() {
+  std::map<ProcessId, std::size_t> Load;
+  std::vector<HomeTenure *> Unmatched;
+  for (HomeTenure &Home : Homes) {
+    int Best = 0;
+    int Present = 0;
+    const std::optional<ProcessId> Mirror =
+        Home.Mirrors.empty() ? std::nullopt : Home.Mirrors.front().Mirror;
+    for (const HomeTenure &Candidate : Homes) {
+      Best = std::max(Best, mirrorQuality(Home, Candidate));
+      if (Mirror == Candidate.Process)
+        Present = mirrorQuality(Home, Candidate);
+    }
+    const bool Keeps = Present == Best && !Home.Mirrors.empty() &&
+                       (Best > 0 || !Mirror.has_value());
+    if (!Keeps)
+      Unmatched.push_back(&Home);
+    else if (Mirror)
+      ++Load[*Mirror];
+  }
+  for (HomeTenure *Home : Unmatched) {
+    const HomeTenure *Chosen = nullptr;
+    for (const HomeTenure &Candidate : Homes) {
+      const int Quality = mirrorQuality(*Home, Candidate);
+      if (Quality == 0)
+        continue;
+      const int Present = Chosen ? mirrorQuality(*Home, *Chosen) : 0;
+      const bool Better = Quality > Present ||
+                          (Quality == Present &&
+                           Load[Candidate.Process] < Load[Chosen->Process]);
+      if (Better)
+        Chosen = &Candidate;
+    }
+    MirrorLink Link;
+    Link.Since = Number;
+    if (Chosen) {
+      Link.Mirror = Chosen->Process;
+      ++Load[Chosen->Process];
+    }
+    Home->Mirrors.insert(Home->Mirrors.begin(), Link);
+    if (Home->Mirrors.size() > MaxMirrorLinks)
+      Home->Mirrors.pop_back();
+  }
+}
+
+} // namespace camphorpin
--- a/packages/decision/camphorpin/src/Claims/HomeSet.h
+++ b/packages/decision/camphorpin/src/Claims/HomeSet.h
@@ -114,8 +114,9 @@
   /// \pre Wanted.size() <= MaxHomes, without repeated processes.
   HomeSet next(std::span<const HomeCandidate> Wanted) const;
 
-  /// \returns this set without the former homes up to the first that \p Keep
-  /// names; those can start nothing and their keys have expired.
+  /// \returns this set without the former homes whose last epoch is before
+  /// \p FirstKept. Those must be unable to start anything, and their keys must
+  /// have expired.
   HomeSet withoutFormersBefore(camphorpin::Epoch FirstKept) const;
 
   bool operator==(const HomeSet &) const = default;
--- /dev/null
+++ b/packages/decision/camphorpin/src/Claims/HomeSetKeeper.cpp
@@ -0,0 +1,148 @@
+#include "camphorpin/src/Claims/HomeSetKeeper.h"
+
+#include <algorithm>
+
+namespace camphorpin {
+
+namespace {
+
+const HomeMember *findMember(std::span<const HomeMember> Members,
+                             const ProcessId &Process) {
+  const auto Found = std::find_if(Members.begin(), Members.end(),
+                                  [&Process](const HomeMember &Member) {
+                                    return Member.Process == Process;
+                                  });
+  return Found != Members.end() ? &*Found : nullptr;
+}
+
+bool hasAddress(std::span<const HomeCandidate> Candidates,
+                const HostAddress &Address) {
+  return std::any_of(Candidates.begin(), Candidates.end(),
+                     [&Address](const HomeCandidate &Candidate) {
+                       return Candidate.Process.Address == Address;
+                     });
+}
+
+} // namespace
+
+void HomeSetKeeper::onHomeSet(const HomeSet &Value, Instant Now) {
+  if (Value.epoch() <= Set.epoch())
+    return;
+  const bool IsFirst = Set.epoch() == 0;
+  const bool IsSoon = !IsFirst && Now - ChangedAt < Interval * 2;
+  Interval = IsSoon ? std::min(Options.MaxInterval, Interval * 2)
+                    : Options.MinInterval;
+  Set = Value;
+  ChangedAt = Now;
+  DifferentSince.reset();
+  ProposedAt.reset();
+  std::map<ProcessId, FormerSeen> Listed;
+  for (const HomeTenure &Former : Set.formers()) {
+    const auto Known = Seen.find(Former.Process);
+    // A process that was a home again since has a new end.
+    const bool IsSame =
+        Known != Seen.end() && Known->second.Until == Former.Until;
+    Listed[Former.Process] =
+        IsSame ? Known->second : FormerSeen{Former.Until, Now, std::nullopt};
+  }
+  Seen = std::move(Listed);
+}
+
+void HomeSetKeeper::onMembers(std::span<const HomeMember> Value) {
+  Members.assign(Value.begin(), Value.end());
+}
+
+void HomeSetKeeper::tick(Instant Now) {
+  for (auto &[Process, Former] : Seen)
+    if (!Former.EndedSince && Facts.hasEnded(Process))
+      Former.EndedSince = Now;
+  const std::vector<HomeCandidate> Wanted = wanted();
+  if (!differs(Wanted)) {
+    DifferentSince.reset();
+    return;
+  }
+  if (!DifferentSince)
+    DifferentSince = Now;
+  const bool Urgent = leaving();
+  const Instant Turn = *DifferentSince + (Urgent ? Options.CoalesceLeaving
+                                                 : Options.Coalesce + turn());
+  const Instant Earliest =
+      Set.epoch() == 0 ? Turn
+                       : ChangedAt + (Urgent ? Options.MinInterval : Interval);
+  const bool IsRepeat = ProposedAt && Now - *ProposedAt < Options.RepeatAfter;
+  if (Now < std::max(Turn, Earliest) || IsRepeat)
+    return;
+  ProposedAt = Now;
+  const HomeSet Next =
+      Set.withoutFormersBefore(firstFormerToKeep(Now)).next(Wanted);
+  // A larger list would be rejected by all readers; the change waits until
+  // former homes can be dropped.
+  if (Next.formers().size() <= MaxHomes)
+    Actions.proposeHomes(Next);
+}
+
+std::vector<HomeCandidate> HomeSetKeeper::wanted() const {
+  std::vector<HomeCandidate> Result;
+  for (const HomeTenure &Home : Set.homes()) {
+    const HomeMember *Member = findMember(Members, Home.Process);
+    const bool Stays =
+        Member == nullptr || Member->State == HomeMemberState::Alive;
+    if (Stays && !Facts.hasEnded(Home.Process))
+      Result.push_back({Home.Process, Home.Zone});
+  }
+  for (const HomeMember &Member : Members) {
+    if (Member.State != HomeMemberState::Alive ||
+        Facts.hasEnded(Member.Process) ||
+        hasAddress(Result, Member.Process.Address) || Result.size() >= MaxHomes)
+      continue;
+    Result.push_back({Member.Process, Member.Zone});
+  }
+  return Result;
+}
+
+bool HomeSetKeeper::differs(std::span<const HomeCandidate> Wanted) const {
+  if (Wanted.size() != Set.homes().size())
+    return true;
+  return std::any_of(Wanted.begin(), Wanted.end(),
+                     [this](const HomeCandidate &Candidate) {
+                       return Set.find(Candidate.Process) == nullptr;
+                     });
+}
+
+Epoch HomeSetKeeper::firstFormerToKeep(Instant Now) const {
+  // After this time nothing that the process ran can be accepted by age.
+  const Duration Forget = Claims.tableRetention() + MaxClockSkew;
+  Epoch FirstKept = 0;
+  for (const HomeTenure &Former : Set.formers()) {
+    const auto Known = Seen.find(Former.Process);
+    const bool IsLast =
+        Known != Seen.end() && Known->second.Until == Former.Until;
+    const bool Ended = IsLast && Known->second.EndedSince &&
+                       Now - *Known->second.EndedSince >= Forget;
+    const bool Waited =
+        IsLast && Now - Known->second.Since >= Claims.takeoverWait() + Forget;
+    if (!Ended && !Waited)
+      return Former.Until;
+    FirstKept = Former.Until + 1;
+  }
+  return FirstKept;
+}
+
+Duration HomeSetKeeper::turn() const {
+  const std::uint64_t Own = stableHash(Self.stableHash(), Set.epoch());
+  const auto Before = std::count_if(
+      Members.begin(), Members.end(), [this, Own](const HomeMember &Member) {
+        return Member.State == HomeMemberState::Alive &&
+               Member.Process != Self &&
+               stableHash(Member.Process.stableHash(), Set.epoch()) < Own;
+      });
+  return Options.RankDelay * static_cast<double>(Before);
+}
+
+bool HomeSetKeeper::leaving() const {
+  const HomeMember *Member = findMember(Members, Self);
+  return Member != nullptr && Member->State == HomeMemberState::Leaving &&
+         Set.find(Self) != nullptr;
+}
+
+} // namespace camphorpin
--- a/packages/decision/camphorpin/src/Claims/HomeSetKeeper.h
+++ b/packages/decision/camphorpin/src/Claims/HomeSetKeeper.h
@@ -76,6 +76,13 @@
   void tick(Instant Now);
 
 private:
+  /// When this process first saw a former home, and first knew of its end.
+  struct FormerSeen {
+    Epoch Until = 0;
+    Instant Since;
+    std::optional<Instant> EndedSince;
+  };
+
   std::vector<HomeCandidate> wanted() const;
   bool differs(std::span<const HomeCandidate> Wanted) const;
   Epoch firstFormerToKeep(Instant Now) const;
@@ -89,11 +96,6 @@
   const ProcessFacts &Facts;
   HomeSet Set;
   std::vector<HomeMember> Members;
-  /// When this process first saw a former home, and first knew of its end.
-  struct FormerSeen {
-    Instant Since;
-    std::optional<Instant> EndedSince;
-  };
   std::map<ProcessId, FormerSeen> Seen;
   std::optional<Instant> DifferentSince;
   std::optional<Instant> ProposedAt;
--- /dev/null
+++ b/packages/decision/camphorpin/src/Claims/MirrorSync.cpp
@@ -0,0 +1,114 @@
+#include "camphorpin/src/Claims/MirrorSync.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorpin {
+
+void MirrorSync::pair(const MirrorLink &Value, Epoch Number) {
+  Refused = false;
+  Current = Number;
+  const bool IsNew = Value != Link;
+  if (IsNew || !Ready) {
+    Link = Value;
+    Ready = false;
+    FullDone = false;
+    Dirty = true;
+    Cursor = RequestKey();
+    Queue.clear();
+  } else if (InFlight) {
+    Queue.insert(Queue.begin(), InFlight->Entries.begin(),
+                 InFlight->Entries.end());
+    Dirty = true;
+  }
+  InFlight.reset();
+}
+
+void MirrorSync::add(std::span<const TransferEntry> Entries) {
+  // The transfer of the whole table may already have passed these keys.
+  if (Link.Mirror)
+    Queue.insert(Queue.end(), Entries.begin(), Entries.end());
+}
+
+void MirrorSync::setKnowledge(const ClaimKnowledge &Value) {
+  Knowledge = Value;
+  Dirty = true;
+}
+
+void MirrorSync::onMessage(const SyncAnswer &Message, Instant Now) {
+  if (!InFlight || Message.SyncId != InFlight->SyncId ||
+      Message.Page != InFlight->Page || Link.Mirror != Message.Mirror)
+    return;
+  if (!Message.Accepted) {
+    Refused = true;
+    return;
+  }
+  const bool WasLast = InFlight->Last;
+  const std::uint32_t Page = InFlight->Page;
+  InFlight.reset();
+  if (!WasLast) {
+    fillPage();
+    InFlight->Page = Page + 1;
+    transmit(Now);
+    return;
+  }
+  Ready = true;
+  sendNext(Now);
+}
+
+void MirrorSync::tick(Instant Now) {
+  if (!Link.Mirror || Refused)
+    return;
+  if (!InFlight)
+    sendNext(Now);
+  else if (Now - SentAt >= Options.ResendAfter)
+    transmit(Now);
+}
+
+bool MirrorSync::ready() const { return !Link.Mirror || Ready; }
+
+bool MirrorSync::idle() const {
+  return !Link.Mirror || (Ready && !InFlight && !work());
+}
+
+void MirrorSync::sendNext(Instant Now) {
+  if (!work())
+    return;
+  ++LastSyncId;
+  fillPage();
+  transmit(Now);
+}
+
+void MirrorSync::fillPage() {
+  SyncPage Page;
+  Page.Home = Self;
+  Page.Epoch = Current;
+  Page.LinkSince = Link.Since;
+  Page.SyncId = LastSyncId;
+  if (!FullDone) {
+    EntryPage Part = Table.page(Cursor, Options.PageEntries,
+                                [](const RequestKey &) { return true; });
+    Page.Entries = std::move(Part.Entries);
+    if (!Page.Entries.empty())
+      Cursor = Page.Entries.back().Key;
+    FullDone = !Part.More;
+  }
+  while (FullDone && !Queue.empty() &&
+         Page.Entries.size() < Options.PageEntries) {
+    Page.Entries.push_back(Queue.front());
+    Queue.pop_front();
+  }
+  Page.Last = FullDone && Queue.empty();
+  if (Page.Last) {
+    Page.Knowledge = Knowledge;
+    Dirty = false;
+  }
+  InFlight = std::move(Page);
+}
+
+void MirrorSync::transmit(Instant Now) {
+  SentAt = Now;
+  Actions.sendClaim(*Link.Mirror, *InFlight);
+}
+
+} // namespace camphorpin
--- /dev/null
+++ b/packages/decision/camphorpin/src/Claims/SourceResolver.cpp
@@ -0,0 +1,361 @@
+#include "camphorpin/src/Claims/SourceResolver.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace camphorpin {
+
+namespace {
+
+/// Epochs whose reading time is remembered. Forgetting one only makes a wait
+/// longer.
+constexpr std::size_t MaxReadEpochs = 64;
+
+/// A former home is asked this many times before its mirror is asked to close,
+/// because a close makes it repeat the claims that are on the way.
+constexpr int HomeQuestions = 4;
+
+bool contains(const std::vector<Epoch> &Values, Epoch Value) {
+  return std::find(Values.begin(), Values.end(), Value) != Values.end();
+}
+
+template <class Visitor>
+void forEachTenure(const HomeSet &Set, const Visitor &Visit) {
+  for (const HomeTenure &Home : Set.homes())
+    Visit(Home);
+  for (const HomeTenure &Former : Set.formers())
+    Visit(Former);
+}
+
+} // namespace
+
+void SourceResolver::adopt(const HomeSet &Value, Instant Now) {
+  assert(Value.epoch() > Set.epoch() && "home sets are adopted in order");
+  Set = Value;
+  // Tables were chosen by the homes of the epoch before, so the sources that
+  // still matter are asked again.
+  Sources.clear();
+  ReadAt.emplace(Set.epoch(), Now);
+  if (ReadAt.size() > MaxReadEpochs)
+    ReadAt.erase(ReadAt.begin());
+  std::erase_if(Fences, [this](const auto &Entry) {
+    return Set.chain(Entry.first).Links.empty();
+  });
+  refresh(Now);
+}
+
+bool SourceResolver::expects(const ResolvePage &Page) const {
+  const auto Found = Sources.find(Page.Home);
+  if (Page.Epoch != Set.epoch() || Found == Sources.end() ||
+      Found->second.Resolved)
+    return false;
+  const Source &Value = Found->second;
+  const Question *Asked = &Value.Home;
+  if (Page.LinkSince != 0)
+    Asked = Value.Mirror ? &*Value.Mirror : nullptr;
+  return Asked != nullptr && Asked->Sent &&
+         Asked->LinkSince == Page.LinkSince && Asked->After == Page.After;
+}
+
+void SourceResolver::accept(const ResolvePage &Page, Instant Now) {
+  assert(expects(Page) && "the page answers an open question");
+  Source &Value = Sources.at(Page.Home);
+  if (!Page.Complete) {
+    Value.Mirror.reset();
+    nextMirror(Value, Page.Home);
+  } else {
+    Question &Asked = Page.LinkSince == 0 ? Value.Home : *Value.Mirror;
+    // What a later page adds may rest on keys that the earlier pages lack.
+    if (!Asked.First)
+      Asked.First = Page.Knowledge;
+    if (Page.More && !Page.Entries.empty()) {
+      Asked.After = Page.Entries.back().Key;
+      ask(Asked, Page.Home, Now);
+    } else {
+      resolve(Value, Page.Home, ClaimKnowledge(*Asked.First));
+    }
+  }
+  refresh(Now);
+}
+
+void SourceResolver::tick(Instant Now, Instant WallNow) {
+  for (auto &[Process, Value] : Sources)
+    if (!Value.Resolved)
+      tickSource(Value, Process, Now, WallNow);
+  refresh(Now);
+  // Keys that a cutoff concerns are too old to run by then.
+  const Duration Lifetime = Options.KeyRetention + MaxClockSkew * 3;
+  const std::size_t Removed =
+      std::erase_if(Known.Cutoffs, [WallNow, Lifetime](const KeyCutoff &Value) {
+        return WallNow - Value.Time > Lifetime;
+      });
+  if (Removed > 0)
+    ++Revision;
+}
+
+KeyPast SourceResolver::past(const RequestKey &Key) const {
+  bool Stopped = settled();
+  bool Open = false;
+  for (Epoch Value = Set.epoch(); Value-- > Set.horizon();) {
+    if ((Stopped || Open) && Known.Cutoffs.empty())
+      break;
+    const HomeTenure *Owner = Set.homeAt(Value, Key);
+    if (Owner == nullptr)
+      continue;
+    if (Owner->Process == Self) {
+      Stopped = Stopped || wasSettled(Value);
+      continue;
+    }
+    if (cutsOff(Owner->Process, Key))
+      return KeyPast::MayHaveRun;
+    if (Stopped || Open)
+      continue;
+    Open = !isResolved(Owner->Process);
+    Stopped = !Open && isStop(*Owner, Value);
+  }
+  if (!Stopped && !Open)
+    forEachTenure(Set, [this, &Open](const HomeTenure &Tenure) {
+      if (Tenure.Since < Set.horizon() && Tenure.Process != Self &&
+          !isResolved(Tenure.Process))
+        Open = true;
+    });
+  return Open ? KeyPast::Unresolved : KeyPast::Clear;
+}
+
+bool SourceResolver::settled() const { return wasSettled(Set.epoch()); }
+
+std::size_t SourceResolver::unresolved() const {
+  return static_cast<std::size_t>(
+      std::count_if(Sources.begin(), Sources.end(),
+                    [](const auto &Entry) { return !Entry.second.Resolved; }));
+}
+
+std::vector<ProcessId> SourceResolver::takeResolved() {
+  return std::exchange(NewlyResolved, {});
+}
+
+bool SourceResolver::wasSettled(Epoch Value) const {
+  return contains(Known.Settled, Value);
+}
+
+bool SourceResolver::isResolved(const ProcessId &Process) const {
+  const auto Found = Sources.find(Process);
+  return Found != Sources.end() && Found->second.Resolved;
+}
+
+bool SourceResolver::ownedAt(Epoch Value) const {
+  bool Result = false;
+  forEachTenure(Set, [this, Value, &Result](const HomeTenure &Tenure) {
+    if (Tenure.Process == Self && Tenure.covers(Value))
+      Result = true;
+  });
+  return Result;
+}
+
+/// A home that stays beside this one cannot have owned one of its keys: the
+/// heavier of the two owns the key as long as both are homes.
+bool SourceResolver::isRelevant(const HomeTenure &Tenure, Epoch Value) const {
+  if (Tenure.Process == Self || !Tenure.covers(Value))
+    return false;
+  const HomeTenure *Own = Set.find(Self);
+  return Tenure.Until != 0 || Own == nullptr || Own->Since > Value;
+}
+
+bool SourceResolver::isStop(const HomeTenure &Tenure, Epoch Value) const {
+  const auto Found = Sources.find(Tenure.Process);
+  return Found != Sources.end() && Found->second.Resolved &&
+         !Found->second.TableLost && contains(Found->second.Settled, Value);
+}
+
+bool SourceResolver::ensure(const ProcessId &Process, Instant Now) {
+  const auto [Position, IsNew] = Sources.try_emplace(Process);
+  Source &Value = Position->second;
+  if (!IsNew)
+    return Value.Resolved;
+  Value.AskedAt = Now;
+  Value.Home.To = Process;
+  const auto Fenced = Fences.find(Process);
+  if (Fenced != Fences.end() &&
+      Fenced->second.Below >= requiredFence(Process)) {
+    Value.Resolved = true;
+    Value.TableLost = true;
+    return true;
+  }
+  if (!Facts.hasEnded(Process))
+    ask(Value.Home, Process, Now);
+  return Value.Resolved;
+}
+
+bool SourceResolver::levelStops(Epoch Value, Instant Now, bool &Open) {
+  const bool Owned = ownedAt(Value);
+  bool Any = Owned;
+  bool Stops = !Owned || wasSettled(Value);
+  forEachTenure(
+      Set, [this, Value, Now, &Any, &Stops, &Open](const HomeTenure &Tenure) {
+        if (!isRelevant(Tenure, Value))
+          return;
+        Any = true;
+        if (!ensure(Tenure.Process, Now))
+          Open = true;
+        if (!isStop(Tenure, Value))
+          Stops = false;
+      });
+  return Any && Stops;
+}
+
+bool SourceResolver::horizonResolved(Instant Now) {
+  bool Result = true;
+  forEachTenure(Set, [this, Now, &Result](const HomeTenure &Tenure) {
+    if (Tenure.Since < Set.horizon() && Tenure.Process != Self &&
+        !ensure(Tenure.Process, Now))
+      Result = false;
+  });
+  return Result;
+}
+
+void SourceResolver::refresh(Instant Now) {
+  if (settled() || Set.find(Self) == nullptr)
+    return;
+  for (Epoch Value = Set.epoch(); Value-- > Set.horizon();) {
+    bool Open = false;
+    if (levelStops(Value, Now, Open)) {
+      markSettled();
+      return;
+    }
+    if (Open)
+      return;
+  }
+  if (horizonResolved(Now))
+    markSettled();
+}
+
+void SourceResolver::markSettled() {
+  Known.Settled.insert(Known.Settled.begin(), Set.epoch());
+  if (Known.Settled.size() > MaxSettledEpochs)
+    Known.Settled.pop_back();
+  ++Revision;
+}
+
+void SourceResolver::ask(Question &Asked, const ProcessId &Process,
+                         Instant Now) {
+  Asked.Sent = true;
+  Asked.SentAt = Now;
+  Actions.sendClaim(Asked.To, ResolveRequest{Self, Process, Set.epoch(),
+                                             Asked.LinkSince, Asked.After});
+}
+
+void SourceResolver::nextMirror(Source &Value, const ProcessId &Process) {
+  const HomeChain Chain = Set.chain(Process);
+  if (Value.NextLink >= Chain.Links.size()) {
+    // No mirror had a table of it, and none accepts one any more: the process
+    // has never run a key.
+    if (Chain.Whole)
+      resolve(Value, Process, ClaimKnowledge());
+    else
+      Value.MirrorsFailed = true;
+    return;
+  }
+  const MirrorLink &Link = Chain.Links[Value.NextLink++];
+  if (!Link.Mirror) {
+    Value.MirrorsFailed = true;
+    return;
+  }
+  Question Asked;
+  Asked.LinkSince = Link.Since;
+  Asked.To = *Link.Mirror;
+  Value.Mirror = Asked;
+}
+
+void SourceResolver::tickMirrors(Source &Value, const ProcessId &Process,
+                                 Instant Now) {
+  if (Value.MirrorsFailed)
+    return;
+  if (!Value.Mirror)
+    nextMirror(Value, Process);
+  if (!Value.Mirror)
+    return;
+  if (Facts.hasEnded(Value.Mirror->To))
+    Value.MirrorsFailed = true;
+  else if (!Value.Mirror->Sent ||
+           Now - Value.Mirror->SentAt >= Options.ResendAfter)
+    ask(*Value.Mirror, Process, Now);
+}
+
+void SourceResolver::tickSource(Source &Value, const ProcessId &Process,
+                                Instant Now, Instant WallNow) {
+  const bool HasEnded = Facts.hasEnded(Process);
+  const Duration Waited = Now - Value.AskedAt;
+  if (!HasEnded && Now - Value.Home.SentAt >= Options.ResendAfter)
+    ask(Value.Home, Process, Now);
+  if (HasEnded || Waited >= Options.ResendAfter * HomeQuestions)
+    tickMirrors(Value, Process, Now);
+  if (Value.Resolved)
+    return;
+  const bool TableIsLost =
+      Value.MirrorsFailed || Waited >= Options.MirrorPatience;
+  const bool WaitIsOver =
+      Now - firstRead(requiredFence(Process)) >= Options.takeoverWait();
+  if ((HasEnded && TableIsLost) || WaitIsOver)
+    cutOff(Value, Process, WallNow);
+}
+
+void SourceResolver::cutOff(Source &Value, const ProcessId &Process,
+                            Instant WallNow) {
+  Value.Resolved = true;
+  Value.TableLost = true;
+  Fences[Process] = Fence{WallNow, requiredFence(Process)};
+  ClaimKnowledge Learned;
+  Learned.Cutoffs.push_back({Process, WallNow});
+  addKnowledge(Learned);
+}
+
+void SourceResolver::resolve(Source &Value, const ProcessId &Process,
+                             const ClaimKnowledge &Learned) {
+  Value.Resolved = true;
+  Value.Settled = Learned.Settled;
+  addKnowledge(Learned);
+  if (Set.find(Process) == nullptr && !Facts.hasEnded(Process))
+    NewlyResolved.push_back(Process);
+}
+
+void SourceResolver::addKnowledge(const ClaimKnowledge &Added) {
+  for (const KeyCutoff &Value : Added.Cutoffs) {
+    const auto Found = std::find_if(Known.Cutoffs.begin(), Known.Cutoffs.end(),
+                                    [&Value](const KeyCutoff &Present) {
+                                      return Present.Process == Value.Process;
+                                    });
+    if (Found == Known.Cutoffs.end())
+      Known.Cutoffs.push_back(Value);
+    else
+      Found->Time = std::max(Found->Time, Value.Time);
+  }
+  ++Revision;
+}
+
+Epoch SourceResolver::requiredFence(const ProcessId &Process) const {
+  const HomeTenure *Own = Set.find(Self);
+  Epoch Result = 0;
+  for (const HomeTenure &Former : Set.formers())
+    if (Former.Process == Process)
+      Result = std::max(Result, Former.Until + 1);
+  if (Set.find(Process) != nullptr && Own != nullptr)
+    Result = std::max(Result, Own->Since);
+  return Result;
+}
+
+Instant SourceResolver::firstRead(Epoch Value) const {
+  const auto Found = ReadAt.lower_bound(Value);
+  return Found != ReadAt.end() ? Found->second : Instant::never();
+}
+
+bool SourceResolver::cutsOff(const ProcessId &Owner,
+                             const RequestKey &Key) const {
+  return std::any_of(Known.Cutoffs.begin(), Known.Cutoffs.end(),
+                     [&Owner, &Key](const KeyCutoff &Value) {
+                       return Value.Process == Owner &&
+                              Key.createdAt() < Value.Time + MaxClockSkew * 2;
+                     });
+}
+
+} // namespace camphorpin
--- a/packages/decision/camphorpin/src/Claims/SourceResolver.h
+++ b/packages/decision/camphorpin/src/Claims/SourceResolver.h
@@ -59,6 +59,9 @@
 
   const ClaimKnowledge &knowledge() const { return Known; }
 
+  /// \returns a number that grows with each change of knowledge().
+  std::uint64_t revision() const { return Revision; }
+
   const HomeSet &homes() const { return Set; }
 
   /// \returns the number of sources that are not resolved.
@@ -99,11 +102,19 @@
   bool isRelevant(const HomeTenure &Tenure, Epoch Value) const;
   bool isStop(const HomeTenure &Tenure, Epoch Value) const;
   bool ensure(const ProcessId &Process, Instant Now);
+  /// \returns true if all keys of this home have an owner in epoch \p Value
+  /// or later that knew their past. Sets \p Open if a source is unresolved.
   bool levelStops(Epoch Value, Instant Now, bool &Open);
+  bool horizonResolved(Instant Now);
+  bool ownedAt(Epoch Value) const;
+  bool wasSettled(Epoch Value) const;
+  bool isResolved(const ProcessId &Process) const;
+  void markSettled();
+  void resolve(Source &Value, const ProcessId &Process,
+               const ClaimKnowledge &Learned);
   void refresh(Instant Now);
-  void ask(Source &Value, Question &Asked, const ProcessId &Process,
-           Instant Now);
-  void askMirror(Source &Value, const ProcessId &Process, Instant Now);
+  void ask(Question &Asked, const ProcessId &Process, Instant Now);
+  void tickMirrors(Source &Value, const ProcessId &Process, Instant Now);
   void nextMirror(Source &Value, const ProcessId &Process);
   void tickSource(Source &Value, const ProcessId &Process, Instant Now,
                   Instant WallNow);
@@ -124,6 +135,7 @@
   /// When this process first read each epoch.
   std::map<Epoch, Instant> ReadAt;
   std::vector<ProcessId> NewlyResolved;
+  std::uint64_t Revision = 0;
 };
 
 } // namespace camphorpin
--- /dev/null
+++ b/packages/decision/camphorpin/src/Crash/CrashGuard.cpp
@@ -0,0 +1,159 @@
+#include "camphorpin/src/Crash/CrashGuard.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace camphorpin {
+
+CrashChoice CrashGuard::start(std::uint64_t RunId, std::uint64_t Fingerprint,
+                              std::uint8_t CrashCount, Instant Now) {
+  assert(!Running.contains(RunId) && "a run starts once");
+  const std::uint8_t Crashes =
+      std::max(CrashCount, crashCount(Fingerprint, Now));
+  if (Crashes >= Options.MaxCrashes)
+    return CrashChoice::Refuse;
+  const bool IsSuspect = Crashes > 0;
+  if (IsSuspect && suspectRuns(Now))
+    return CrashChoice::Isolate;
+  Running[RunId] = Run{Fingerprint, IsSuspect};
+  return CrashChoice::Start;
+}
+
+std::uint8_t CrashGuard::crashCount(std::uint64_t Fingerprint,
+                                    Instant Now) const {
+  const auto Found = Suspects.find(Fingerprint);
+  if (Found == Suspects.end() || Found->second.Cleared ||
+      expired(Found->second, Now))
+    return 0;
+  return static_cast<std::uint8_t>(Found->second.CrashIds.size());
+}
+
+bool CrashGuard::refuses(std::uint64_t Fingerprint, Instant Now) const {
+  return crashCount(Fingerprint, Now) >= Options.MaxCrashes;
+}
+
+void CrashGuard::end(std::uint64_t RunId, bool Completed, Instant Now) {
+  const auto Found = Running.find(RunId);
+  if (Found == Running.end())
+    return;
+  const std::uint64_t Fingerprint = Found->second.Fingerprint;
+  Running.erase(Found);
+  if (!Completed)
+    return;
+  const auto Entry = Suspects.find(Fingerprint);
+  // After a second crash only time ends the refusal: a run that was already
+  // under way elsewhere is no proof for those that crashed.
+  if (Entry == Suspects.end() || refuses(Fingerprint, Now))
+    return;
+  Entry->second.Cleared = true;
+  Entry->second.TransmissionsLeft = Options.Transmissions;
+}
+
+void CrashGuard::onBackendCrash(Instant Now) {
+  ++CrashCounter;
+  const std::uint64_t CrashId =
+      std::max<std::uint64_t>(1, stableHash(Self.stableHash(), CrashCounter));
+  for (const auto &[RunId, Value] : Running)
+    addCrash(Value.Fingerprint, CrashId, Now);
+  Running.clear();
+}
+
+void CrashGuard::onReport(const CrashReport &Report, Instant Now) {
+  if (Report.Age >= Options.Retention || Report.Age < Duration())
+    return;
+  const Instant When = Now - Report.Age;
+  if (Report.CrashId != 0) {
+    addCrash(Report.Fingerprint, Report.CrashId, When);
+    return;
+  }
+  const auto Found = Suspects.find(Report.Fingerprint);
+  if (Found == Suspects.end() || Found->second.Cleared ||
+      refuses(Report.Fingerprint, Now) || When < Found->second.LastCrash)
+    return;
+  Found->second.Cleared = true;
+  Found->second.TransmissionsLeft = Options.Transmissions;
+}
+
+std::vector<CrashReport> CrashGuard::takeReports(std::size_t Limit,
+                                                 Instant Now) {
+  std::vector<std::uint64_t> Order;
+  for (const auto &[Fingerprint, Value] : Suspects)
+    if (Value.TransmissionsLeft > 0 && !expired(Value, Now))
+      Order.push_back(Fingerprint);
+  std::sort(Order.begin(), Order.end(),
+            [this](std::uint64_t Left, std::uint64_t Right) {
+              return Suspects.at(Left).LastCrash > Suspects.at(Right).LastCrash;
+            });
+  std::vector<CrashReport> Result;
+  for (const std::uint64_t Fingerprint : Order) {
+    Suspect &Value = Suspects.at(Fingerprint);
+    const std::size_t Needed = Value.Cleared ? 1 : Value.CrashIds.size();
+    if (Result.size() + Needed > Limit)
+      break;
+    --Value.TransmissionsLeft;
+    const Duration Age = Now - Value.LastCrash;
+    if (Value.Cleared)
+      Result.push_back({Fingerprint, 0, Age});
+    else
+      for (const std::uint64_t CrashId : Value.CrashIds)
+        Result.push_back({Fingerprint, CrashId, Age});
+  }
+  return Result;
+}
+
+void CrashGuard::tick(Instant Now) {
+  std::erase_if(Suspects, [this, Now](const auto &Entry) {
+    return expired(Entry.second, Now);
+  });
+}
+
+CrashGuard::Suspect *CrashGuard::insert(std::uint64_t Fingerprint) {
+  const auto Found = Suspects.find(Fingerprint);
+  if (Found != Suspects.end())
+    return &Found->second;
+  if (Suspects.size() >= Options.MaxSuspects) {
+    const auto Oldest = std::min_element(
+        Suspects.begin(), Suspects.end(),
+        [](const auto &Left, const auto &Right) {
+          const std::size_t LeftCount = Left.second.CrashIds.size();
+          const std::size_t RightCount = Right.second.CrashIds.size();
+          if (LeftCount != RightCount)
+            return LeftCount < RightCount;
+          return Left.second.LastCrash < Right.second.LastCrash;
+        });
+    Suspects.erase(Oldest);
+  }
+  return &Suspects[Fingerprint];
+}
+
+void CrashGuard::addCrash(std::uint64_t Fingerprint, std::uint64_t CrashId,
+                          Instant When) {
+  Suspect *Value = insert(Fingerprint);
+  const bool IsKnown = std::find(Value->CrashIds.begin(), Value->CrashIds.end(),
+                                 CrashId) != Value->CrashIds.end();
+  if (IsKnown || Value->CrashIds.size() >= Options.MaxCrashes)
+    return;
+  if (Value->Cleared) {
+    // An earlier crash is explained by another request; this one is new.
+    Value->CrashIds.clear();
+    Value->Cleared = false;
+  }
+  Value->CrashIds.push_back(CrashId);
+  Value->LastCrash = std::max(Value->LastCrash, When);
+  Value->TransmissionsLeft = Options.Transmissions;
+}
+
+bool CrashGuard::expired(const Suspect &Value, Instant Now) const {
+  return Now - Value.LastCrash >= Options.Retention;
+}
+
+bool CrashGuard::suspectRuns(Instant Now) const {
+  // A run that started without suspicion may have come under it since.
+  return std::any_of(Running.begin(), Running.end(),
+                     [this, Now](const auto &Entry) {
+                       return Entry.second.IsSuspect ||
+                              crashCount(Entry.second.Fingerprint, Now) > 0;
+                     });
+}
+
+} // namespace camphorpin
--- /dev/null
+++ b/packages/decision/camphorpin/src/Retry/ResendTable.cpp
@@ -0,0 +1,42 @@
+#include "camphorpin/src/Retry/ResendTable.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorpin {
+
+ResendChoice ResendTable::add(const CallerName &Caller, const RequestKey &Key,
+                              std::uint64_t SendId) {
+  const KeyOfCaller Index{Caller, Key};
+  const auto Found = Sends.find(Index);
+  if (Found != Sends.end()) {
+    if (Found->second.size() > MaxJoined)
+      return ResendChoice::Full;
+    Found->second.push_back(SendId);
+    return ResendChoice::Joined;
+  }
+  if (Sends.size() >= MaxKeys)
+    return ResendChoice::Full;
+  Sends[Index].push_back(SendId);
+  return ResendChoice::Start;
+}
+
+std::vector<std::uint64_t> ResendTable::finish(const CallerName &Caller,
+                                               const RequestKey &Key) {
+  const auto Found = Sends.find(KeyOfCaller{Caller, Key});
+  if (Found == Sends.end())
+    return {};
+  std::vector<std::uint64_t> Result = std::move(Found->second);
+  Sends.erase(Found);
+  return Result;
+}
+
+void ResendTable::abandon(const CallerName &Caller, const RequestKey &Key,
+                          std::uint64_t SendId) {
+  const auto Found = Sends.find(KeyOfCaller{Caller, Key});
+  if (Found == Sends.end() || Found->second.front() == SendId)
+    return;
+  std::erase(Found->second, SendId);
+}
+
+} // namespace camphorpin
