Fuzz claims against an oracle

Purpose: proof of R4 and R5. A world of five nodes with claims, keepers, a log with outages and lagging readers, clocks 5 s apart, and a network that loses, repeats and reorders messages takes random commands; the oracle counts the runs of each key and checks every verdict against them.

All new keys run 120 s after failures end (300 sequences).

--- /dev/null
+++ b/packages/decision/tests/ClaimsTest.cpp
@@ -0,0 +1,121 @@
+// Guards R4 and R5: a key runs at most once, and a refusal "not run" is true,
+// whatever happens to homes, mirrors, messages and the log.
+#include "ClaimsWorld.h"
+
+#include <criterion/criterion.h>
+#include <cstdio>
+#include <cstdlib>
+#include <rapidcheck.h>
+
+using namespace camphorpin;
+using namespace camphorpin::test;
+
+namespace {
+
+constexpr int Sequences = 4000;
+
+// Failures end, then: the backoff of the keeper (60 s), its turns (2 s + 5 x
+// 1 s), the proof of ends (12 s), the patience with mirrors (10 s) and the
+// cutoff of keys (10 s).
+constexpr Duration RecoveryBound = Duration::seconds(120);
+
+struct Totals {
+  std::size_t Twice = 0;
+  std::size_t False = 0;
+  std::size_t Started = 0;
+  std::size_t NotRun = 0;
+  std::size_t Records = 0;
+  std::size_t Messages = 0;
+};
+
+void add(Totals &Sum, const World &Value) {
+  Sum.Twice += Value.Checks.Twice;
+  Sum.False += Value.Checks.False;
+  Sum.Started += Value.Checks.Started;
+  Sum.NotRun += Value.Checks.NotRun;
+  Sum.Records += Value.Records;
+  Sum.Messages += Value.Messages;
+}
+
+void print(const char *Name, int Count, const Totals &Sum) {
+  std::fprintf(stderr,
+               "%s: %d sequences, %zu runs, %zu not-run verdicts, %zu epochs, "
+               "%zu messages, %zu keys run twice, %zu false verdicts\n",
+               Name, Count, Sum.Started, Sum.NotRun, Sum.Records, Sum.Messages,
+               Sum.Twice, Sum.False);
+}
+
+/// Criterion runs each test in a process of its own, so the change is local.
+void setSequences(int Count) {
+  const char *Present = std::getenv("RC_PARAMS");
+  const std::string Value = std::string(Present ? Present : "") +
+                            " max_success=" + std::to_string(Count);
+  setenv("RC_PARAMS", Value.c_str(), 1);
+}
+
+std::vector<std::uint32_t> commands() {
+  return *rc::gen::withSize([](int Size) {
+    return rc::gen::container<std::vector<std::uint32_t>>(
+        100 + 2 * static_cast<std::size_t>(Size),
+        rc::gen::noShrink(rc::gen::inRange<std::uint32_t>(0, 1U << 24U)));
+  });
+}
+
+Totals runBaseline(Protection Kind, int Count) {
+  Totals Sum;
+  SeededRandom Source(20261204);
+  for (int Sequence = 0; Sequence < Count; ++Sequence) {
+    World Value(Kind, 3);
+    for (int Step = 0; Step < 200; ++Step)
+      Value.apply(static_cast<std::uint32_t>(Source.below(1U << 24U)));
+    add(Sum, Value);
+  }
+  return Sum;
+}
+
+} // namespace
+
+// The measured baselines: without a mirror, and with a mirror that does not
+// close epochs, the same sequences run keys twice.
+Test(Claims, weakerProtectionRunsKeysTwice) {
+  const Totals HomeOnly = runBaseline(Protection::HomeOnly, 300);
+  print("keys remembered only at the home", 300, HomeOnly);
+  cr_assert_gt(HomeOnly.Twice, 0U);
+  const Totals NoFence = runBaseline(Protection::NoFence, 2000);
+  print("mirror without fence", 2000, NoFence);
+  cr_assert_gt(NoFence.Twice, 0U);
+}
+
+Test(Claims, keysRunAtMostOnceAndVerdictsAreTrue, .timeout = 60) {
+  setSequences(Sequences);
+  Totals Sum;
+  const bool Passed = rc::check("at most once", [&Sum] {
+    World Value(Protection::Full, *rc::gen::inRange<std::size_t>(1, 4));
+    for (const std::uint32_t Command : commands()) {
+      Value.apply(Command);
+      RC_ASSERT(Value.Checks.Twice == 0U);
+      RC_ASSERT(Value.Checks.False == 0U);
+    }
+    add(Sum, Value);
+  });
+  print("full protection", Sequences, Sum);
+  cr_assert(Passed);
+}
+
+// A protection that refuses for ever is safe too, so service must come back.
+Test(Claims, newKeysRunAgainAfterFailuresEnd, .timeout = 60) {
+  setSequences(300);
+  double Least = 1;
+  const bool Passed = rc::check("recovery", [&Least] {
+    World Value(Protection::Full, 3);
+    for (const std::uint32_t Command : commands())
+      Value.apply(Command);
+    const double Share = Value.recover(RecoveryBound);
+    Least = std::min(Least, Share);
+    RC_ASSERT(Value.Checks.Twice == 0U);
+    RC_ASSERT(Value.Checks.False == 0U);
+    RC_ASSERT(Share == 1.0);
+  });
+  std::fprintf(stderr, "least share of new keys that run: %.2f\n", Least);
+  cr_assert(Passed);
+}
--- /dev/null
+++ b/packages/decision/tests/ClaimsWorld.h
@@ -0,0 +1,607 @@
+/// \file
+/// \brief A service of a few nodes with claims, a log and a network that loses,
+/// repeats and reorders messages, in virtual time, checked against an oracle.
+#ifndef CAMPHORPIN_TESTS_CLAIMSWORLD_H
+#define CAMPHORPIN_TESTS_CLAIMSWORLD_H
+
+#include "camphorpin/Claims.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace camphorpin::test {
+
+/// \brief How keys are protected. The naive variants are the baselines.
+enum class Protection { Full, HomeOnly, NoFence };
+
+/// \class Send
+/// \brief One send of a key by the client.
+struct Send {
+  RequestKey Key;
+  bool First = false;
+  std::uint64_t Order = 0;
+  std::optional<Verdict> Told;
+};
+
+/// \class Execution
+/// \brief One run of a key, as the oracle sees it.
+struct Execution {
+  SendId By = 0;
+  std::uint64_t Order = 0;
+};
+
+/// \class Oracle
+/// \brief The set of keys run, and what callers were told.
+class Oracle {
+public:
+  SendId issue(const RequestKey &Key) {
+    Send Value{Key, !Issued.contains(Key), ++Order, std::nullopt};
+    Issued.insert(Key);
+    Sends.push_back(Value);
+    return Sends.size() - 1;
+  }
+  const Send &send(SendId Id) const { return Sends[Id]; }
+
+  void run(SendId By) {
+    std::vector<Execution> &Runs = Executions[Sends[By].Key];
+    Runs.push_back({By, ++Order});
+    Twice += Runs.size() == 2;
+    ++Started;
+    False += Sends[By].Told == Verdict::NotRun;
+  }
+
+  void told(SendId Id, Verdict Value) {
+    Send &Asked = Sends[Id];
+    Asked.Told = Value;
+    ++Order;
+    const std::vector<Execution> &Runs = Executions[Asked.Key];
+    if (Value == Verdict::Ran)
+      False += Runs.empty();
+    if (Value != Verdict::NotRun)
+      return;
+    ++NotRun;
+    for (const Execution &Run : Runs)
+      if (Run.By == Id || Run.Order < Asked.Order) {
+        ++False;
+        break;
+      }
+  }
+
+  bool ran(const RequestKey &Key) { return !Executions[Key].empty(); }
+
+  std::size_t Twice = 0;
+  std::size_t False = 0;
+  std::size_t Started = 0;
+  std::size_t NotRun = 0;
+
+private:
+  std::uint64_t Order = 0;
+  std::vector<Send> Sends;
+  std::set<RequestKey> Issued;
+  std::map<RequestKey, std::vector<Execution>> Executions;
+};
+
+/// \class SkewedClock
+/// \brief The clock of a host whose wall clock is off.
+class SkewedClock final : public Clock {
+public:
+  SkewedClock(const ManualClock &Base, Duration Skew)
+      : Base(Base), Skew(Skew) {}
+  Instant now() const override { return Base.now(); }
+  Instant wallNow() const override { return Base.wallNow() + Skew; }
+
+private:
+  const ManualClock &Base;
+  Duration Skew;
+};
+
+class World;
+
+/// \class TestNode
+/// \brief One incarnation at a slot.
+class TestNode final : public ClaimActions,
+                       public HomeSetActions,
+                       public ProcessFacts {
+public:
+  TestNode(World &Owner, std::size_t Slot, const ProcessId &Self,
+           Duration Skew);
+
+  void sendClaim(const ProcessId &To, const ClaimMessage &Message) override;
+  void decided(SendId Id, const ClaimDecision &Decision) override;
+  void dropAnswer(AnswerId) override {}
+  void proposeHomes(const HomeSet &Next) override;
+  bool hasEnded(const ProcessId &Process) const override;
+
+  void onSend(SendId Id, Epoch SenderEpoch);
+  void onMessage(const ClaimMessage &Message);
+  /// Starts, and ends, the oldest run that was allowed.
+  void work(std::uint32_t Choice);
+  void answerJoined(const RequestKey &Key, Verdict Value, bool ByHome);
+  void readLog();
+  void tick();
+
+  World &Owner;
+  std::size_t Slot;
+  ProcessId Self;
+  SkewedClock Time;
+  ClaimHome Home;
+  ClaimMirror Mirror;
+  HomeSetKeeper Keeper;
+  bool Leaving = false;
+  bool Lagging = false;
+  std::deque<SendId> Allowed;
+  std::map<RequestKey, std::vector<SendId>> Joined;
+  std::set<RequestKey> NaiveKeys;
+};
+
+/// \class World
+/// \brief All nodes, the network and the log.
+class World {
+public:
+  static constexpr std::size_t Slots = 5;
+  static constexpr std::int64_t WallOrigin = 1780000000000;
+
+  World(Protection Kind, std::size_t Zones);
+
+  /// Carries out one random command.
+  void apply(std::uint32_t Command);
+
+  /// Ends all failures, lets time pass, and \returns the share of new keys that
+  /// run.
+  double recover(Duration Time);
+
+  ClaimOptions Options;
+  KeeperOptions Keeping;
+  Protection Kind;
+  std::size_t Zones;
+  ManualClock Time{Instant::fromMillis(WallOrigin)};
+  SeededRandom Source{1};
+  Oracle Checks;
+  std::size_t Messages = 0;
+  std::size_t Records = 0;
+
+  struct Packet {
+    ProcessId To;
+    std::optional<ClaimMessage> Message;
+    SendId Id = 0;
+    Epoch SenderEpoch = 0;
+  };
+  std::vector<Packet> Network;
+  std::vector<HomeSet> Log;
+  bool LogDown = false;
+  std::vector<std::unique_ptr<TestNode>> Nodes;
+  std::vector<bool> Frozen;
+  std::vector<Instant> FrozenSince;
+  std::map<ProcessId, Instant> Ended;
+  std::vector<RequestKey> Keys;
+
+  void pass(Duration Span);
+  void deliver(std::size_t Index);
+  void deliverAll();
+  bool running(std::size_t Slot) const { return Nodes[Slot] && !Frozen[Slot]; }
+  void start(std::size_t Slot);
+  void stop(std::size_t Slot);
+  void newSend(const RequestKey &Key, std::size_t View, std::size_t Target);
+  void append(const HomeSet &Next);
+  std::vector<HomeMember> members() const;
+
+private:
+  void step();
+  void fault(std::uint32_t Kind, std::size_t Slot);
+  void disturb(std::uint32_t Kind, std::size_t Index);
+  void passSome(std::uint32_t Kind, std::uint32_t Rest);
+  std::uint64_t Incarnation = 100;
+};
+
+inline TestNode::TestNode(World &Owner, std::size_t Slot, const ProcessId &Self,
+                          Duration Skew)
+    : Owner(Owner), Slot(Slot), Self(Self), Time(Owner.Time, Skew),
+      Home(Self, Owner.Options, *this, *this, Time),
+      Mirror(Self, Owner.Options, *this, Time),
+      Keeper(Self, Owner.Keeping, Owner.Options, *this, *this) {}
+
+inline void TestNode::sendClaim(const ProcessId &To,
+                                const ClaimMessage &Message) {
+  ++Owner.Messages;
+  Owner.Network.push_back({To, Message});
+}
+
+inline void TestNode::decided(SendId Id, const ClaimDecision &Decision) {
+  const RequestKey Key = Owner.Checks.send(Id).Key;
+  switch (Decision.Outcome) {
+  case ClaimOutcome::Run:
+    Allowed.push_back(Id);
+    return;
+  case ClaimOutcome::Join:
+    Joined[Key].push_back(Id);
+    return;
+  case ClaimOutcome::Answer:
+    Owner.Checks.told(Id, Verdict::Ran);
+    return;
+  case ClaimOutcome::Refuse:
+    Owner.Checks.told(Id, Decision.Verdict);
+    answerJoined(Key, Decision.Verdict, false);
+    return;
+  }
+}
+
+inline void TestNode::answerJoined(const RequestKey &Key, Verdict Value,
+                                   bool ByHome) {
+  const auto Found = Joined.find(Key);
+  if (Found == Joined.end())
+    return;
+  for (const SendId Id : Found->second) {
+    const bool Unsure = Value == Verdict::NotRun && !ByHome;
+    Owner.Checks.told(
+        Id, Unsure ? ClaimHome::refusalVerdict(Owner.Checks.send(Id).First)
+                   : Value);
+  }
+  Joined.erase(Found);
+}
+
+inline void TestNode::proposeHomes(const HomeSet &Next) { Owner.append(Next); }
+
+inline bool TestNode::hasEnded(const ProcessId &Process) const {
+  const auto Found = Owner.Ended.find(Process);
+  // The news takes a different time to each node.
+  return Found != Owner.Ended.end() &&
+         Owner.Time.now() - Found->second >=
+             Duration::seconds(static_cast<std::int64_t>(Slot) * 3);
+}
+
+inline void TestNode::onSend(SendId Id, Epoch SenderEpoch) {
+  const Send &Value = Owner.Checks.send(Id);
+  const HomeTenure *Owned = Home.homes().homeOf(Value.Key);
+  const bool Here = Owned != nullptr && Owned->Process == Self;
+  const bool Expired =
+      Time.wallNow() - Value.Key.createdAt() >= Owner.Options.KeyRetention;
+  if (Owner.Kind == Protection::HomeOnly) {
+    // Baseline: the home remembers its keys, and nobody else does.
+    const bool Runs = Here && !Expired && NaiveKeys.insert(Value.Key).second;
+    if (Runs)
+      Allowed.push_back(Id);
+    else
+      Owner.Checks.told(Id, ClaimHome::refusalVerdict(Value.First));
+    return;
+  }
+  Home.onSend({Id, Value.Key, Value.First, SenderEpoch,
+               Time.now() + Duration::seconds(3)});
+}
+
+inline void TestNode::onMessage(const ClaimMessage &Message) {
+  std::visit(
+      [this](const auto &Value) {
+        using Type = std::decay_t<decltype(Value)>;
+        if constexpr (std::is_same_v<Type, ResolveRequest>) {
+          Mirror.onMessage(Value);
+          Home.onMessage(Value);
+        } else if constexpr (requires { Mirror.onMessage(Value); }) {
+          // Baseline: the mirror copies, but does not close epochs.
+          if constexpr (std::is_same_v<Type, CopyClaim>) {
+            if (Owner.Kind == Protection::NoFence) {
+              CopyClaim Open = Value;
+              Open.Epoch = ~Epoch(0);
+              Mirror.onMessage(Open);
+              return;
+            }
+          }
+          Mirror.onMessage(Value);
+        } else {
+          Home.onMessage(Value);
+        }
+      },
+      Message);
+}
+
+inline void TestNode::work(std::uint32_t Choice) {
+  if (Allowed.empty())
+    return;
+  const SendId Id = Allowed.front();
+  Allowed.pop_front();
+  const RequestKey Key = Owner.Checks.send(Id).Key;
+  Verdict Value = Verdict::Ran;
+  if (Choice % 4 == 0) {
+    Home.release(Key);
+    NaiveKeys.erase(Key);
+    Value = Verdict::NotRun;
+  } else {
+    Owner.Checks.run(Id);
+    if (Choice % 4 == 1) {
+      Home.fail(Key);
+      Value = Verdict::MayHaveRun;
+    } else {
+      Home.finish(Key, Id, 10);
+    }
+  }
+  Owner.Checks.told(Id, Value);
+  answerJoined(Key, Value, true);
+}
+
+inline void TestNode::readLog() {
+  if (Owner.LogDown || Lagging)
+    return;
+  if (!Owner.Log.empty()) {
+    Home.adopt(Owner.Log.back());
+    Mirror.adopt(Owner.Log.back());
+    Keeper.onHomeSet(Owner.Log.back(), Time.now());
+  }
+  Home.onLogRead(Time.now());
+}
+
+inline void TestNode::tick() {
+  readLog();
+  Home.tick();
+  Mirror.tick();
+  const std::vector<HomeMember> Members = Owner.members();
+  Keeper.onMembers(Members);
+  Keeper.tick(Time.now());
+}
+
+inline World::World(Protection Kind, std::size_t Zones)
+    : Kind(Kind), Zones(Zones), Nodes(Slots), Frozen(Slots),
+      FrozenSince(Slots) {
+  Options.KeyRetention = Duration::seconds(120);
+  Options.LogSilenceBound = Duration::seconds(60);
+  Options.PageEntries = 3;
+  Keeping.RankDelay = Duration::seconds(1);
+  for (std::size_t Slot = 0; Slot + 1 < Slots; ++Slot)
+    start(Slot);
+  pass(Duration::seconds(30));
+}
+
+inline void World::start(std::size_t Slot) {
+  const HostAddress Address{static_cast<std::uint32_t>(Slot + 1), 7000};
+  // Wall clocks are up to 5 s apart.
+  const Duration Skew =
+      Duration::millis(static_cast<std::int64_t>(Slot) * 1250 - 2500);
+  Nodes[Slot] = std::make_unique<TestNode>(
+      *this, Slot, ProcessId{Address, ++Incarnation}, Skew);
+  Frozen[Slot] = false;
+}
+
+inline void World::stop(std::size_t Slot) {
+  if (!Nodes[Slot])
+    return;
+  // Only a new incarnation at the address, or an announced exit, proves an end.
+  if (Nodes[Slot]->Leaving)
+    Ended[Nodes[Slot]->Self] = Time.now();
+  Nodes[Slot].reset();
+  Frozen[Slot] = false;
+}
+
+inline std::vector<HomeMember> World::members() const {
+  std::vector<HomeMember> Result;
+  for (std::size_t Slot = 0; Slot < Slots; ++Slot) {
+    const HostAddress Address{static_cast<std::uint32_t>(Slot + 1), 7000};
+    const ZoneName Zone("z" + std::to_string(Slot % Zones));
+    if (!Nodes[Slot]) {
+      for (const HomeTenure &Home :
+           Log.empty() ? std::span<const HomeTenure>() : Log.back().homes())
+        if (Home.Process.Address == Address)
+          Result.push_back({Home.Process, Zone, HomeMemberState::Dead});
+      continue;
+    }
+    const bool Dead =
+        Frozen[Slot] && Time.now() - FrozenSince[Slot] > Duration::seconds(8);
+    const HomeMemberState State = Nodes[Slot]->Leaving
+                                      ? HomeMemberState::Leaving
+                                      : HomeMemberState::Alive;
+    Result.push_back(
+        {Nodes[Slot]->Self, Zone, Dead ? HomeMemberState::Dead : State});
+  }
+  return Result;
+}
+
+inline void World::append(const HomeSet &Next) {
+  const Epoch Current = Log.empty() ? 0 : Log.back().epoch();
+  if (LogDown || Next.epoch() != Current + 1)
+    return;
+  const std::optional<HomeSet> Read = HomeSet::parse(Next.toJson());
+  assert(Read && *Read == Next && "the document round-trips");
+  Log.push_back(*Read);
+  ++Records;
+}
+
+inline void World::deliver(std::size_t Index) {
+  const Packet Value = Network[Index];
+  for (std::size_t Slot = 0; Slot < Slots; ++Slot) {
+    if (!Nodes[Slot] || Nodes[Slot]->Self != Value.To)
+      continue;
+    if (Frozen[Slot])
+      return;
+    Network.erase(Network.begin() + static_cast<std::ptrdiff_t>(Index));
+    if (Value.Message)
+      Nodes[Slot]->onMessage(*Value.Message);
+    else
+      Nodes[Slot]->onSend(Value.Id, Value.SenderEpoch);
+    return;
+  }
+  Network.erase(Network.begin() + static_cast<std::ptrdiff_t>(Index));
+}
+
+inline void World::deliverAll() {
+  std::size_t Index = 0;
+  for (int Round = 0; Index < Network.size() && Round < 5000; ++Round) {
+    const std::size_t Before = Network.size();
+    const ProcessId To = Network[Index].To;
+    deliver(Index);
+    if (Network.size() == Before && Network[Index].To == To)
+      ++Index;
+  }
+}
+
+inline void World::step() {
+  for (std::size_t Slot = 0; Slot < Slots; ++Slot) {
+    if (!running(Slot))
+      continue;
+    Nodes[Slot]->tick();
+    if (Nodes[Slot]->Leaving && Nodes[Slot]->Home.mayLeave() &&
+        Nodes[Slot]->Allowed.empty())
+      stop(Slot);
+  }
+}
+
+inline void World::pass(Duration Span) {
+  const Instant End = Time.now() + Span;
+  while (Time.now() < End) {
+    Time.advanceTo(
+        std::min(End, Time.now() + std::max(Duration::millis(200), Span / 40)));
+    step();
+    if (Span > Duration::millis(200))
+      deliverAll();
+  }
+}
+
+inline void World::newSend(const RequestKey &Key, std::size_t View,
+                           std::size_t Target) {
+  const SendId Id = Checks.issue(Key);
+  const HomeSet &Known = Nodes[View]->Home.homes();
+  const HomeTenure *Owner = Known.homeOf(Key);
+  if (Target < Slots && Nodes[Target])
+    Network.push_back({Nodes[Target]->Self, std::nullopt, Id, Known.epoch()});
+  else if (Owner != nullptr)
+    Network.push_back({Owner->Process, std::nullopt, Id, Known.epoch()});
+}
+
+inline void World::fault(std::uint32_t Kind, std::size_t Slot) {
+  switch (Kind) {
+  case 0:
+  case 1:
+    stop(Slot);
+    break;
+  case 2:
+  case 3:
+  case 4:
+    if (!Nodes[Slot])
+      start(Slot);
+    else if (Kind == 4) {
+      Ended[Nodes[Slot]->Self] = Time.now();
+      start(Slot);
+    }
+    for (const HomeSet &Set : Log)
+      for (const HomeTenure &Home : Set.homes())
+        if (Home.Process.Address == Nodes[Slot]->Self.Address &&
+            Home.Process != Nodes[Slot]->Self)
+          Ended.emplace(Home.Process, Time.now());
+    break;
+  case 5:
+  case 6:
+    if (Nodes[Slot] && !Frozen[Slot]) {
+      Frozen[Slot] = true;
+      FrozenSince[Slot] = Time.now();
+    }
+    break;
+  case 7:
+  case 8:
+    Frozen[Slot] = false;
+    break;
+  case 9:
+    if (Nodes[Slot])
+      Nodes[Slot]->Leaving = true;
+    break;
+  case 10:
+    LogDown = !LogDown;
+    break;
+  default:
+    if (Nodes[Slot])
+      Nodes[Slot]->Lagging = !Nodes[Slot]->Lagging;
+    break;
+  }
+}
+
+inline void World::apply(std::uint32_t Command) {
+  const std::uint32_t Kind = Command % 64;
+  const std::uint32_t Argument = Command / 64;
+  const std::size_t Slot = Argument % Slots;
+  const std::uint32_t Rest = Argument / Slots;
+  const std::size_t Any = Network.empty() ? 0 : Rest % Network.size();
+  if (Kind < 10) {
+    if (!Nodes[Slot])
+      return;
+    const Duration Skew =
+        Duration::millis(Rest % 5000) - Duration::millis(2500);
+    Keys.push_back(RequestKey::make(Time.wallNow() + Skew, Source));
+    newSend(Keys.back(), Slot, Slots);
+  } else if (Kind < 20) {
+    if (!Nodes[Slot] || Keys.empty())
+      return;
+    const std::size_t Recent = std::min<std::size_t>(Keys.size(), 8);
+    const RequestKey Key = Keys[Keys.size() - 1 - Rest % Recent];
+    newSend(Key, Slot, Rest / 8 % 4 == 0 ? Rest / 32 % Slots : Slots);
+  } else if (Kind < 34) {
+    if (!Network.empty())
+      disturb(Kind, Any);
+  } else if (Kind < 44) {
+    if (running(Slot))
+      Nodes[Slot]->work(Rest);
+  } else if (Kind < 59) {
+    passSome(Kind, Rest);
+  } else {
+    fault(Rest % 12, Slot);
+  }
+}
+
+inline void World::disturb(std::uint32_t Kind, std::size_t Index) {
+  if (Kind < 24)
+    deliver(Index);
+  else if (Kind == 24)
+    Network.erase(Network.begin() + static_cast<std::ptrdiff_t>(Index));
+  else if (Kind == 25 && Network[Index].Message)
+    // Calls are not repeated by the connection that carries them; a caller that
+    // repeats one issues a new send.
+    Network.push_back(Packet(Network[Index]));
+  else
+    deliverAll();
+}
+
+inline void World::passSome(std::uint32_t Kind, std::uint32_t Rest) {
+  if (Kind < 50)
+    pass(Duration::millis(200));
+  else if (Kind < 55)
+    pass(Duration::seconds(1));
+  else if (Kind < 58)
+    pass(Duration::seconds(5));
+  else
+    pass(Duration::seconds(Rest % 4 == 0 ? 65 : 20));
+}
+
+inline double World::recover(Duration Span) {
+  LogDown = false;
+  for (std::size_t Slot = 0; Slot < Slots; ++Slot) {
+    // A node that leaves has an operator who has not cancelled that.
+    if (Nodes[Slot] && Nodes[Slot]->Leaving)
+      stop(Slot);
+    fault(2, Slot);
+    Frozen[Slot] = false;
+    Nodes[Slot]->Lagging = false;
+  }
+  for (Duration Passed; Passed < Span; Passed += Duration::millis(500)) {
+    pass(Duration::millis(500));
+    for (std::size_t Slot = 0; Slot < Slots; ++Slot)
+      while (Nodes[Slot] && !Nodes[Slot]->Allowed.empty())
+        Nodes[Slot]->work(2);
+  }
+  constexpr std::size_t Probes = 10;
+  std::size_t Ran = 0;
+  for (std::size_t Probe = 0; Probe < Probes; ++Probe) {
+    const RequestKey Key = RequestKey::make(Time.wallNow(), Source);
+    newSend(Key, Probe % Slots, Slots);
+    pass(Duration::millis(500));
+    for (std::size_t Slot = 0; Slot < Slots; ++Slot)
+      if (Nodes[Slot])
+        Nodes[Slot]->work(2);
+    Ran += Checks.ran(Key);
+  }
+  return static_cast<double>(Ran) / Probes;
+}
+
+} // namespace camphorpin::test
+
+#endif
