--- a/packages/decision/tests/ClaimsWorld.h
+++ b/packages/decision/tests/ClaimsWorld.h
@@ -529,6 +529,10 @@
         Duration::millis(Rest % 5000) - Duration::millis(2500);
     Keys.push_back(RequestKey::make(Time.wallNow() + Skew, Source));
     newSend(Keys.back(), Slot, Slots);
+    // Nodes with different views get the same key at the same time.
+    const std::size_t Second = (Slot + 1 + Rest % 4) % Slots;
+    if (Nodes[Second])
+      newSend(Keys.back(), Second, Slots);
   } else if (Kind < 20) {
     if (!Nodes[Slot] || Keys.empty())
       return;
@@ -541,10 +545,10 @@
   } else if (Kind < 44) {
     if (running(Slot))
       Nodes[Slot]->work(Rest);
-  } else if (Kind < 59) {
+  } else if (Kind < 57) {
     passSome(Kind, Rest);
   } else {
-    fault(Rest % 12, Slot);
+    fault(Rest % 14, Slot);
   }
 }
 
@@ -562,11 +566,11 @@
 }
 
 inline void World::passSome(std::uint32_t Kind, std::uint32_t Rest) {
-  if (Kind < 50)
+  if (Kind < 48)
     pass(Duration::millis(200));
-  else if (Kind < 55)
+  else if (Kind < 53)
     pass(Duration::seconds(1));
-  else if (Kind < 58)
+  else if (Kind < 56)
     pass(Duration::seconds(5));
   else
     pass(Duration::seconds(Rest % 4 == 0 ? 65 : 20));
