--- /dev/null
+++ b/packages/decision/camphorpin/src/Admission/AimdLimit.h
@@ -0,0 +1,68 @@
+#ifndef CAMPHORPIN_SRC_ADMISSION_AIMDLIMIT_H
+#define CAMPHORPIN_SRC_ADMISSION_AIMDLIMIT_H
+
+#include "camphorpin/src/Admission/ConcurrencyLimit.h"
+
+namespace camphorpin {
+
+/// \class AimdLimit
+/// \brief Additive increase while the latency stays near the smallest one,
+/// multiplicative decrease otherwise, as long as the decrease helps.
+///
+/// Decides once per window of finished calls. After a start the limit ramps up
+/// by a factor per window until the first decrease.
+///
+/// Less concurrency shortens the latency only if calls compete within the
+/// backend server. If the backend server waits for something else, a smaller
+/// limit just lowers its throughput. So after each decrease the limit compares
+/// the latency with that before; if it did not fall in proportion, the limit
+/// is restored and the longer latency becomes the reference.
+class AimdLimit final : public ConcurrencyLimit {
+public:
+  enum class Decreases : std::uint8_t { Verified, Unverified };
+
+  /// \param Check Unverified serves to measure what the check is worth.
+  explicit AimdLimit(std::uint32_t Slots,
+                     Decreases Check = Decreases::Verified);
+
+  void onFinished(const LatencySample &Sample, Instant Now) override;
+  void onBackendShed(std::size_t Running, Instant Now) override;
+  void restart() override;
+  void setSlots(std::uint32_t Value) override;
+  std::uint32_t value() const override;
+
+private:
+  void closeWindow();
+  /// What a window of finished calls showed.
+  struct Window {
+    double Slowdown = 0;
+    double Running = 0;
+  };
+
+  void decide(const Window &Seen);
+  bool decreaseFailed(const Window &Seen) const;
+  void increase();
+  void decrease(double Running);
+  double smallest() const;
+
+  std::uint32_t Slots;
+  Decreases Check;
+  double Limit = 1;
+  bool Ramping = true;
+  /// The window in progress still contains calls from before a decrease.
+  bool Settling = false;
+  /// Slowdown that is accepted as independent of the concurrency, at least 1.
+  double Reference = 1;
+  /// Limit and window before the decreases in progress; 0 for none.
+  double LimitBefore = 0;
+  Window Before;
+  Instant WindowStart;
+  Instant LastShed;
+  Window Sum;
+  std::size_t Samples = 0;
+  bool Limited = false;
+};
+
+} // namespace camphorpin
+
+#endif
