Prove the bounds of retries and of crashes by one request

The bound is 2 + sends per round * rounds that the news needs.

Fault found by the test: reports were passed on newest first, so a crash with 31 running requests spread only the first 16 suspects for 8 rounds; bystanders ran beside the poison again and were refused. Reports that were passed on least often now come first, and all 30 bystanders run.

--- a/packages/decision/camphorpin/src/Crash/CrashGuard.cpp
+++ b/packages/decision/camphorpin/src/Crash/CrashGuard.cpp
@@ -80,9 +80,15 @@
   for (const auto &[Fingerprint, Value] : Suspects)
     if (Value.TransmissionsLeft > 0 && !expired(Value, Now))
       Order.push_back(Fingerprint);
+  // Reports that were passed on least often come first. A crash makes many
+  // suspects at once, and each of them has to become known early.
   std::sort(Order.begin(), Order.end(),
-            [this](std::uint64_t Left, std::uint64_t Right) {
-              return Suspects.at(Left).LastCrash > Suspects.at(Right).LastCrash;
+            [this](std::uint64_t LeftKey, std::uint64_t RightKey) {
+              const Suspect &Left = Suspects.at(LeftKey);
+              const Suspect &Right = Suspects.at(RightKey);
+              if (Left.TransmissionsLeft != Right.TransmissionsLeft)
+                return Left.TransmissionsLeft > Right.TransmissionsLeft;
+              return Left.LastCrash > Right.LastCrash;
             });
   std::vector<CrashReport> Result;
   for (const std::uint64_t Fingerprint : Order) {
--- a/packages/decision/camphorpin/src/Crash/CrashGuard.h
+++ b/packages/decision/camphorpin/src/Crash/CrashGuard.h
@@ -69,7 +69,8 @@
 
   void onReport(const CrashReport &Report, Instant Now);
 
-  /// \returns up to \p Limit reports to pass on, newest first.
+  /// \returns up to \p Limit reports to pass on, those first that were passed
+  /// on least often.
   std::vector<CrashReport> takeReports(std::size_t Limit, Instant Now);
 
   void tick(Instant Now);
--- /dev/null
+++ b/packages/decision/tests/CrashTest.cpp
@@ -0,0 +1,193 @@
+// Guards against a request that crashes each backend server that runs it, and
+// against refusing requests that only happened to run beside it.
+#include "camphorpin/Crash.h"
+
+#include <criterion/criterion.h>
+#include <cstdio>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+using namespace camphorpin;
+
+namespace {
+
+constexpr std::uint64_t Poison = 666;
+constexpr std::size_t Nodes = 40;
+
+/// \class Fleet
+/// \brief Nodes with one backend server each, gossip, and a caller that sends a
+/// poisonous request again and again.
+class Fleet {
+public:
+  explicit Fleet(bool Guarded) : Guarded(Guarded) {
+    for (std::uint32_t Index = 0; Index < Nodes; ++Index)
+      Guards.emplace_back(ProcessId{HostAddress{Index, 1}, 1}, CrashOptions());
+  }
+
+  /// \returns true if the request was started.
+  bool start(std::size_t Node, std::uint64_t Fingerprint) {
+    const CrashChoice Choice =
+        Guarded ? Guards[Node].start(++LastRun, Fingerprint, 0, Now)
+                : CrashChoice::Start;
+    Refused += Choice == CrashChoice::Refuse;
+    if (Choice != CrashChoice::Start)
+      return false;
+    Running[Node].push_back({LastRun, Fingerprint});
+    return true;
+  }
+
+  /// The runs at a node reach their end, or the poison crashes them.
+  void settle(std::size_t Node) {
+    std::vector<Run> Runs;
+    Runs.swap(Running[Node]);
+    bool Crashes = false;
+    for (const Run &Value : Runs)
+      Crashes = Crashes || Value.Fingerprint == Poison;
+    if (Crashes) {
+      ++Crashed;
+      Guards[Node].onBackendCrash(Now);
+      return;
+    }
+    for (const Run &Value : Runs) {
+      Guards[Node].end(Value.Id, true, Now);
+      Completed.insert(Value.Fingerprint);
+    }
+  }
+
+  /// One round of gossip: each node tells three others.
+  void gossip() {
+    Now = Now + Duration::seconds(1);
+    for (std::size_t Node = 0; Node < Nodes; ++Node)
+      for (const CrashReport &Report : Guards[Node].takeReports(16, Now))
+        for (int Peer = 0; Peer < 3; ++Peer)
+          Guards[Source.below(Nodes)].onReport(Report, Now);
+  }
+
+  struct Run {
+    std::uint64_t Id = 0;
+    std::uint64_t Fingerprint = 0;
+  };
+  bool Guarded;
+  Instant Now = Instant::fromMillis(1000000);
+  SeededRandom Source{5};
+  std::vector<CrashGuard> Guards;
+  std::map<std::size_t, std::vector<Run>> Running;
+  std::uint64_t LastRun = 0;
+  std::size_t Crashed = 0;
+  std::size_t Refused = 0;
+  std::set<std::uint64_t> Completed;
+};
+
+/// The caller sends the poison \p PerRound times between two rounds of gossip,
+/// each time through another node, with other work beside it.
+Fleet attack(bool Guarded, std::size_t PerRound, std::size_t Rounds) {
+  Fleet Value(Guarded);
+  std::uint64_t Bystander = 1000;
+  for (std::size_t Round = 0; Round < Rounds; ++Round) {
+    for (std::size_t Send = 0; Send < PerRound; ++Send) {
+      const std::size_t Node = Value.Source.below(Nodes);
+      for (int Other = 0; Other < 5; ++Other)
+        Value.start(Node, ++Bystander);
+      Value.start(Node, Poison);
+      Value.settle(Node);
+    }
+    Value.gossip();
+  }
+  return Value;
+}
+
+} // namespace
+
+// The bound: C crashes at most, with C = MaxCrashes + P * R, where P is the
+// number of sends in one round of gossip and R the rounds that the news needs
+// to reach a node. R = 5 for 40 nodes with a fan-out of 3 (4^5 > 40).
+Test(Crash, repeatedSendsCrashAFewBackendServersOnly) {
+  constexpr std::size_t RoundsOfNews = 5;
+  for (const std::size_t PerRound : {1U, 2U, 5U}) {
+    const Fleet Naive = attack(false, PerRound, 60);
+    const Fleet Guarded = attack(true, PerRound, 60);
+    std::fprintf(stderr,
+                 "%zu sends in 60 rounds: %zu crashes without the guard, %zu "
+                 "with it, %zu refused\n",
+                 60 * PerRound, Naive.Crashed, Guarded.Crashed,
+                 Guarded.Refused);
+    cr_assert_eq(Naive.Crashed, 60 * PerRound);
+    cr_assert_leq(Guarded.Crashed, 2 + PerRound * RoundsOfNews);
+  }
+}
+
+// Work that ran beside the poison once must be served again.
+Test(Crash, bystandersRunAgainAndAreCleared) {
+  Fleet Value(true);
+  for (std::uint64_t Other = 1; Other <= 30; ++Other)
+    cr_assert(Value.start(0, Other));
+  cr_assert(Value.start(0, Poison));
+  Value.settle(0);
+  for (int Round = 0; Round < 10; ++Round)
+    Value.gossip();
+  // The callers send again through other nodes, one with the poison.
+  std::size_t Poisoned = 0;
+  for (std::size_t Round = 0; Value.Completed.size() < 30 && Round < 40;
+       ++Round) {
+    Poisoned += Value.start(1, Poison);
+    for (std::uint64_t Other = 1; Other <= 30; ++Other)
+      if (!Value.Completed.contains(Other))
+        Value.start(1 + Round % 3, Other);
+    Value.settle(1);
+    Value.settle(2);
+    Value.settle(3);
+    Value.gossip();
+  }
+  cr_assert_eq(Value.Completed.size(), 30U, "all bystanders have run");
+  cr_assert_eq(Value.Crashed, 2U);
+  for (std::uint64_t Other = 1; Other <= 30; ++Other)
+    cr_assert_not(Value.Guards[1].refuses(Other, Value.Now));
+  cr_assert(Value.Guards[1].refuses(Poison, Value.Now));
+}
+
+// Two suspects beside each other would both be blamed for the second crash.
+Test(Crash, suspectsAreIsolatedFromEachOtherOnly) {
+  CrashGuard Guard(ProcessId{HostAddress{1, 1}, 1}, CrashOptions());
+  const Instant Now = Instant::fromMillis(5000);
+  cr_assert(Guard.start(1, 10, 1, Now) == CrashChoice::Start);
+  cr_assert(Guard.start(2, 20, 0, Now) == CrashChoice::Start);
+  cr_assert(Guard.start(3, 30, 1, Now) == CrashChoice::Isolate);
+  Guard.onReport({20, 77, Duration()}, Now);
+  Guard.end(1, true, Now);
+  cr_assert(Guard.start(3, 30, 1, Now) == CrashChoice::Isolate,
+            "a running request came under suspicion");
+  Guard.end(2, true, Now);
+  cr_assert(Guard.start(3, 30, 1, Now) == CrashChoice::Start);
+  cr_assert(Guard.start(4, 40, 2, Now) == CrashChoice::Refuse);
+}
+
+// The same report must not count as a second crash, and a refusal must end.
+Test(Crash, reportsAreCountedOnceAndExpire) {
+  CrashGuard Guard(ProcessId{HostAddress{1, 1}, 1}, CrashOptions());
+  const Instant Now = Instant::fromMillis(5000);
+  for (int Copy = 0; Copy < 3; ++Copy)
+    Guard.onReport({Poison, 77, Duration::seconds(Copy)}, Now);
+  cr_assert_eq(Guard.crashCount(Poison, Now), 1);
+  Guard.onReport({Poison, 78, Duration()}, Now);
+  cr_assert(Guard.refuses(Poison, Now));
+  Guard.onReport({Poison, 0, Duration()}, Now);
+  cr_assert(Guard.refuses(Poison, Now), "a late all-clear has no effect");
+  cr_assert(Guard.refuses(Poison, Now + Duration::seconds(599)));
+  cr_assert_not(Guard.refuses(Poison, Now + Duration::seconds(600)));
+  Guard.tick(Now + Duration::seconds(600));
+  cr_assert_eq(Guard.suspects(), 0U);
+}
+
+// Crashes of busy backend servers must not displace a refusal.
+Test(Crash, tableIsBoundedAndKeepsRefusals) {
+  CrashGuard Guard(ProcessId{HostAddress{1, 1}, 1}, CrashOptions());
+  const Instant Now = Instant::fromMillis(5000);
+  Guard.onReport({Poison, 77, Duration()}, Now);
+  Guard.onReport({Poison, 78, Duration()}, Now);
+  for (std::uint64_t Other = 1000; Other < 4000; ++Other)
+    Guard.onReport({Other, 79, Duration()}, Now + Duration::seconds(1));
+  cr_assert_eq(Guard.suspects(), CrashOptions().MaxSuspects);
+  cr_assert(Guard.refuses(Poison, Now));
+}
--- /dev/null
+++ b/packages/decision/tests/RetryTest.cpp
@@ -0,0 +1,237 @@
+// Guards R1: retries of one request stay bounded over the whole call graph, and
+// the fleet does not amplify an overload.
+#include "camphorpin/Retry.h"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+#include <cstdio>
+#include <cstdlib>
+#include <rapidcheck.h>
+
+using namespace camphorpin;
+
+namespace {
+
+constexpr std::uint8_t ExtraAttempts = 3;
+constexpr int MaxDepth = 11;
+
+/// \class Call
+/// \brief A call in the logical call tree of a request.
+struct Call {
+  std::vector<Call> Children;
+  /// The children are called at the same time.
+  bool Parallel = false;
+  int Depth = 1;
+};
+
+int calls(const Call &Value) {
+  int Sum = 1;
+  for (const Call &Child : Value.Children)
+    Sum += calls(Child);
+  return Sum;
+}
+
+int largestProperSubtree(const Call &Value) {
+  int Largest = 0;
+  for (const Call &Child : Value.Children)
+    Largest = std::max(Largest, calls(Child));
+  return Largest;
+}
+
+Call makeTree(Random &Source, int Depth, int &Left) {
+  Call Value;
+  Value.Depth = Depth;
+  Value.Parallel = Source.below(2) == 0;
+  const std::uint64_t Width = Source.below(10) < 6 ? 1 : Source.below(4);
+  for (std::uint64_t Index = 0; Index < Width && Depth < MaxDepth && Left > 0;
+       ++Index) {
+    --Left;
+    Value.Children.push_back(makeTree(Source, Depth + 1, Left));
+  }
+  return Value;
+}
+
+/// \class Mesh
+/// \brief Executes a call tree with random failures.
+class Mesh {
+public:
+  Mesh(Random &Source, double FailureShare, double LossShare)
+      : Source(Source), FailureShare(FailureShare), LossShare(LossShare) {}
+
+  struct Outcome {
+    bool Failed = false;
+    bool Lost = false;
+    std::uint8_t Returned = 0;
+  };
+
+  /// Runs \p Value once, with its children and their retries.
+  Outcome execute(const Call &Value, std::uint8_t Received) {
+    ++Executions;
+    AttemptBudget Budget(Received);
+    std::vector<std::uint8_t> Loans;
+    // Parallel calls all take their loan before the first answer comes back.
+    for (std::size_t Index = 0; Index < Value.Children.size(); ++Index)
+      Loans.push_back(Value.Parallel ? Budget.lend() : 0);
+    for (std::size_t Index = 0; Index < Value.Children.size(); ++Index)
+      call(Value.Children[Index], Budget, Loans[Index], Value.Parallel);
+    Outcome Result;
+    Result.Failed = Source.unit() < FailureShare;
+    Result.Lost = Source.unit() < LossShare;
+    Result.Returned = Budget.available();
+    return Result;
+  }
+
+  /// Baseline: each hop repeats a failed call three times, and a hop whose call
+  /// failed fails itself.
+  bool executeNaively(const Call &Value) {
+    if (++Executions > MaxCounted)
+      return false;
+    bool Failed = Source.unit() < FailureShare;
+    for (const Call &Child : Value.Children) {
+      bool ChildFailed = true;
+      for (int Attempt = 0; Attempt < 4 && ChildFailed; ++Attempt)
+        ChildFailed = executeNaively(Child);
+      Failed = Failed || ChildFailed;
+    }
+    return Failed;
+  }
+
+  static constexpr int MaxCounted = 10000000;
+  int Executions = 0;
+
+private:
+  void call(const Call &Child, AttemptBudget &Budget, std::uint8_t Loan,
+            bool HasLoan) {
+    RetryRatio Unlimited(1);
+    for (;;) {
+      const std::uint8_t Lent = HasLoan ? Loan : Budget.lend();
+      HasLoan = false;
+      const Outcome Result = execute(Child, Lent);
+      if (!Result.Lost)
+        Budget.giveBack(Lent, Result.Returned);
+      if (!Result.Failed && !Result.Lost)
+        return;
+      AttemptFailure Failure;
+      Failure.Idempotent = true;
+      Failure.Direct = true;
+      Failure.Remaining = Duration::seconds(1);
+      if (RetryPolicy::decide(Failure, Budget, Unlimited) != RetryChoice::Retry)
+        return;
+    }
+  }
+
+  Random &Source;
+  double FailureShare;
+  double LossShare;
+};
+
+} // namespace
+
+// Retries at each hop multiply with the depth; with one budget for the whole
+// request they add up.
+Test(Retry, executionsStayBelowTheBoundInRandomCallGraphs) {
+  setenv("RC_PARAMS", "seed=20261204 max_success=5000", 1);
+  double Worst = 0;
+  int Retried = 0;
+  const bool Passed = rc::check("budget", [&Worst, &Retried] {
+    SeededRandom Source(*rc::gen::arbitrary<std::uint64_t>());
+    int Left = 60;
+    const Call Root = makeTree(Source, 1, Left);
+    Mesh Value(Source, 0.2 * *rc::gen::inRange(0, 6),
+               0.2 * *rc::gen::inRange(0, 4));
+    Value.execute(Root, ExtraAttempts);
+    const int Bound = calls(Root) + ExtraAttempts * largestProperSubtree(Root);
+    Worst = std::max(Worst, static_cast<double>(Value.Executions) / Bound);
+    Retried += Value.Executions - calls(Root);
+    RC_ASSERT(Value.Executions <= Bound);
+  });
+  std::fprintf(stderr, "executions / (S + E*s): at most %.2f, %d repeated\n",
+               Worst, Retried);
+  cr_assert(Passed);
+  cr_assert_gt(Retried, 0);
+}
+
+Test(Retry, chainOfElevenWithEverythingFailing) {
+  Call Chain;
+  Chain.Depth = MaxDepth;
+  for (int Depth = MaxDepth - 1; Depth > 0; --Depth) {
+    Call Above;
+    Above.Children.push_back(Chain);
+    Above.Depth = Depth;
+    Chain = Above;
+  }
+  SeededRandom Source(1);
+  Mesh Budgeted(Source, 1, 0);
+  Budgeted.execute(Chain, ExtraAttempts);
+  Mesh Naive(Source, 1, 0);
+  Naive.executeNaively(Chain);
+  std::fprintf(stderr, "chain of 11: %d executions, three per hop: %d\n",
+               Budgeted.Executions, Naive.Executions);
+  cr_assert_leq(Budgeted.Executions, 11 + 3 * 10);
+  cr_assert_gt(Naive.Executions, 1000000, "4^10 calls of the last service");
+}
+
+// The caller repeats a failed payment only when it is known not to have run.
+Test(Retry, refusesUnsafeUselessAndLateRetries) {
+  AttemptBudget Budget(ExtraAttempts);
+  RetryRatio Ratio(0.1);
+  AttemptFailure Failure{.Verdict = Verdict::NotRun,
+                         .Reason = RefusalReason::Overloaded,
+                         .Direct = true,
+                         .Remaining = Duration::millis(100),
+                         .ExpectedDuration = Duration::millis(20)};
+  AttemptFailure Unsafe = Failure;
+  Unsafe.Verdict = Verdict::MayHaveRun;
+  cr_assert(RetryPolicy::decide(Unsafe, Budget, Ratio) == RetryChoice::Unsafe);
+  AttemptFailure Deeper = Failure;
+  Deeper.Direct = false;
+  cr_assert(RetryPolicy::decide(Deeper, Budget, Ratio) ==
+            RetryChoice::NotDirect);
+  AttemptFailure Late = Failure;
+  Late.Remaining = Duration::millis(20);
+  cr_assert(RetryPolicy::decide(Late, Budget, Ratio) == RetryChoice::NoTime);
+  AttemptFailure Poisonous = Failure;
+  Poisonous.Reason = RefusalReason::CrashSuspect;
+  cr_assert(RetryPolicy::decide(Poisonous, Budget, Ratio) ==
+            RetryChoice::Useless);
+  cr_assert_eq(Budget.available(), ExtraAttempts, "refusals cost nothing");
+  for (int Attempt = 0; Attempt < ExtraAttempts; ++Attempt)
+    cr_assert(RetryPolicy::decide(Failure, Budget, Ratio) ==
+              RetryChoice::Retry);
+  cr_assert(RetryPolicy::decide(Failure, Budget, Ratio) ==
+            RetryChoice::NoBudget);
+}
+
+// When a service is down, retries must not add more than a tenth to its load.
+Test(Retry, ratioHoldsOverAnOutage) {
+  RetryRatio Ratio(0.1);
+  int Retries = 0;
+  for (int Attempt = 0; Attempt < 10000; ++Attempt) {
+    Ratio.onFirstAttempt();
+    for (int Extra = 0; Extra < ExtraAttempts; ++Extra)
+      Retries += Ratio.takeRetry();
+  }
+  cr_assert_leq(Retries, 1000 + static_cast<int>(RetryRatio::Burst));
+  cr_assert_geq(Retries, 990);
+}
+
+// A caller that gives up and sends again must not start the work again.
+Test(Retry, resendsJoinTheRunningRequestWithinBounds) {
+  ResendTable Table(2, 2);
+  SeededRandom Source(3);
+  const RequestKey Key = RequestKey::make(Instant::fromMillis(1), Source);
+  const RequestKey Other = RequestKey::make(Instant::fromMillis(1), Source);
+  const CallerName Caller("shop");
+  cr_assert(Table.add(Caller, Key, 1) == ResendChoice::Start);
+  cr_assert(Table.add(Caller, Key, 2) == ResendChoice::Joined);
+  cr_assert(Table.add(Caller, Key, 3) == ResendChoice::Joined);
+  cr_assert(Table.add(Caller, Key, 4) == ResendChoice::Full);
+  cr_assert(Table.add(CallerName("other"), Key, 5) == ResendChoice::Start,
+            "keys of different callers are different");
+  cr_assert(Table.add(Caller, Other, 6) == ResendChoice::Full);
+  Table.abandon(Caller, Key, 2);
+  Table.abandon(Caller, Key, 1);
+  const std::vector<std::uint64_t> Waiting = Table.finish(Caller, Key);
+  cr_assert((Waiting == std::vector<std::uint64_t>{1, 3}));
+  cr_assert(Table.add(Caller, Key, 7) == ResendChoice::Start);
+}
