Fold the log into configuration documents

A restate carries asOf, the offset up to which its state is exact, and the number of documents at asOf. A late reader takes a document up only from a restate whose asOf covers everything it missed, replays the changes it kept from asOf on, and knows that no further document exists once it knows as many documents as a restate counts. Kept changes are bounded by number and bytes; a drop raises the offset that a restate must cover. A fold that meets a restate of a higher version than its own follows it and counts a contradiction.

Ruled out: completeness after a span of time, because records carry no time and two readers could decide differently.

--- /dev/null
+++ b/packages/decision/camphorpin/Configuration.h
@@ -0,0 +1,14 @@
+/// \file
+/// \brief Configuration: the fold of the platform's log into documents, the
+/// restating of documents before the log forgets them, and the distribution to
+/// all nodes.
+#ifndef CAMPHORPIN_CONFIGURATION_H
+#define CAMPHORPIN_CONFIGURATION_H
+
+#include "camphorpin/src/Configuration/ConfigurationDocument.h"
+#include "camphorpin/src/Configuration/ConfigurationFold.h"
+#include "camphorpin/src/Configuration/FoldSnapshot.h"
+#include "camphorpin/src/Configuration/LogRecord.h"
+#include "camphorpin/src/Configuration/RecordOutcome.h"
+
+#endif
--- /dev/null
+++ b/packages/decision/camphorpin/src/Configuration/ConfigurationFold.h
@@ -0,0 +1,142 @@
+#ifndef CAMPHORPIN_SRC_CONFIGURATION_CONFIGURATIONFOLD_H
+#define CAMPHORPIN_SRC_CONFIGURATION_CONFIGURATIONFOLD_H
+
+#include "camphorpin/src/Configuration/ChangeBuffer.h"
+#include "camphorpin/src/Configuration/ConfigurationDocument.h"
+#include "camphorpin/src/Configuration/DigestHistory.h"
+#include "camphorpin/src/Configuration/FoldSnapshot.h"
+#include "camphorpin/src/Configuration/LogRecord.h"
+#include "camphorpin/src/Configuration/RecordOutcome.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace camphorpin {
+
+/// \class ConfigurationFold
+/// \brief The pure fold of the log's records into documents.
+///
+/// A change is accepted if its base is the version in force. The state depends
+/// on the records alone, so all readers agree. A fold that starts at offset 0
+/// knows that no document exists yet. A fold that starts later does not know
+/// which documents exist: it keeps the changes it reads, takes a document up
+/// from the first restate that covers all records the fold has missed
+/// (RestateRecord::AsOf at or after its start), and replays the kept changes
+/// from AsOf on. It knows that no further document exists once it knows as many
+/// documents as a restate counts at its AsOf.
+///
+/// Bounds: MaxDocuments contents of MaxContentBytes (32 MiB at worst, about
+/// 2 MiB at the target size), and ChangeBuffer::MaxBytes for a late reader.
+class ConfigurationFold {
+public:
+  /// The target has 621: mesh, and two for each of 310 services.
+  static constexpr std::size_t MaxDocuments = 1024;
+
+  /// \param Start the offset of the first record that will be applied. 0 is
+  /// the first offset that the log ever gave.
+  explicit ConfigurationFold(std::uint64_t Start = 0);
+
+  /// Takes over the state of another node.
+  /// \returns nothing if the digest does not match the documents.
+  static std::optional<ConfigurationFold> restore(const FoldSnapshot &Snapshot);
+
+  /// Folds a record. A record at an offset that was folded before is ignored.
+  RecordOutcome apply(std::uint64_t Offset, std::string_view Body);
+
+  /// Notes that there are no further records before \p Offset.
+  void advanceTo(std::uint64_t Offset);
+
+  /// Notes that the records before \p First were lost to this reader. The
+  /// documents stay in force and count as unconfirmed until they are restated.
+  void skipTo(std::uint64_t First);
+
+  /// Notes that the fold has read the log from the first retained record to its
+  /// end. If no restate was among them, no document exists, because every
+  /// document is restated several times within the retention of the log.
+  /// Without this rule, no first document could be created on a log whose
+  /// first offsets have expired.
+  void noteWholeRetentionRead();
+
+  /// \returns the offset of the next record; the state includes exactly the
+  /// records before it.
+  std::uint64_t nextOffset() const { return Next; }
+
+  /// \returns true if the state is known to be that of a reader from offset 0.
+  bool resolved() const { return Complete && Unconfirmed == 0; }
+
+  /// \returns the document in force, or null. The pointer is valid until the
+  /// next call that changes the fold.
+  const ConfigurationDocument *document(const DocumentName &Name) const;
+
+  /// \returns the names of all documents in force.
+  std::vector<DocumentName> documentNames() const;
+
+  /// \returns the names of the documents that have changed since the last call.
+  std::vector<DocumentName> takeChanged();
+
+  /// \returns a hash of all documents that is equal for equal states.
+  std::uint64_t digest() const { return Digest; }
+
+  /// \returns the digest after the records before \p Offset, or nothing if that
+  /// is ahead of this fold, too long ago, or was not resolved.
+  std::optional<std::uint64_t> digestAt(std::uint64_t Offset) const;
+
+  /// \returns the restate of a document at nextOffset(), or nothing if the fold
+  /// does not know it for certain.
+  std::optional<RestateRecord> restate(const DocumentName &Name) const;
+
+  /// \returns the state, or nothing if the fold is not resolved.
+  std::optional<FoldSnapshot> snapshot() const;
+
+  /// \returns how many records were invalid.
+  std::uint64_t invalidRecords() const { return InvalidCount; }
+
+  /// \returns how many restates contradicted this fold. More than 0 shows a
+  /// fault: a record was lost by the log, or a restate is wrong.
+  std::uint64_t contradictions() const { return ContradictionCount; }
+
+private:
+  struct DocumentState {
+    ConfigurationDocument Document;
+    /// The document is known to exist at this offset.
+    std::uint64_t AsOf = 0;
+    /// The version is known to be that of a reader from offset 0.
+    bool Confirmed = true;
+  };
+
+  RecordOutcome applyChange(std::uint64_t Offset, ChangeRecord Change);
+  RecordOutcome applyRestate(std::uint64_t Offset, const RestateRecord &Record);
+  /// \pre the version of the document is known.
+  RecordOutcome foldChange(const ChangeRecord &Change);
+  void foldKnownRestate(const RestateRecord &Record, RecordOutcome &Outcome);
+  void adopt(const RestateRecord &Record, RecordOutcome &Outcome);
+  void completeFrom(const RestateRecord &Record);
+  void markComplete();
+  void noteDigest();
+  void replace(DocumentState &State, ConfigurationDocument Document);
+  bool isKnown(const DocumentName &Name) const;
+  std::uint64_t versionOf(const DocumentName &Name) const;
+
+  std::map<DocumentName, DocumentState> Documents;
+  std::vector<DocumentName> Changed;
+  ChangeBuffer Buffer;
+  DigestHistory Digests;
+  std::uint64_t Next;
+  /// All changes from this offset on were folded or are in the buffer.
+  std::uint64_t BufferedFrom;
+  /// No other documents exist than those in Documents.
+  bool Complete;
+  bool SawRestate = false;
+  std::size_t Unconfirmed = 0;
+  std::uint64_t Digest = 0;
+  std::uint64_t InvalidCount = 0;
+  std::uint64_t ContradictionCount = 0;
+};
+
+} // namespace camphorpin
+
+#endif
--- /dev/null
+++ b/packages/decision/camphorpin/src/Configuration/DigestHistory.h
@@ -0,0 +1,49 @@
+#ifndef CAMPHORPIN_SRC_CONFIGURATION_DIGESTHISTORY_H
+#define CAMPHORPIN_SRC_CONFIGURATION_DIGESTHISTORY_H
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+
+namespace camphorpin {
+
+/// \class DigestHistory
+/// \brief The latest digests of a fold, so that two nodes can compare them at
+/// the same offset although one has read further. Holds MaxEntries digests.
+class DigestHistory {
+public:
+  static constexpr std::size_t MaxEntries = 256;
+
+  /// Notes that \p Digest holds from \p Offset on.
+  void note(std::uint64_t Offset, std::uint64_t Digest) {
+    if (!Entries.empty() && Entries.back().Digest == Digest)
+      return;
+    Entries.push_back({Offset, Digest});
+    if (Entries.size() > MaxEntries)
+      Entries.pop_front();
+  }
+
+  /// Forgets all digests.
+  void clear() { Entries.clear(); }
+
+  /// \returns the digest at \p Offset, or nothing if it is too long ago.
+  std::optional<std::uint64_t> at(std::uint64_t Offset) const {
+    for (auto Entry = Entries.rbegin(); Entry != Entries.rend(); ++Entry)
+      if (Entry->Offset <= Offset)
+        return Entry->Digest;
+    return std::nullopt;
+  }
+
+private:
+  struct Item {
+    std::uint64_t Offset;
+    std::uint64_t Digest;
+  };
+
+  std::deque<Item> Entries;
+};
+
+} // namespace camphorpin
+
+#endif
--- /dev/null
+++ b/packages/decision/camphorpin/src/Configuration/LogRecord.h
@@ -0,0 +1,96 @@
+#ifndef CAMPHORPIN_SRC_CONFIGURATION_LOGRECORD_H
+#define CAMPHORPIN_SRC_CONFIGURATION_LOGRECORD_H
+
+#include "camphorpin/Core.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace camphorpin {
+
+/// \brief The largest record that is folded, in bytes.
+inline constexpr std::size_t MaxRecordBytes = 64UL * 1024;
+/// \brief The largest content of a document, in bytes. It holds the homes of
+/// about 300 backend servers.
+inline constexpr std::size_t MaxContentBytes = 32UL * 1024;
+/// \brief The number of accepted changes whose ids are kept for a document.
+inline constexpr std::size_t MaxChangeIds = 16;
+
+/// \class ChangeRecord
+/// \brief Proposes a new content for a document.
+struct ChangeRecord {
+  DocumentName Document;
+  /// The version that the change was made for; 0 creates the document.
+  std::uint64_t Base = 0;
+  /// Identifies the change when its append is repeated; a valid name.
+  std::string ChangeId;
+  std::string Author;
+  /// Canonical JSON.
+  std::string Content;
+
+  auto operator<=>(const ChangeRecord &) const = default;
+};
+
+/// \class RestateRecord
+/// \brief Says what the fold of all records before the offset AsOf gives for a
+/// document, so that a reader who cannot read the first records any more can
+/// take up the document.
+struct RestateRecord {
+  DocumentName Document;
+  /// At least 1.
+  std::uint64_t Version = 1;
+  /// The ids of the latest accepted changes, the newest last.
+  std::vector<std::string> ChangeIds;
+  /// Canonical JSON.
+  std::string Content;
+  /// The restated state includes exactly the records before this offset.
+  std::uint64_t AsOf = 0;
+  /// The number of documents that exist at AsOf. A reader who knows as many is
+  /// certain that no other document exists.
+  std::uint64_t Documents = 1;
+
+  auto operator<=>(const RestateRecord &) const = default;
+};
+
+/// \class EntryRecord
+/// \brief Names a node through which new nodes can join.
+struct EntryRecord {
+  HostAddress Address;
+  std::uint64_t Incarnation = 0;
+  ZoneName Zone;
+  RegionName Region;
+
+  auto operator<=>(const EntryRecord &) const = default;
+};
+
+/// \class ForeignRecord
+/// \brief A well-formed record of another type, which the fold ignores.
+struct ForeignRecord {
+  auto operator<=>(const ForeignRecord &) const = default;
+};
+
+using LogRecord =
+    std::variant<ChangeRecord, RestateRecord, EntryRecord, ForeignRecord>;
+
+/// \returns the record with this body, or nothing if it is malformed. Unknown
+/// fields are ignored, so that nodes of two versions fold alike.
+std::optional<LogRecord> parseLogRecord(std::string_view Body);
+
+/// \returns the body of a record: JSON with a field "type".
+std::string formatLogRecord(const ChangeRecord &Record);
+std::string formatLogRecord(const RestateRecord &Record);
+std::string formatLogRecord(const EntryRecord &Record);
+
+/// \returns the id of a change, which is the same whenever the same content is
+/// published on the same base, so that a repetition is recognised.
+std::string deriveChangeId(const DocumentName &Document, std::uint64_t Base,
+                           std::string_view Content);
+
+} // namespace camphorpin
+
+#endif
--- /dev/null
+++ b/packages/decision/tests/FoldAgreementTest.cpp
@@ -0,0 +1,277 @@
+// Guards the agreement of all readers: whatever is on the log, a reader that
+// starts at any offset within the retention reaches the state of one that read
+// from the first record, and no accepted version is ever taken back.
+#include "camphorpin/Configuration.h"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+#include <iostream>
+#include <rapidcheck.h>
+
+using namespace camphorpin;
+
+namespace {
+
+/// A third of the retention, in records.
+constexpr std::uint64_t Third = 40;
+constexpr std::uint64_t Retention = 3 * Third;
+constexpr std::uint64_t LogLength = 200;
+constexpr std::size_t DocumentCount = 4;
+
+using OracleState = std::map<DocumentName, ConfigurationDocument>;
+
+/// \class History
+/// \brief A log written by operators and restating nodes, with the state after
+/// each record according to the simplest possible fold.
+class History {
+public:
+  explicit History(const std::vector<std::uint32_t> &Choices) {
+    States.emplace_back();
+    for (std::uint32_t Choice : Choices) {
+      SeededRandom Source(Choice);
+      write(Source);
+    }
+  }
+
+  std::vector<std::string> Bodies;
+  /// The state before the record with the same index.
+  std::vector<OracleState> States;
+
+private:
+  static DocumentName documentAt(std::uint64_t Index) {
+    return DocumentName("service/s" + std::to_string(Index));
+  }
+
+  const OracleState &seenBy(std::uint64_t Lag) const {
+    return States[States.size() - 1 - std::min(Lag, States.size() - 1)];
+  }
+
+  void write(Random &Source) {
+    const OracleState &Now = States.back();
+    const DocumentName *Due = dueForRestate();
+    const std::uint64_t Kind = Source.below(100);
+    if (Due != nullptr)
+      writeRestate(*Due, Source.below(Third / 4));
+    else if (Kind < 45)
+      writeChange(Source);
+    else if (Kind < 60 && !Changes.empty())
+      append(ChangeRecord(Changes[Source.below(Changes.size())]));
+    else if (Kind < 70 || Now.empty())
+      appendJunk(Source);
+    else
+      writeRestate(std::next(Now.begin(), Source.below(Now.size()))->first,
+                   Source.below(Kind < 80 ? 100 : 10));
+  }
+
+  /// An operator who has read to an earlier offset.
+  void writeChange(Random &Source) {
+    const DocumentName Name = documentAt(Source.below(DocumentCount));
+    const OracleState &Seen = seenBy(Source.below(6));
+    const auto Found = Seen.find(Name);
+    const std::string Id = "c" + std::to_string(Bodies.size());
+    append({Name, Found != Seen.end() ? Found->second.Version : 0, Id, "op",
+            R"({"id":")" + Id + "\"}"});
+  }
+
+  void append(const ChangeRecord &Change) {
+    Changes.push_back(Change);
+    OracleState State = States.back();
+    ConfigurationDocument &Document = State[Change.Document];
+    std::vector<std::string> &Ids = Document.ChangeIds;
+    const bool Repeated =
+        std::find(Ids.begin(), Ids.end(), Change.ChangeId) != Ids.end();
+    if (!Repeated && Change.Base == Document.Version) {
+      Document.Name = Change.Document;
+      ++Document.Version;
+      Document.Content = Change.Content;
+      Ids.push_back(Change.ChangeId);
+      if (Ids.size() > MaxChangeIds)
+        Ids.erase(Ids.begin());
+    } else if (Document.Version == 0) {
+      State.erase(Change.Document);
+    }
+    Bodies.push_back(formatLogRecord(Change));
+    States.push_back(std::move(State));
+  }
+
+  void appendJunk(Random &Source) {
+    constexpr std::array<std::string_view, 4> Junk = {
+        "", R"({"type":"change","document":"service/s1"})",
+        R"({"type":"other"})", R"({"type":"restate","version":9)"};
+    Bodies.emplace_back(Junk[Source.below(Junk.size())]);
+    States.push_back(States.back());
+  }
+
+  /// A node that has read to an earlier offset restates what it knows there.
+  void writeRestate(DocumentName Name, std::uint64_t Lag) {
+    const std::uint64_t Now = Bodies.size();
+    const std::uint64_t AsOf = Now - std::min(Lag, Now);
+    const OracleState &State = States[AsOf];
+    const auto Found = State.find(Name);
+    if (Found == State.end())
+      return writeRestate(std::move(Name), 0);
+    const ConfigurationDocument &Document = Found->second;
+    Bodies.push_back(formatLogRecord(
+        RestateRecord{Name, Document.Version, Document.ChangeIds,
+                      Document.Content, AsOf, State.size()}));
+    States.push_back(States.back());
+    std::uint64_t &Last = LastAsOf[Name];
+    Last = std::max(Last, AsOf);
+  }
+
+  /// \returns a document whose last restate is so old that the next one must
+  /// be written for the guarantee to hold.
+  const DocumentName *dueForRestate() const {
+    for (const auto &Entry : States.back()) {
+      const auto Found = LastAsOf.find(Entry.first);
+      const std::uint64_t Last =
+          Found != LastAsOf.end() ? Found->second : firstSeen(Entry.first);
+      if (Bodies.size() >= Last + Third / 2)
+        return &Entry.first;
+    }
+    return nullptr;
+  }
+
+  std::uint64_t firstSeen(const DocumentName &Name) const {
+    for (std::uint64_t Offset = 0; Offset < States.size(); ++Offset)
+      if (States[Offset].contains(Name))
+        return Offset;
+    return 0;
+  }
+
+  std::vector<ChangeRecord> Changes;
+  std::map<DocumentName, std::uint64_t> LastAsOf;
+};
+
+/// Checks every document that \p Fold knows against the oracle.
+void checkAgainst(const ConfigurationFold &Fold, const OracleState &Expected) {
+  for (const DocumentName &Name : Fold.documentNames()) {
+    const auto Found = Expected.find(Name);
+    RC_ASSERT(Found != Expected.end());
+    RC_ASSERT(*Fold.document(Name) == Found->second);
+  }
+  if (Fold.resolved())
+    RC_ASSERT(Fold.documentNames().size() == Expected.size());
+}
+
+/// Reads the log from \p Start; at some offsets the process is replaced by one
+/// that restores the snapshot.
+void readFrom(const History &Log, std::uint64_t Start, bool WithRestarts) {
+  ConfigurationFold Fold(Start);
+  for (std::uint64_t Offset = Start; Offset < Log.Bodies.size(); ++Offset) {
+    Fold.apply(Offset, Log.Bodies[Offset]);
+    checkAgainst(Fold, Log.States[Offset + 1]);
+    if (Offset == Start + Retention)
+      Fold.noteWholeRetentionRead();
+    if (Offset >= Start + Retention)
+      RC_ASSERT(Fold.resolved());
+    if (WithRestarts && Offset % 7 == 0 && Fold.resolved())
+      Fold = ConfigurationFold::restore(Fold.snapshot().value()).value();
+  }
+  RC_ASSERT(Fold.contradictions() == 0U);
+}
+
+std::vector<std::uint32_t> choices() {
+  return *rc::gen::container<std::vector<std::uint32_t>>(
+      LogLength, rc::gen::arbitrary<std::uint32_t>());
+}
+
+/// \class NaiveReader
+/// \brief The baseline: takes any restate of a higher version and folds changes
+/// without regard to AsOf.
+class NaiveReader {
+public:
+  void apply(std::string_view Body) {
+    const std::optional<LogRecord> Record = parseLogRecord(Body);
+    if (!Record)
+      return;
+    if (const auto *Change = std::get_if<ChangeRecord>(&*Record)) {
+      ConfigurationDocument &Document = State[Change->Document];
+      if (Change->Base != Document.Version)
+        return;
+      ++Document.Version;
+      Document.Content = Change->Content;
+    } else if (const auto *Restate = std::get_if<RestateRecord>(&*Record)) {
+      ConfigurationDocument &Document = State[Restate->Document];
+      if (Restate->Version <= Document.Version)
+        return;
+      Document.Version = Restate->Version;
+      Document.Content = Restate->Content;
+    }
+  }
+
+  bool agreesWith(const OracleState &Expected) const {
+    for (const auto &Entry : Expected) {
+      const auto Found = State.find(Entry.first);
+      if (Found != State.end() && Found->second.Version > 0 &&
+          Found->second.Content != Entry.second.Content)
+        return false;
+    }
+    return true;
+  }
+
+private:
+  OracleState State;
+};
+
+} // namespace
+
+Test(FoldAgreement, readersFromEveryOffsetAgreeWithTheOracle) {
+  cr_assert(rc::check("late readers agree", [] {
+    const History Log(choices());
+    for (std::uint64_t Start = 0; Start < Log.Bodies.size(); ++Start)
+      readFrom(Log, Start, Start % 2 == 0);
+  }));
+}
+
+// A reader that loses records in the middle keeps its documents in force, never
+// takes a version back, and agrees again after one retention.
+Test(FoldAgreement, readersThatLoseRecordsAgreeAgain) {
+  cr_assert(rc::check("readers with a gap agree again", [] {
+    const History Log(choices());
+    const std::uint64_t Gap = *rc::gen::inRange(1, 60);
+    ConfigurationFold Fold;
+    std::map<DocumentName, std::uint64_t> Versions;
+    for (std::uint64_t Offset = 0; Offset < Log.Bodies.size(); ++Offset) {
+      if (Offset == 10) {
+        Offset += Gap;
+        Fold.skipTo(Offset);
+      }
+      Fold.apply(Offset, Log.Bodies[Offset]);
+      for (const DocumentName &Name : Fold.documentNames()) {
+        const std::uint64_t Version = Fold.document(Name)->Version;
+        RC_ASSERT(Version >= Versions[Name]);
+        Versions[Name] = Version;
+      }
+    }
+    Fold.noteWholeRetentionRead();
+    RC_ASSERT(Fold.resolved());
+    checkAgainst(Fold, Log.States.back());
+  }));
+}
+
+// The baseline shows that the histories contain what the rules guard against.
+Test(FoldAgreement, naiveReadersDisagree) {
+  std::size_t Readings = 0;
+  std::size_t Wrong = 0;
+  for (std::uint32_t Seed = 1; Seed <= 20; ++Seed) {
+    SeededRandom Source(Seed);
+    std::vector<std::uint32_t> Choices(LogLength);
+    for (std::uint32_t &Choice : Choices)
+      Choice = static_cast<std::uint32_t>(Source.next());
+    const History Log(Choices);
+    for (std::uint64_t Start = 0; Start < Log.Bodies.size(); ++Start) {
+      NaiveReader Reader;
+      bool Agrees = true;
+      for (std::uint64_t Offset = Start; Offset < Log.Bodies.size(); ++Offset) {
+        Reader.apply(Log.Bodies[Offset]);
+        Agrees = Agrees && Reader.agreesWith(Log.States[Offset + 1]);
+      }
+      ++Readings;
+      Wrong += Agrees ? 0 : 1;
+    }
+  }
+  std::cout << "naive readers that disagreed at some offset: " << Wrong
+            << " of " << Readings << "\n";
+  cr_assert_gt(Wrong, 0U);
+}
