Schedule restates by random back-off

Purpose: every document must be restated before a third of the log's retention has passed, by any node and without agreement, without using up the log's append rate at 7,100 nodes.

Each node waits a sixth of the retention and then a random part of a twelfth. The random part has a truncated exponential distribution, so that few nodes draw an early time. After an outage of the log, overdue documents draw anew.

The record type is renamed to ConfigurationRecord, since the log client has a LogRecord.

--- a/packages/decision/camphorpin/Configuration.h
+++ b/packages/decision/camphorpin/Configuration.h
@@ -7,8 +7,9 @@
 
 #include "camphorpin/src/Configuration/ConfigurationDocument.h"
 #include "camphorpin/src/Configuration/ConfigurationFold.h"
+#include "camphorpin/src/Configuration/ConfigurationRecord.h"
 #include "camphorpin/src/Configuration/FoldSnapshot.h"
-#include "camphorpin/src/Configuration/LogRecord.h"
 #include "camphorpin/src/Configuration/RecordOutcome.h"
+#include "camphorpin/src/Configuration/RestateScheduler.h"
 
 #endif
--- a/packages/decision/camphorpin/src/Configuration/ConfigurationFold.cpp
+++ b/packages/decision/camphorpin/src/Configuration/ConfigurationFold.cpp
@@ -34,7 +34,7 @@
   if (Offset < Next)
     return {};
   Next = Offset + 1;
-  std::optional<LogRecord> Record = parseLogRecord(Body);
+  std::optional<ConfigurationRecord> Record = parseConfigurationRecord(Body);
   RecordOutcome Outcome;
   if (!Record)
     Outcome.Kind = OutcomeKind::Invalid;
--- a/packages/decision/camphorpin/src/Configuration/ConfigurationFold.h
+++ b/packages/decision/camphorpin/src/Configuration/ConfigurationFold.h
@@ -3,9 +3,9 @@
 
 #include "camphorpin/src/Configuration/ChangeBuffer.h"
 #include "camphorpin/src/Configuration/ConfigurationDocument.h"
+#include "camphorpin/src/Configuration/ConfigurationRecord.h"
 #include "camphorpin/src/Configuration/DigestHistory.h"
 #include "camphorpin/src/Configuration/FoldSnapshot.h"
-#include "camphorpin/src/Configuration/LogRecord.h"
 #include "camphorpin/src/Configuration/RecordOutcome.h"
 
 #include <cstddef>
--- a/packages/decision/camphorpin/src/Configuration/LogRecord.cpp
+++ b/packages/decision/camphorpin/src/Configuration/ConfigurationRecord.cpp
@@ -1,4 +1,4 @@
-#include "camphorpin/src/Configuration/LogRecord.h"
+#include "camphorpin/src/Configuration/ConfigurationRecord.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -66,7 +66,7 @@
   return Canonical;
 }
 
-std::optional<LogRecord> parseChange(const nlohmann::json &Root) {
+std::optional<ConfigurationRecord> parseChange(const nlohmann::json &Root) {
   const std::optional<std::string> Document = validName(Root, "document", true);
   const std::optional<std::uint64_t> Base = number(Root, "base");
   std::optional<std::string> ChangeId = validName(Root, "changeId");
@@ -93,7 +93,7 @@
   return Ids;
 }
 
-std::optional<LogRecord> parseRestate(const nlohmann::json &Root) {
+std::optional<ConfigurationRecord> parseRestate(const nlohmann::json &Root) {
   const std::optional<std::string> Document = validName(Root, "document", true);
   const std::optional<std::uint64_t> Version = number(Root, "version");
   std::optional<std::vector<std::string>> Ids = changeIds(Root);
@@ -107,7 +107,7 @@
                        std::move(*Content),     *AsOf,    *Documents};
 }
 
-std::optional<LogRecord> parseEntry(const nlohmann::json &Root) {
+std::optional<ConfigurationRecord> parseEntry(const nlohmann::json &Root) {
   const std::optional<std::string> AddressText = text(Root, "address");
   const std::optional<std::uint64_t> Incarnation = number(Root, "incarnation");
   const std::optional<std::string> Zone = validName(Root, "zone");
@@ -123,7 +123,8 @@
 
 } // namespace
 
-std::optional<LogRecord> parseLogRecord(std::string_view Body) {
+std::optional<ConfigurationRecord>
+parseConfigurationRecord(std::string_view Body) {
   const std::optional<nlohmann::json> Root = parseBounded(Body);
   if (!Root)
     return std::nullopt;
@@ -139,7 +140,7 @@
   return ForeignRecord{};
 }
 
-std::string formatLogRecord(const ChangeRecord &Record) {
+std::string formatRecord(const ChangeRecord &Record) {
   return nlohmann::json({{"type", ChangeType},
                          {"document", Record.Document.string()},
                          {"base", Record.Base},
@@ -149,7 +150,7 @@
       .dump();
 }
 
-std::string formatLogRecord(const RestateRecord &Record) {
+std::string formatRecord(const RestateRecord &Record) {
   return nlohmann::json({{"type", RestateType},
                          {"document", Record.Document.string()},
                          {"version", Record.Version},
@@ -160,7 +161,7 @@
       .dump();
 }
 
-std::string formatLogRecord(const EntryRecord &Record) {
+std::string formatRecord(const EntryRecord &Record) {
   return nlohmann::json({{"type", EntryType},
                          {"address", Record.Address.toString()},
                          {"incarnation", Record.Incarnation},
--- a/packages/decision/camphorpin/src/Configuration/LogRecord.h
+++ b/packages/decision/camphorpin/src/Configuration/ConfigurationRecord.h
@@ -1,5 +1,5 @@
-#ifndef CAMPHORPIN_SRC_CONFIGURATION_LOGRECORD_H
-#define CAMPHORPIN_SRC_CONFIGURATION_LOGRECORD_H
+#ifndef CAMPHORPIN_SRC_CONFIGURATION_CONFIGURATIONRECORD_H
+#define CAMPHORPIN_SRC_CONFIGURATION_CONFIGURATIONRECORD_H
 
 #include "camphorpin/Core.h"
 
@@ -74,17 +74,18 @@
   auto operator<=>(const ForeignRecord &) const = default;
 };
 
-using LogRecord =
+using ConfigurationRecord =
     std::variant<ChangeRecord, RestateRecord, EntryRecord, ForeignRecord>;
 
 /// \returns the record with this body, or nothing if it is malformed. Unknown
 /// fields are ignored, so that nodes of two versions fold alike.
-std::optional<LogRecord> parseLogRecord(std::string_view Body);
+std::optional<ConfigurationRecord>
+parseConfigurationRecord(std::string_view Body);
 
 /// \returns the body of a record: JSON with a field "type".
-std::string formatLogRecord(const ChangeRecord &Record);
-std::string formatLogRecord(const RestateRecord &Record);
-std::string formatLogRecord(const EntryRecord &Record);
+std::string formatRecord(const ChangeRecord &Record);
+std::string formatRecord(const RestateRecord &Record);
+std::string formatRecord(const EntryRecord &Record);
 
 /// \returns the id of a change, which is the same whenever the same content is
 /// published on the same base, so that a repetition is recognised.
--- a/packages/decision/camphorpin/src/Configuration/RecordOutcome.h
+++ b/packages/decision/camphorpin/src/Configuration/RecordOutcome.h
@@ -1,7 +1,7 @@
 #ifndef CAMPHORPIN_SRC_CONFIGURATION_RECORDOUTCOME_H
 #define CAMPHORPIN_SRC_CONFIGURATION_RECORDOUTCOME_H
 
-#include "camphorpin/src/Configuration/LogRecord.h"
+#include "camphorpin/src/Configuration/ConfigurationRecord.h"
 
 #include <cstdint>
 #include <optional>
--- /dev/null
+++ b/packages/decision/camphorpin/src/Configuration/RestateScheduler.cpp
@@ -0,0 +1,96 @@
+#include "camphorpin/src/Configuration/RestateScheduler.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace camphorpin {
+
+namespace {
+
+// Parts of the retention; see the description of the class.
+constexpr std::int64_t QuietPart = 6;
+constexpr std::int64_t WindowPart = 12;
+// Window for a second try and for what became due during an outage.
+constexpr std::int64_t RetryPart = 24;
+
+} // namespace
+
+RestateScheduler::RestateScheduler(Duration Retention, Random &Source)
+    : Retention(Retention), Source(Source) {
+  assert(Retention > Duration() && "the log keeps records for some time");
+}
+
+void RestateScheduler::noteRestated(const DocumentName &Document, Instant Now) {
+  start(Document, Now);
+  updateEarliest();
+}
+
+void RestateScheduler::noteDocument(const DocumentName &Document, Instant Now) {
+  if (Timers.contains(Document))
+    return;
+  start(Document, Now);
+  updateEarliest();
+}
+
+void RestateScheduler::noteAges(std::span<const DocumentAge> Ages,
+                                Instant Now) {
+  for (const DocumentAge &Age : Ages)
+    start(Age.Document, Now - Age.SinceRestate);
+  updateEarliest();
+}
+
+std::vector<DocumentAge> RestateScheduler::ages(Instant Now) const {
+  std::vector<DocumentAge> Ages;
+  Ages.reserve(Timers.size());
+  for (const auto &Entry : Timers)
+    Ages.push_back({Entry.first, Now - Entry.second.RestatedAt});
+  return Ages;
+}
+
+std::optional<DocumentName> RestateScheduler::next(Instant Now,
+                                                   bool ReadingFresh) {
+  if (!ReadingFresh) {
+    WasStale = true;
+    return std::nullopt;
+  }
+  if (WasStale)
+    redrawOverdue(Now);
+  WasStale = false;
+  if (Now < Earliest || Now < NextAllowed)
+    return std::nullopt;
+  const auto First = std::min_element(
+      Timers.begin(), Timers.end(), [](const auto &Left, const auto &Right) {
+        return Left.second.Due < Right.second.Due;
+      });
+  First->second.Due = Now + Retention / RetryPart + draw(Retention / RetryPart);
+  NextAllowed = Now + MinSpacing;
+  updateEarliest();
+  return First->first;
+}
+
+Duration RestateScheduler::draw(Duration Window) {
+  // 1 - unit() is in (0, 1], so the logarithm is finite.
+  const double Part = 1 + std::log(1 - Source.unit()) / std::log(LargestFleet);
+  return Window * std::max(0.0, Part);
+}
+
+void RestateScheduler::start(const DocumentName &Document, Instant RestatedAt) {
+  Timers[Document] = {RestatedAt, RestatedAt + Retention / QuietPart +
+                                      draw(Retention / WindowPart)};
+}
+
+void RestateScheduler::redrawOverdue(Instant Now) {
+  for (auto &Entry : Timers)
+    if (Entry.second.Due <= Now)
+      Entry.second.Due = Now + draw(Retention / RetryPart);
+  updateEarliest();
+}
+
+void RestateScheduler::updateEarliest() {
+  Earliest = Instant::never();
+  for (const auto &Entry : Timers)
+    Earliest = std::min(Earliest, Entry.second.Due);
+}
+
+} // namespace camphorpin
--- /dev/null
+++ b/packages/decision/camphorpin/src/Configuration/RestateScheduler.h
@@ -0,0 +1,89 @@
+#ifndef CAMPHORPIN_SRC_CONFIGURATION_RESTATESCHEDULER_H
+#define CAMPHORPIN_SRC_CONFIGURATION_RESTATESCHEDULER_H
+
+#include "camphorpin/Core.h"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace camphorpin {
+
+/// \class DocumentAge
+/// \brief The time since a document was restated.
+struct DocumentAge {
+  DocumentName Document;
+  Duration SinceRestate;
+
+  auto operator<=>(const DocumentAge &) const = default;
+};
+
+/// \class RestateScheduler
+/// \brief Decides when this node restates which document.
+///
+/// Nodes do not agree on it. A restate that is read from the log starts the
+/// time of its document anew on every node. After a sixth of the log's
+/// retention each node waits for a random part of a twelfth, so that the
+/// restate is written after a quarter at the latest and a twelfth is left for
+/// repetitions before a third has passed. The random part has a truncated
+/// exponential distribution: most nodes draw a time near the end of the window
+/// and a few draw an early one, whatever the size of the fleet, so that the
+/// first restate reaches the others before they write theirs.
+///
+/// Memory: one name and time per document.
+class RestateScheduler {
+public:
+  /// Size of the largest fleet that the distribution is made for. With more
+  /// nodes the first restates come at the start of the window and some are
+  /// written twice.
+  static constexpr double LargestFleet = 10000;
+  /// A node writes at most one restate in this time, so that a single node
+  /// with many documents due does not use up the log's append rate.
+  static constexpr Duration MinSpacing = Duration::seconds(1);
+
+  /// \param Retention how long the log keeps records, greater than zero.
+  RestateScheduler(Duration Retention, Random &Source);
+
+  /// Notes that a restate of the document was read from the log.
+  void noteRestated(const DocumentName &Document, Instant Now);
+
+  /// Notes that the document exists. Without a known restate its time starts
+  /// now.
+  void noteDocument(const DocumentName &Document, Instant Now);
+
+  /// Takes over the ages that another node knows.
+  void noteAges(std::span<const DocumentAge> Ages, Instant Now);
+
+  /// \returns the ages of all documents, for a new node.
+  std::vector<DocumentAge> ages(Instant Now) const;
+
+  /// \param ReadingFresh this node has a recent reading of the log. Without one
+  /// it cannot know what others have restated, and the log may be down.
+  /// \returns a document that this node should restate now, if any.
+  std::optional<DocumentName> next(Instant Now, bool ReadingFresh);
+
+private:
+  struct Timer {
+    Instant RestatedAt;
+    Instant Due;
+  };
+
+  /// \returns a random part of \p Window.
+  Duration draw(Duration Window);
+  void start(const DocumentName &Document, Instant RestatedAt);
+  void redrawOverdue(Instant Now);
+  void updateEarliest();
+
+  Duration Retention;
+  Random &Source;
+  std::map<DocumentName, Timer> Timers;
+  Instant Earliest = Instant::never();
+  Instant NextAllowed;
+  bool WasStale = false;
+};
+
+} // namespace camphorpin
+
+#endif
--- a/packages/decision/tests/ConfigurationFoldTest.cpp
+++ b/packages/decision/tests/ConfigurationFoldTest.cpp
@@ -12,7 +12,7 @@
 
 std::string change(std::uint64_t Base, std::string_view Id,
                    std::string_view Content = R"({"a":1})") {
-  return formatLogRecord(
+  return formatRecord(
       ChangeRecord{Mesh, Base, std::string(Id), "op", std::string(Content)});
 }
 
@@ -62,7 +62,7 @@
   cr_assert(Fold.apply(9, R"({"type":"audit"})").Kind == OutcomeKind::Ignored);
   const EntryRecord Entry{
       {0x7f000001, 7000}, 5, ZoneName("a"), RegionName("r")};
-  cr_assert(Fold.apply(10, formatLogRecord(Entry)).Entry == Entry);
+  cr_assert(Fold.apply(10, formatRecord(Entry)).Entry == Entry);
   cr_assert(Fold.documentNames().empty());
 }
 
@@ -112,11 +112,11 @@
   cr_assert(Fold.apply(10, change(1, "b")).Kind == OutcomeKind::UnknownBase);
   cr_assert_eq(Fold.document(Mesh)->Version, 1);
   RestateRecord Restate{Mesh, 4, {"x"}, R"({"x":1})", 9, 1};
-  Fold.apply(11, formatLogRecord(Restate));
+  Fold.apply(11, formatRecord(Restate));
   cr_assert_eq(Fold.document(Mesh)->Version, 1,
                "a restate from before the gap misses changes");
   Restate.AsOf = 11;
-  Fold.apply(12, formatLogRecord(Restate));
+  Fold.apply(12, formatRecord(Restate));
   cr_assert_eq(Fold.document(Mesh)->Version, 4);
   cr_assert(Fold.resolved());
 }
@@ -127,11 +127,11 @@
   for (; Offset <= ChangeBuffer::MaxChanges + 10; ++Offset)
     Fold.apply(Offset, change(Offset, "n" + std::to_string(Offset)));
   RestateRecord Restate{Mesh, 8, {}, "{}", 8, 1};
-  Fold.apply(Offset++, formatLogRecord(Restate));
+  Fold.apply(Offset++, formatRecord(Restate));
   cr_assert(Fold.document(Mesh) == nullptr,
             "changes after the restate's AsOf were dropped");
   Restate.AsOf = 20;
   Restate.Version = 20;
-  Fold.apply(Offset, formatLogRecord(Restate));
+  Fold.apply(Offset, formatRecord(Restate));
   cr_assert_eq(Fold.document(Mesh)->Version, ChangeBuffer::MaxChanges + 11);
 }
--- a/packages/decision/tests/FoldAgreementTest.cpp
+++ b/packages/decision/tests/FoldAgreementTest.cpp
@@ -90,7 +90,7 @@
     } else if (Document.Version == 0) {
       State.erase(Change.Document);
     }
-    Bodies.push_back(formatLogRecord(Change));
+    Bodies.push_back(formatRecord(Change));
     States.push_back(std::move(State));
   }
 
@@ -111,9 +111,9 @@
     if (Found == State.end())
       return writeRestate(std::move(Name), 0);
     const ConfigurationDocument &Document = Found->second;
-    Bodies.push_back(formatLogRecord(
-        RestateRecord{Name, Document.Version, Document.ChangeIds,
-                      Document.Content, AsOf, State.size()}));
+    Bodies.push_back(
+        formatRecord(RestateRecord{Name, Document.Version, Document.ChangeIds,
+                                   Document.Content, AsOf, State.size()}));
     States.push_back(States.back());
     std::uint64_t &Last = LastAsOf[Name];
     Last = std::max(Last, AsOf);
@@ -182,7 +182,8 @@
 class NaiveReader {
 public:
   void apply(std::string_view Body) {
-    const std::optional<LogRecord> Record = parseLogRecord(Body);
+    const std::optional<ConfigurationRecord> Record =
+        parseConfigurationRecord(Body);
     if (!Record)
       return;
     if (const auto *Change = std::get_if<ChangeRecord>(&*Record)) {
--- /dev/null
+++ b/packages/decision/tests/RestateSchedulerTest.cpp
@@ -0,0 +1,160 @@
+// Guards the restating of documents: each in time, although no node is in
+// charge, and without a flood of appends although all nodes may write.
+#include "camphorpin/Configuration.h"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+#include <iostream>
+#include <memory>
+
+using namespace camphorpin;
+
+namespace {
+
+constexpr Duration Retention = Duration::seconds(6 * 3600);
+/// Configuration is in force everywhere within 14 s, so a node may hear of a
+/// restate that late.
+constexpr std::uint64_t NewsDelaySeconds = 14;
+constexpr std::size_t Documents = 4;
+
+DocumentName documentAt(std::size_t Index) {
+  return DocumentName("service/s" + std::to_string(Index));
+}
+
+/// \class Fleet
+/// \brief Many schedulers on one log. Each node hears of a restate with its own
+/// delay.
+class Fleet {
+public:
+  explicit Fleet(std::size_t Size) {
+    for (std::size_t Index = 0; Index < Size; ++Index) {
+      Nodes.push_back(std::make_unique<RestateScheduler>(Retention, Source));
+      Delays.push_back(1 + Source.below(NewsDelaySeconds));
+      for (std::size_t Document = 0; Document < Documents; ++Document)
+        Nodes.back()->noteDocument(documentAt(Document), Instant());
+    }
+  }
+
+  /// Runs one virtual second.
+  void step(bool LogUp) {
+    ++Second;
+    const Instant Now = Instant::fromMillis(Second * 1000);
+    for (const News &Item : Pending)
+      for (std::size_t Index = 0; Index < Nodes.size(); ++Index)
+        if (Item.Second + Delays[Index] == Second)
+          Nodes[Index]->noteRestated(documentAt(Item.Document), Now);
+    std::erase_if(Pending, [this](const News &Item) {
+      return Item.Second + NewsDelaySeconds < Second;
+    });
+    for (const std::unique_ptr<RestateScheduler> &Node : Nodes) {
+      const std::optional<DocumentName> Due = Node->next(Now, LogUp);
+      if (Due)
+        append(*Due);
+    }
+  }
+
+  std::size_t Appends = 0;
+  /// Restates of a document that had been restated within the delay of news.
+  std::size_t Wasted = 0;
+  std::uint64_t LongestGap = 0;
+  std::size_t MostInOneSecond = 0;
+  std::uint64_t Second = 0;
+
+private:
+  struct News {
+    std::size_t Document;
+    std::uint64_t Second;
+  };
+
+  void append(const DocumentName &Name) {
+    const std::size_t Document = std::stoul(Name.string().substr(9));
+    ++Appends;
+    std::uint64_t &Last = LastRestate[Document];
+    const std::uint64_t Gap = Second - Last;
+    Wasted += Gap <= 2 * NewsDelaySeconds && Last > 0 ? 1 : 0;
+    LongestGap = std::max(LongestGap, Gap);
+    Last = Second;
+    Pending.push_back({Document, Second});
+    InThisSecond = LastAppend == Second ? InThisSecond + 1 : 1;
+    LastAppend = Second;
+    MostInOneSecond = std::max(MostInOneSecond, InThisSecond);
+  }
+
+  SeededRandom Source{11};
+  std::vector<std::unique_ptr<RestateScheduler>> Nodes;
+  std::vector<std::uint64_t> Delays;
+  std::vector<News> Pending;
+  std::array<std::uint64_t, Documents> LastRestate{};
+  std::uint64_t LastAppend = 0;
+  std::size_t InThisSecond = 0;
+};
+
+constexpr std::uint64_t RetentionSeconds = Retention.wholeMillis() / 1000;
+
+/// \returns how many of \p Nodes that draw a uniform time in the window write
+/// before they hear of the first; the baseline.
+double uniformWaste(std::size_t Nodes) {
+  constexpr double WindowSeconds = RetentionSeconds / 12.0;
+  constexpr int Rounds = 50;
+  SeededRandom Source(3);
+  double Wasted = 0;
+  for (int Round = 0; Round < Rounds; ++Round) {
+    std::vector<double> Times(Nodes);
+    for (double &Time : Times)
+      Time = Source.unit() * WindowSeconds;
+    const double First = *std::min_element(Times.begin(), Times.end());
+    for (double Time : Times)
+      Wasted += Time > First && Time < First + NewsDelaySeconds / 2.0 ? 1 : 0;
+  }
+  return Wasted / Rounds;
+}
+
+} // namespace
+
+Test(RestateScheduler, restatesInTimeAndSeldomTwiceAtTheTargetSize) {
+  Fleet Nodes(7100);
+  while (Nodes.Second < RetentionSeconds)
+    Nodes.step(true);
+  const double WastePerRestate =
+      static_cast<double>(Nodes.Wasted) / (Nodes.Appends - Nodes.Wasted);
+  std::cout << "7,100 nodes: " << Nodes.Appends << " appends, " << Nodes.Wasted
+            << " wasted, longest gap " << Nodes.LongestGap
+            << " s; uniform back-off wastes " << uniformWaste(7100)
+            << " for each restate\n";
+  cr_assert_leq(Nodes.LongestGap, RetentionSeconds / 3);
+  cr_assert_lt(WastePerRestate, 1.0);
+}
+
+// A single node must also be in time, because the rest of the fleet may be cut
+// off.
+Test(RestateScheduler, restatesInTimeWithFewNodes) {
+  for (std::size_t Size : {1, 3, 50}) {
+    Fleet Nodes(Size);
+    while (Nodes.Second < 2 * RetentionSeconds)
+      Nodes.step(true);
+    cr_assert_leq(Nodes.LongestGap, RetentionSeconds / 3);
+  }
+}
+
+// All documents become due during an outage. Without a new draw all nodes would
+// append at once when the log returns.
+Test(RestateScheduler, doesNotFloodTheLogAfterAnOutage) {
+  Fleet Nodes(1000);
+  while (Nodes.Second < RetentionSeconds * 2)
+    Nodes.step(Nodes.Second > RetentionSeconds);
+  std::cout << "after an outage: " << Nodes.Appends << " appends, at most "
+            << Nodes.MostInOneSecond << " in one second\n";
+  cr_assert_leq(Nodes.MostInOneSecond, 20);
+}
+
+Test(RestateScheduler, newNodeTakesOverTheAges) {
+  SeededRandom Source(5);
+  RestateScheduler Old(Retention, Source);
+  Old.noteRestated(documentAt(0), Instant());
+  const Instant Now = Instant() + Retention / 4;
+  RestateScheduler New(Retention, Source);
+  const Instant Other = Instant::fromMillis(99);
+  New.noteAges(Old.ages(Now), Other);
+  // Its time would start anew without the age, and a third would pass.
+  cr_assert(New.next(Other, true) == documentAt(0));
+}
