--- /dev/null
+++ b/packages/decision/tests/EngineFixture.h
@@ -0,0 +1,178 @@
+#ifndef CAMPHORPIN_TESTS_ENGINEFIXTURE_H
+#define CAMPHORPIN_TESTS_ENGINEFIXTURE_H
+
+#include "camphorpin/Engine.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace camphorpin::testing {
+
+/// \class FixedPolicies
+/// \brief A mesh of the services "orders" and "lots".
+class FixedPolicies final : public PolicySource {
+public:
+  FixedPolicies() {
+    Mesh.Ranks = {{"urgent", 0.02, 1.0}, {"lookup", 0.01, 1.0}};
+    Orders.Service = ServiceName("orders");
+    Orders.Slots = 4;
+    Orders.QueueLimit = 8;
+    Orders.Operations[OperationName("pay")] = {
+        .Rank = Rank(0), .Deadline = Duration::millis(1000)};
+    Orders.Operations[OperationName("status")] = {
+        .Rank = Rank(1), .Idempotent = true, .Deadline = Duration::millis(500)};
+    Lots = Orders;
+    Lots.Service = ServiceName("lots");
+  }
+
+  const MeshPolicy &mesh() const override { return Mesh; }
+
+  const ServicePolicy *service(const ServiceName &Name) const override {
+    if (Name == Orders.Service)
+      return &Orders;
+    return Name == Lots.Service ? &Lots : nullptr;
+  }
+
+  MeshPolicy Mesh;
+  ServicePolicy Orders;
+  ServicePolicy Lots;
+};
+
+/// \class RecordedCall
+/// \brief A call that the engine sent.
+struct RecordedCall {
+  CallId Call{};
+  RequestId Id{};
+  HostAddress Target;
+  RequestContext Context;
+};
+
+/// \class RecordedActions
+/// \brief Keeps what the engine asked for.
+class RecordedActions : public Actions {
+public:
+  void startBackend(RequestId Id, const RequestContext &Context) override {
+    Started.push_back(Id);
+    Contexts[Id] = Context;
+  }
+  void cancelBackend(RequestId Id) override { CancelledRuns.push_back(Id); }
+  void sendCall(CallId Call, RequestId Id, HostAddress Target,
+                const RequestContext &Context) override {
+    Calls.push_back({Call, Id, Target, Context});
+  }
+  void cancelCall(CallId Call) override { CancelledCalls.push_back(Call); }
+  void answer(RequestId Id, const Answer &Value) override {
+    Answers[Id].push_back(Value);
+  }
+  void sendDatagram(HostAddress /*To*/,
+                    const GossipMessage & /*Message*/) override {}
+  void logEvent(LogEvent Event, const LogFields & /*Fields*/) override {
+    Events.push_back(Event);
+  }
+
+  /// \returns the only answer to \p Id, or nothing if there is none.
+  std::optional<Answer> only(RequestId Id) const {
+    const auto Found = Answers.find(Id);
+    if (Found == Answers.end() || Found->second.size() != 1)
+      return std::nullopt;
+    return Found->second.front();
+  }
+
+  std::vector<RequestId> Started;
+  std::map<RequestId, RequestContext> Contexts;
+  std::vector<RequestId> CancelledRuns;
+  std::vector<RecordedCall> Calls;
+  std::vector<CallId> CancelledCalls;
+  std::map<RequestId, std::vector<Answer>> Answers;
+  std::vector<LogEvent> Events;
+};
+
+/// \class EngineFixture
+/// \brief One node beside a backend server of "orders", under virtual time.
+class EngineFixture {
+public:
+  EngineFixture()
+      : Time(Instant::fromMillis(1780000000000)), Source(7),
+        Engine(options(), Out, Time, Source, Policies) {
+    Engine.onStarted();
+  }
+
+  static EngineOptions options() {
+    EngineOptions Options;
+    Options.Self = {HostAddress{0x7F000001, 7000}, 1};
+    Options.Service = ServiceName("orders");
+    Options.Zone = ZoneName("z1");
+    Options.Region = RegionName("r1");
+    return Options;
+  }
+
+  static RequestInfo info(std::string_view Operation) {
+    RequestInfo Info;
+    Info.Service = ServiceName("orders");
+    Info.Operation = OperationName(Operation);
+    Info.Caller = CallerName("tester");
+    return Info;
+  }
+
+  /// Lets the node hear of another node beside a backend server.
+  ProcessId addMember(std::string_view Service, std::uint16_t Port) {
+    const ProcessId Process{HostAddress{0x7F000001, Port}, 1};
+    GossipMessage Message;
+    Message.Sender = Process;
+    Message.Deltas = {{.Process = Process,
+                       .Service = ServiceName(Service),
+                       .Zone = ZoneName("z1"),
+                       .Region = RegionName("r1")}};
+    Engine.onDatagram(Process.Address, Message);
+    return Process;
+  }
+
+  /// Sends a request from a caller. \returns its number.
+  RequestId request(const RequestInfo &Info) {
+    const RequestId Id{++LastId};
+    Engine.onRequest(Id, Info);
+    return Id;
+  }
+
+  /// Delivers a call to the node itself, as another node would send it.
+  RequestId deliver(const RequestContext &Context) {
+    const RequestId Id{++LastId};
+    Engine.onCall(Id, Context);
+    return Id;
+  }
+
+  /// \returns the context of an idempotent call.
+  RequestContext context() {
+    RequestContext Context;
+    Context.Key = RequestKey::make(Time.wallNow(), Source);
+    Context.Root = Context.Key;
+    Context.Service = ServiceName("orders");
+    Context.Operation = OperationName("status");
+    Context.Caller = CallerName("tester");
+    Context.Rank = Rank(1);
+    Context.Idempotent = true;
+    Context.Remaining = Duration::millis(500);
+    Context.HopsLeft = 5;
+    return Context;
+  }
+
+  void pass(Duration Span) {
+    const Instant End = Time.now() + Span;
+    while (Time.now() < End) {
+      Time.advance(Duration::millis(10));
+      Engine.tick();
+    }
+  }
+
+  ManualClock Time;
+  SeededRandom Source;
+  FixedPolicies Policies;
+  RecordedActions Out;
+  NodeEngine Engine;
+  std::uint64_t LastId = 0;
+};
+
+} // namespace camphorpin::testing
+
+#endif
--- /dev/null
+++ b/packages/decision/tests/EngineTest.cpp
@@ -0,0 +1,115 @@
+// Guards the engine as a whole: one answer for each request whatever comes late
+// or twice, verdicts that are true, and a drain that cuts nothing off.
+#include "EngineFixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace camphorpin;
+using camphorpin::testing::EngineFixture;
+
+namespace {
+
+const BackendResult RanResult{.Verdict = Verdict::Ran};
+const CallResult RanCall{.Verdict = Verdict::Ran};
+
+} // namespace
+
+// Guards R3: a late or repeated completion must not answer a request again, or
+// answer another one.
+Test(Engine, dropsLateAndRepeatedCompletions) {
+  EngineFixture Node;
+  const RequestId Id = Node.request(EngineFixture::info("status"));
+  const CallId Call = Node.Out.Calls.at(0).Call;
+  Node.Engine.onCallDone(Call, RanCall);
+  Node.Engine.onCallDone(Call, RanCall);
+  Node.Engine.onCallDone(CallId{4711}, RanCall);
+  cr_assert_eq(Node.Out.Answers[Id].size(), 1);
+  cr_assert(Node.Out.only(Id)->Verdict == Verdict::Ran);
+  cr_assert_eq(Node.Out.only(Id)->SourceId, static_cast<std::uint64_t>(Call));
+
+  const RequestId Served = Node.deliver(Node.context());
+  Node.pass(Duration::millis(600));
+  cr_assert(Node.Out.only(Served)->Verdict == Verdict::MayHaveRun);
+  Node.Engine.onBackendDone(Served, RanResult);
+  Node.Engine.onBackendDone(Served, RanResult);
+  Node.Engine.onBackendDone(RequestId{4711}, RanResult);
+  cr_assert_eq(Node.Out.Answers[Served].size(), 1);
+  cr_assert_eq(Node.Engine.inProgress(), 0);
+}
+
+// Guards R4: once a call was sent, a timeout cannot claim that it did not run.
+Test(Engine, timeoutAfterSendingMayHaveRun) {
+  EngineFixture Node;
+  const RequestId Id = Node.request(EngineFixture::info("status"));
+  Node.pass(Duration::millis(510));
+  cr_assert(Node.Out.only(Id)->Verdict == Verdict::MayHaveRun);
+  cr_assert(Node.Out.only(Id)->Reason == RefusalReason::Deadline);
+  cr_assert_eq(Node.Out.CancelledCalls.size(), 1);
+}
+
+// Guards R4 for keyed requests: a node that is not the home of the key does not
+// know whether an earlier send of it ran.
+Test(Engine, refusalOfKeyedRequestSaysNotRunOnlyForFirstSend) {
+  EngineFixture Node;
+  RequestInfo Info = EngineFixture::info("pay");
+  cr_assert(Node.Out.only(Node.request(Info))->Reason ==
+            RefusalReason::KeyRequired);
+  Info.Key = RequestKey::make(Node.Time.wallNow(), Node.Source);
+  Info.Service = ServiceName("lots"); // No node is beside this service.
+  const RequestId Resend = Node.request(Info);
+  Info.FirstAttempt = true;
+  const RequestId First = Node.request(Info);
+  Node.pass(Duration::millis(1100));
+  cr_assert(Node.Out.only(Resend)->Verdict == Verdict::MayHaveRun);
+  cr_assert(Node.Out.only(First)->Verdict == Verdict::NotRun);
+}
+
+// Guards R7: what was accepted before the drain finishes, calls that it makes
+// included; what comes later is refused at once.
+Test(Engine, drainRefusesNewWorkAndFinishesAcceptedWork) {
+  EngineFixture Node;
+  Node.addMember("lots", 7001);
+  const RequestId Running = Node.deliver(Node.context());
+  Node.Engine.onDrain();
+  const RequestId Late = Node.request(EngineFixture::info("status"));
+  const RequestId LateCall = Node.deliver(Node.context());
+  cr_assert(Node.Out.only(Late)->Reason == RefusalReason::Draining);
+  cr_assert(Node.Out.only(LateCall)->Verdict == Verdict::NotRun);
+  cr_assert(Node.Out.only(LateCall)->Leaving);
+
+  RequestInfo Nested = EngineFixture::info("status");
+  Nested.Service = ServiceName("lots");
+  Nested.Parent = Running;
+  const RequestId Child = Node.request(Nested);
+  cr_assert_not(Node.Out.only(Child).has_value());
+  Node.Engine.onCallDone(Node.Out.Calls.back().Call, RanCall);
+  cr_assert(Node.Out.only(Child)->Verdict == Verdict::Ran);
+  Node.pass(Duration::millis(100));
+  cr_assert_not(Node.Engine.hasEnded());
+  Node.Engine.onBackendDone(Running, RanResult);
+  cr_assert(Node.Out.only(Running)->Verdict == Verdict::Ran);
+  Node.pass(Duration::millis(1500));
+  cr_assert(Node.Engine.hasEnded());
+}
+
+// Guards R1 at its base: a chain of calls cannot exceed the policy's depth.
+Test(Engine, nestedCallInheritsDeadlineDepthAndKey) {
+  EngineFixture Node;
+  RequestContext Context = Node.context();
+  Context.HopsLeft = 1;
+  const RequestId Parent = Node.deliver(Context);
+  Node.pass(Duration::millis(100));
+  RequestInfo Info = EngineFixture::info("status");
+  Info.Parent = Parent;
+  Node.request(Info);
+  const RequestContext &Child = Node.Out.Calls.back().Context;
+  cr_assert_eq(Child.HopsLeft, 0);
+  cr_assert(Child.Remaining == Duration::millis(400));
+  cr_assert(Child.Age == Duration::millis(100));
+  cr_assert(Child.Key == Context.Key.child("orders/status", "0"));
+
+  Context.HopsLeft = 0;
+  Info.Parent = Node.deliver(Context);
+  const RequestId TooDeep = Node.request(Info);
+  cr_assert(Node.Out.only(TooDeep)->Reason == RefusalReason::TooDeep);
+}
--- /dev/null
+++ b/packages/wire/tests/WireTest.cpp
@@ -0,0 +1,153 @@
+// Guards what enters a node from other hosts: hostile or damaged messages are
+// refused, valid ones arrive unchanged.
+#include "camphorpin/Wire.h"
+
+#include <capnp/message.h>
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+#include <string>
+
+using namespace camphorpin;
+
+namespace {
+
+RequestContext sampleContext() {
+  SeededRandom Source(3);
+  RequestContext Context;
+  Context.Root = RequestKey::make(Instant::fromMillis(1780000000000), Source);
+  Context.Key = Context.Root.child("lots/reserve", "0");
+  Context.Service = ServiceName("lots");
+  Context.Operation = OperationName("reserve");
+  Context.Caller = CallerName("tester");
+  Context.Rank = Rank(2);
+  Context.FirstSend = true;
+  Context.Age = Duration::fromMillis(1.5);
+  Context.Remaining = Duration::millis(250);
+  Context.HopsLeft = 7;
+  Context.ExtraAttempts = 3;
+  Context.CrashCount = 1;
+  Context.Fingerprint = 0xFEDCBA9876543210;
+  return Context;
+}
+
+GossipMessage sampleGossip() {
+  GossipMessage Message;
+  Message.Kind = GossipKind::SyncRecords;
+  Message.Sender = {HostAddress{0x7F000001, 7000}, 12345};
+  Message.Sequence = 77;
+  Message.Target = {0x7F000002, 7001};
+  Message.Reading = {4711, 1500};
+  Message.Deltas = {{.Process = {HostAddress{0x7F000003, 7002}, 9},
+                     .Service = ServiceName("lots"),
+                     .Zone = ZoneName("z1"),
+                     .Region = RegionName("r1"),
+                     .State = MemberState::Suspect,
+                     .Refutation = 4}};
+  Message.UnreachableZones = {ZoneName("z2")};
+  Message.Digests = {1, 2, 3};
+  Message.Buckets = {0, 255};
+  return Message;
+}
+
+} // namespace
+
+Test(Wire, contextArrivesUnchanged) {
+  capnp::MallocMessageBuilder Builder;
+  wire::Context::Builder Root = Builder.initRoot<wire::Context>();
+  const RequestContext Sent = sampleContext();
+  writeContext(Root, Sent);
+  const std::optional<RequestContext> Received = readContext(Root.asReader());
+  cr_assert(Received.has_value());
+  cr_assert(Received->Root == Sent.Root && Received->Key == Sent.Key);
+  cr_assert(Received->Service == Sent.Service &&
+            Received->Operation == Sent.Operation &&
+            Received->Caller == Sent.Caller);
+  cr_assert(Received->Rank == Sent.Rank && Received->FirstSend &&
+            !Received->Idempotent);
+  cr_assert(Received->Age == Sent.Age && Received->Remaining == Sent.Remaining);
+  cr_assert_eq(Received->HopsLeft, Sent.HopsLeft);
+  cr_assert_eq(Received->ExtraAttempts, Sent.ExtraAttempts);
+  cr_assert_eq(Received->CrashCount, Sent.CrashCount);
+  cr_assert_eq(Received->Fingerprint, Sent.Fingerprint);
+}
+
+// Guards the decision library against values that its types do not allow, such
+// as a rank beyond the last one, which would index past an array.
+Test(Wire, refusesContextWithValuesOutOfRange) {
+  capnp::MallocMessageBuilder Builder;
+  wire::Context::Builder Root = Builder.initRoot<wire::Context>();
+  const auto IsRefused = [&] { return !readContext(Root.asReader()); };
+  writeContext(Root, sampleContext());
+  Root.setRank(MaxRanks);
+  cr_assert(IsRefused());
+  writeContext(Root, sampleContext());
+  Root.setRemaining(INT64_MAX);
+  cr_assert(IsRefused());
+  writeContext(Root, sampleContext());
+  Root.setService("../etc");
+  cr_assert(IsRefused());
+  cr_assert_not(verdictFromCode(3).has_value());
+  cr_assert_not(reasonFromCode(200).has_value());
+}
+
+// Guards against a header of one node becoming two headers at another.
+Test(Wire, refusesHeadersWithLineBreaks) {
+  capnp::MallocMessageBuilder Builder;
+  wire::Payload::Builder Root = Builder.initRoot<wire::Payload>();
+  writePayload(Root, Payload{.Headers = {{"X-Good", "value"}}, .Body = "b"});
+  cr_assert(readPayload(Root.asReader()).has_value());
+  writePayload(Root, Payload{.Headers = {{"X-Bad", "a\r\nX-Other: b"}}});
+  cr_assert_not(readPayload(Root.asReader()).has_value());
+}
+
+Test(Wire, gossipArrivesUnchanged) {
+  const GossipMessage Sent = sampleGossip();
+  const std::optional<GossipMessage> Received =
+      decodeDatagram(encodeDatagram(Sent));
+  cr_assert(Received.has_value());
+  cr_assert(Received->Kind == Sent.Kind && Received->Sender == Sent.Sender);
+  cr_assert(Received->Sequence == Sent.Sequence &&
+            Received->Target == Sent.Target);
+  cr_assert(Received->Deltas == Sent.Deltas);
+  cr_assert(Received->UnreachableZones == Sent.UnreachableZones);
+  cr_assert(Received->Digests == Sent.Digests &&
+            Received->Buckets == Sent.Buckets);
+  cr_assert_eq(Received->Reading.NextOffset, 4711);
+}
+
+// Guards against datagrams with hostile lengths and pointers: whatever the
+// bytes, the decoder returns, and what it accepts is within its bounds.
+Test(Wire, damagedDatagramsNeverBreakTheDecoder) {
+  const std::vector<std::byte> Valid = encodeDatagram(sampleGossip());
+  const bool Held = rc::check("damaged datagrams", [&Valid] {
+    std::vector<std::byte> Data = Valid;
+    const int Changes = *rc::gen::inRange(1, 6);
+    for (int Change = 0; Change < Changes; ++Change) {
+      const std::size_t Position =
+          *rc::gen::inRange<std::size_t>(0, Data.size());
+      Data[Position] = static_cast<std::byte>(*rc::gen::arbitrary<uint8_t>());
+    }
+    Data.resize(*rc::gen::inRange<std::size_t>(0, Data.size() + 1));
+    const std::optional<GossipMessage> Result = decodeDatagram(Data);
+    if (!Result)
+      return;
+    RC_ASSERT(Result->Deltas.size() <= 256u);
+    for (const MemberRecord &Delta : Result->Deltas)
+      RC_ASSERT(isValidName(Delta.Zone.view()));
+    for (std::uint16_t Bucket : Result->Buckets)
+      RC_ASSERT(Bucket < MemberTable::Buckets);
+  });
+  cr_assert(Held);
+}
+
+// Guards a rollout: neighbouring versions talk, others do not guess.
+Test(Wire, versionsNAndNMinusOneAreServed) {
+  cr_assert_eq(commonVersion(NewestProtocolVersion, OldestProtocolVersion),
+               NewestProtocolVersion);
+  cr_assert_eq(commonVersion(OldestProtocolVersion, 0), OldestProtocolVersion);
+  cr_assert_eq(commonVersion(NewestProtocolVersion + 1, NewestProtocolVersion),
+               NewestProtocolVersion);
+  cr_assert_eq(commonVersion(OldestProtocolVersion - 1, 0), 0);
+  cr_assert_eq(
+      commonVersion(NewestProtocolVersion + 2, NewestProtocolVersion + 1), 0);
+}
