--- a/packages/core/camphorpin/src/Core/RequestContext.h
+++ b/packages/core/camphorpin/src/Core/RequestContext.h
@@ -37,6 +37,9 @@
   std::uint8_t ExtraAttempts = 0;
   /// Number of crashes at which a request with this fingerprint was running.
   std::uint8_t CrashCount = 0;
+  /// Epoch of the home set by which the sender chose the home of the key; 0 for
+  /// an idempotent call.
+  std::uint64_t HomeEpoch = 0;
   /// Hash of service, operation, caller and body.
   std::uint64_t Fingerprint = 0;
 };
--- a/packages/daemon/camphorpin/src/Daemon/BackendClient.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/BackendClient.cpp
@@ -1,10 +1,15 @@
 #include "camphorpin/src/Daemon/BackendClient.h"
 
 #include "camphorpin/src/Daemon/HttpHeaders.h"
+#include "camphorpin/src/Daemon/Listener.h"
 #include "camphorpin/src/Daemon/RequestReader.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <chrono>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <utility>
 
 namespace camphorpin {
@@ -15,6 +20,7 @@
 /// millisecond unless the server does not accept connections at all.
 constexpr std::chrono::milliseconds ConnectTimeout{1000};
 constexpr std::chrono::milliseconds CancelTimeout{500};
+constexpr int ProbeTimeoutMillis = 50;
 constexpr int ShedStatus = 503;
 
 constexpr const char *NotRunValue = "not-run";
@@ -34,11 +40,33 @@
          Response.status == 304;
 }
 
+/// \returns true if nothing listens at the address, which after a lost
+/// connection means that the backend server has ended.
+bool refusesConnections(const HostAddress &Address) {
+  const int Socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  if (Socket < 0)
+    return false;
+  const sockaddr_in Name = toSockaddr(Address);
+  int Error = 0;
+  if (::connect(Socket, reinterpret_cast<const sockaddr *>(&Name),
+                sizeof(Name)) != 0)
+    Error = errno;
+  if (Error == EINPROGRESS) {
+    pollfd Entry{Socket, POLLOUT, 0};
+    socklen_t Size = sizeof(Error);
+    if (::poll(&Entry, 1, ProbeTimeoutMillis) > 0)
+      ::getsockopt(Socket, SOL_SOCKET, SO_ERROR, &Error, &Size);
+  }
+  ::close(Socket);
+  return Error == ECONNREFUSED;
+}
+
 } // namespace
 
 BackendClient::BackendClient(const HostAddress &Address, std::size_t MaxBody,
                              const Clock &Time)
-    : MaxBody(MaxBody), Time(Time), Client("http://" + Address.toString()) {
+    : Address(Address), MaxBody(MaxBody), Time(Time),
+      Client("http://" + Address.toString()) {
   Client.set_keep_alive(true);
   Client.set_tcp_nodelay(true);
   Client.set_follow_location(false);
@@ -101,8 +129,10 @@
       return notRun(Job, RefusalReason::BackendFailed);
     Client.stop();
     const bool Late = Time.now() >= Job.Start + Job.Context.Remaining;
-    return mayHaveRun(Job, Late ? RefusalReason::Deadline
-                                : RefusalReason::BackendFailed);
+    BackendDone Done = mayHaveRun(Job, Late ? RefusalReason::Deadline
+                                            : RefusalReason::BackendFailed);
+    Done.Result.ServerDown = refusesConnections(Address);
+    return Done;
   }
   if (Result->status == ShedStatus &&
       Result->get_header_value(headers::Shed) == NotRunValue)
--- a/packages/daemon/camphorpin/src/Daemon/BackendClient.h
+++ b/packages/daemon/camphorpin/src/Daemon/BackendClient.h
@@ -30,6 +30,7 @@
   httplib::Headers headersFor(const BackendJob &Job, Duration Remaining) const;
   BackendDone interpret(const BackendJob &Job, const httplib::Result &Result);
 
+  const HostAddress Address;
   const std::size_t MaxBody;
   const Clock &Time;
   httplib::Client Client;
--- a/packages/daemon/camphorpin/src/Daemon/DatagramThread.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/DatagramThread.cpp
@@ -48,8 +48,8 @@
     Thread.join();
 }
 
-void DatagramThread::send(HostAddress To, const GossipMessage &Message) const {
-  const std::vector<std::byte> Data = encodeDatagram(Message);
+void DatagramThread::send(HostAddress To,
+                          std::span<const std::byte> Data) const {
   const sockaddr_in Name = toSockaddr(To);
   ::sendto(Socket, Data.data(), Data.size(), MSG_DONTWAIT | MSG_NOSIGNAL,
            reinterpret_cast<const sockaddr *>(&Name), sizeof(Name));
@@ -69,7 +69,7 @@
                    reinterpret_cast<sockaddr *>(&From), &FromSize);
     if (Size < 0)
       continue;
-    std::optional<GossipMessage> Message =
+    std::optional<DatagramMessage> Message =
         decodeDatagram(std::span(Buffer).first(static_cast<std::size_t>(Size)));
     if (!Message) {
       Log.write(
--- a/packages/daemon/camphorpin/src/Daemon/DatagramThread.h
+++ b/packages/daemon/camphorpin/src/Daemon/DatagramThread.h
@@ -5,6 +5,8 @@
 #include "camphorpin/src/Daemon/EventQueue.h"
 
 #include <atomic>
+#include <cstddef>
+#include <span>
 #include <thread>
 
 namespace camphorpin {
@@ -28,7 +30,7 @@
 
   /// Sends a datagram from any thread. It is dropped if it cannot be sent at
   /// once.
-  void send(HostAddress To, const GossipMessage &Message) const;
+  void send(HostAddress To, std::span<const std::byte> Data) const;
 
 private:
   void run();
--- a/packages/daemon/camphorpin/src/Daemon/DecisionThread.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/DecisionThread.cpp
@@ -97,7 +97,14 @@
 }
 
 void DecisionThread::handle(DatagramArrived &&Event) {
-  Engine.onDatagram(Event.From, Event.Message);
+  if (const GossipMessage *Gossip = std::get_if<GossipMessage>(&Event.Message))
+    Engine.onDatagram(Event.From, *Gossip);
+  else
+    Engine.onCrashReports(std::get<CrashReports>(Event.Message));
+}
+
+void DecisionThread::handle(ClaimArrived &&Event) {
+  Engine.onClaimMessage(Event.Claim.To, Event.Claim.Message);
 }
 
 void DecisionThread::handle(DrainRequested && /*Event*/) { Engine.onDrain(); }
@@ -169,14 +176,42 @@
                            .Verdict = Value.Verdict,
                            .Reason = Value.Reason,
                            .Elapsed = Time.now() - Request.Arrived});
-  const bool HasBody = Value.Source != BodySource::None;
-  Found->second.Sink->deliver(Value, HasBody ? Current : nullptr);
+  Request.Sink->deliver(Value, bodyOf(Value));
   drop(Id);
 }
 
+SharedPayload DecisionThread::bodyOf(const Answer &Value) const {
+  if (Value.Source == BodySource::None)
+    return nullptr;
+  if (Value.Source != BodySource::Stored)
+    return Current;
+  const auto Found = Kept.find(RequestId{Value.SourceId});
+  return Found != Kept.end() ? Found->second : nullptr;
+}
+
+void DecisionThread::keepAnswer(RequestId Id) { Kept[Id] = Current; }
+
+void DecisionThread::dropAnswer(RequestId Id) { Kept.erase(Id); }
+
+void DecisionThread::sendClaim(const ProcessId &To,
+                               const ClaimMessage &Message) {
+  // A node may be the mirror of its own former identity.
+  if (To.Address == Self.Address)
+    Immediate.push_back(ClaimArrived{{To, Message}});
+  else
+    Ports.Rpc.post(SendClaim{To, Message});
+}
+
+void DecisionThread::sendCrashReports(HostAddress To,
+                                      std::span<const CrashReport> Reports) {
+  Ports.Datagrams.send(To, encodeDatagram(Self, Reports));
+}
+
+void DecisionThread::appendLog(std::string_view /*Record*/) {}
+
 void DecisionThread::sendDatagram(HostAddress To,
                                   const GossipMessage &Message) {
-  Ports.Datagrams.send(To, Message);
+  Ports.Datagrams.send(To, encodeDatagram(Message));
 }
 
 void DecisionThread::logEvent(LogEvent Event, const LogFields &Fields) {
--- a/packages/daemon/camphorpin/src/Daemon/DecisionThread.h
+++ b/packages/daemon/camphorpin/src/Daemon/DecisionThread.h
@@ -74,8 +74,10 @@
   void handle(BackendDone &&Event);
   void handle(CallDone &&Event);
   void handle(DatagramArrived &&Event);
+  void handle(ClaimArrived &&Event);
   void handle(DrainRequested &&Event);
   void drop(RequestId Id);
+  SharedPayload bodyOf(const Answer &Value) const;
   void publish();
 
   void startBackend(RequestId Id, const RequestContext &Context) override;
@@ -84,14 +86,23 @@
                 const RequestContext &Context) override;
   void cancelCall(CallId Call) override;
   void answer(RequestId Id, const Answer &Value) override;
+  void keepAnswer(RequestId Id) override;
+  void dropAnswer(RequestId Id) override;
+  void sendClaim(const ProcessId &To, const ClaimMessage &Message) override;
+  void sendCrashReports(HostAddress To,
+                        std::span<const CrashReport> Reports) override;
+  void appendLog(std::string_view Record) override;
   void sendDatagram(HostAddress To, const GossipMessage &Message) override;
   void logEvent(LogEvent Event, const LogFields &Fields) override;
 
   const Clock &Time;
   const DecisionPorts Ports;
+  const ProcessId Self;
   NodeEngine Engine;
   std::unordered_map<RequestId, Entry> Requests;
   std::unordered_map<CallId, HostAddress> Calls;
+  /// Answers that the engine keeps; it bounds their bytes.
+  std::unordered_map<RequestId, SharedPayload> Kept;
   /// The answer that the current event brought.
   SharedPayload Current;
   /// Ends of actions that failed at once. They become events after the current
--- a/packages/daemon/camphorpin/src/Daemon/NodeEvent.h
+++ b/packages/daemon/camphorpin/src/Daemon/NodeEvent.h
@@ -65,7 +65,13 @@
 /// \brief A datagram of another node.
 struct DatagramArrived {
   HostAddress From;
-  GossipMessage Message;
+  DatagramMessage Message;
+};
+
+/// \class ClaimArrived
+/// \brief A message about claims of another node.
+struct ClaimArrived {
+  AddressedClaim Claim;
 };
 
 /// \class DrainRequested
@@ -75,7 +81,7 @@
 /// \brief Everything that the decision thread reacts to.
 using NodeEvent =
     std::variant<RequestArrived, CallArrived, RequestCancelled, BackendDone,
-                 CallDone, DatagramArrived, DrainRequested>;
+                 CallDone, DatagramArrived, ClaimArrived, DrainRequested>;
 
 } // namespace camphorpin
 
--- a/packages/daemon/camphorpin/src/Daemon/PeerLink.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/PeerLink.cpp
@@ -30,6 +30,22 @@
     return;
   }
   Waiting.push_back(std::move(Command));
+  wantOpen();
+}
+
+void PeerLink::send(SendClaim &&Command) {
+  if (usable()) {
+    Channel->send(Command);
+    return;
+  }
+  // Its sender repeats it.
+  if (WaitingClaims.size() >= MaxWaitingClaims)
+    return;
+  WaitingClaims.push_back(std::move(Command));
+  wantOpen();
+}
+
+void PeerLink::wantOpen() {
   if (std::exchange(Opening, true))
     return;
   Environment.whenMayOpen([this] { open(); });
@@ -73,10 +89,13 @@
   Opening = false;
   Channel = kj::mv(Fresh);
   Environment.openFinished();
+  const std::deque<SendClaim> Claims = std::exchange(WaitingClaims, {});
   if (!usable()) {
     failWaiting(RefusalReason::PeerFailed);
     return;
   }
+  for (const SendClaim &Command : Claims)
+    Channel->send(Command);
   for (const SendCall &Command : std::exchange(Waiting, {}))
     Channel->send(Command);
 }
--- a/packages/daemon/camphorpin/src/Daemon/PeerLink.h
+++ b/packages/daemon/camphorpin/src/Daemon/PeerLink.h
@@ -21,6 +21,9 @@
 
   void cancel(CallId Call);
 
+  /// Sends a message that may get lost.
+  void send(SendClaim &&Command);
+
   /// Compares the connection with a new one if it has calls outstanding and
   /// made no progress for the connection silence bound.
   void checkSilence();
@@ -30,10 +33,12 @@
 
 private:
   static constexpr std::size_t MaxWaiting = 4096;
+  static constexpr std::size_t MaxWaitingClaims = 256;
 
   bool usable() const { return Channel.get() != nullptr && !Channel->ended(); }
   kj::Promise<kj::Own<RpcChannel>> connect();
   void open();
+  void wantOpen();
   void opened(kj::Own<RpcChannel> Fresh);
   void failWaiting(RefusalReason Reason);
   void compare(kj::Own<RpcChannel> Fresh, kj::TimePoint Begin);
@@ -43,6 +48,7 @@
   HostAddress Address;
   kj::Own<RpcChannel> Channel;
   std::deque<SendCall> Waiting;
+  std::deque<SendClaim> WaitingClaims;
   bool Opening = false;
   bool Comparing = false;
 };
--- a/packages/daemon/camphorpin/src/Daemon/RpcChannel.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/RpcChannel.cpp
@@ -72,11 +72,20 @@
       }));
 }
 
+void RpcChannel::send(const SendClaim &Command) {
+  capnp::Request<wire::Node::ControlParams, wire::Node::ControlResults>
+      Request = Peer.controlRequest();
+  wire::Control::Builder Message = Request.initMessage();
+  writeProcess(Message.initFrom(), Environment.Options.Self);
+  writeClaim(Message.initClaim(), Command.To, Command.Message);
+  Tasks.add(Request.send().ignoreResult().catch_([](kj::Exception &&) {}));
+}
+
 void RpcChannel::cancel(CallId Call) {
   capnp::Request<wire::Node::CancelParams, wire::Node::CancelResults> Request =
       Peer.cancelRequest();
   Request.setCallId(static_cast<std::uint64_t>(Call));
-  Tasks.add(Request.send().ignoreResult());
+  Tasks.add(Request.send().ignoreResult().catch_([](kj::Exception &&) {}));
 }
 
 void RpcChannel::abandonCalls() {
@@ -99,7 +108,8 @@
                     .Reason = *Reason,
                     .UnusedAttempts = Source.getUnusedAttempts(),
                     .LowestAccepted = Rank(Source.getLowestAccepted()),
-                    .Leaving = Source.getLeaving()};
+                    .Leaving = Source.getLeaving(),
+                    .DownstreamRefused = Source.getDownstreamRefused()};
   SharedPayload Shared;
   if (Source.hasPayload())
     Shared = std::make_shared<const Payload>(*std::move(Body));
--- a/packages/daemon/camphorpin/src/Daemon/RpcChannel.h
+++ b/packages/daemon/camphorpin/src/Daemon/RpcChannel.h
@@ -26,6 +26,9 @@
   /// Sends a call. Its end is reported as CallDone, exactly once.
   void send(const SendCall &Command);
 
+  /// Sends a message that may get lost.
+  void send(const SendClaim &Command);
+
   void cancel(CallId Call);
 
   /// Reports all outstanding calls as may-have-run. Late answers are dropped.
--- a/packages/daemon/camphorpin/src/Daemon/RpcCommand.h
+++ b/packages/daemon/camphorpin/src/Daemon/RpcCommand.h
@@ -31,8 +31,15 @@
   SharedPayload Body;
 };
 
+/// \class SendClaim
+/// \brief Sends a message about claims; it may get lost.
+struct SendClaim {
+  ProcessId To;
+  ClaimMessage Message;
+};
+
 /// \brief What the decision thread asks of the RPC thread.
-using RpcCommand = std::variant<SendCall, CancelCall, DeliverAnswer>;
+using RpcCommand = std::variant<SendCall, CancelCall, DeliverAnswer, SendClaim>;
 
 } // namespace camphorpin
 
--- a/packages/daemon/camphorpin/src/Daemon/RpcService.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/RpcService.cpp
@@ -27,6 +27,7 @@
   Target.setUnusedAttempts(Source.Value.UnusedAttempts);
   Target.setLowestAccepted(Source.Value.LowestAccepted.index());
   Target.setLeaving(Source.Value.Leaving);
+  Target.setDownstreamRefused(Source.Value.DownstreamRefused);
   if (Source.Body)
     writePayload(Target.initPayload(), *Source.Body);
 }
@@ -112,7 +113,15 @@
   const wire::Control::Reader Message = Context.getParams().getMessage();
   wire::Control::Builder Reply = Context.getResults().initReply();
   writeProcess(Reply.initFrom(), Environment.Options.Self);
-  if (Message.isProbe())
+  bool Known = Message.isProbe();
+  if (Message.isClaim()) {
+    std::optional<AddressedClaim> Claim = readClaim(Message.getClaim());
+    Known = Claim.has_value();
+    // A busy node drops it; its sender repeats it.
+    if (Claim)
+      Environment.Events.offer(ClaimArrived{*std::move(Claim)});
+  }
+  if (Known)
     Reply.setAlive();
   else
     Reply.setUnsupported();
--- a/packages/daemon/camphorpin/src/Daemon/RpcThread.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/RpcThread.cpp
@@ -128,6 +128,11 @@
     link(Command.Target).cancel(Command.Call);
   }
 
+  void handle(SendClaim &&Command) {
+    const HostAddress Target = Command.To.Address;
+    link(Target).send(std::move(Command));
+  }
+
   void handle(DeliverAnswer &&Command) { Answers.deliver(std::move(Command)); }
 
   detail::PeerLink &link(const HostAddress &Address) {
--- a/packages/decision/camphorpin/src/Engine/Actions.h
+++ b/packages/decision/camphorpin/src/Engine/Actions.h
@@ -1,10 +1,15 @@
 #ifndef CAMPHORPIN_SRC_ENGINE_ACTIONS_H
 #define CAMPHORPIN_SRC_ENGINE_ACTIONS_H
 
+#include "camphorpin/Claims.h"
+#include "camphorpin/Crash.h"
 #include "camphorpin/Membership.h"
 #include "camphorpin/src/Engine/EngineMessages.h"
 #include "camphorpin/src/Engine/LogEvent.h"
 
+#include <span>
+#include <string_view>
+
 namespace camphorpin {
 
 /// \class Actions
@@ -33,6 +38,23 @@
   /// Answers a request. Exactly one answer is given to each request.
   virtual void answer(RequestId Id, const Answer &Value) = 0;
 
+  /// Keeps the answer of the run \p Id, whose end is being handled, until
+  /// dropAnswer().
+  virtual void keepAnswer(RequestId Id) = 0;
+
+  /// An answer that was kept is not needed any more.
+  virtual void dropAnswer(RequestId Id) = 0;
+
+  /// Sends a message to exactly this incarnation of a node. It may be lost.
+  virtual void sendClaim(const ProcessId &To, const ClaimMessage &Message) = 0;
+
+  /// Sends news of crashes to another node. It may be lost.
+  virtual void sendCrashReports(HostAddress To,
+                                std::span<const CrashReport> Reports) = 0;
+
+  /// Appends a record to the platform's log.
+  virtual void appendLog(std::string_view Record) = 0;
+
   /// Sends a datagram to another node. It may be lost.
   virtual void sendDatagram(HostAddress To, const GossipMessage &Message) = 0;
 
--- a/packages/decision/camphorpin/src/Engine/AnswerGate.h
+++ b/packages/decision/camphorpin/src/Engine/AnswerGate.h
@@ -3,6 +3,7 @@
 
 #include "camphorpin/src/Engine/Actions.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <unordered_map>
 
@@ -39,7 +40,8 @@
       return;
     Value.Rank = Found->second;
     Value.Leaving = Leaving;
-    Value.LowestAccepted = LowestAccepted;
+    // A call that depends on a busier service reports the lower of the levels.
+    Value.LowestAccepted = std::min(Value.LowestAccepted, LowestAccepted);
     Ranks.erase(Found);
     Out.answer(Id, Value);
   }
--- a/packages/decision/camphorpin/src/Engine/CallOriginator.cpp
+++ b/packages/decision/camphorpin/src/Engine/CallOriginator.cpp
@@ -2,12 +2,19 @@
 
 #include "camphorpin/src/Engine/Refusal.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace camphorpin::detail {
 
 namespace {
 
+/// First wait before a keyed request is sent again to a home that could not be
+/// reached or is changing; it doubles. Without it the extra attempts are used
+/// up within milliseconds, long before a takeover can be complete.
+constexpr Duration FirstHomeWait = Duration::millis(50);
+constexpr std::uint32_t MaxDoublings = 5;
+
 /// \returns how a call ended as far as it tells about the called node.
 CallEnd callEnd(const CallResult &Result) {
   if (Result.Verdict == Verdict::Ran)
@@ -18,26 +25,125 @@
   return IsFault ? CallEnd::Failed : CallEnd::Refused;
 }
 
+bool isForCapacity(RefusalReason Reason) {
+  return Reason == RefusalReason::Overloaded || Reason == RefusalReason::Shed ||
+         Reason == RefusalReason::BackendShed ||
+         Reason == RefusalReason::NodeBusy;
+}
+
+/// \returns true if another attempt needs time to succeed.
+bool needsWait(const RequestContext &Context, RefusalReason Reason) {
+  return !Context.Idempotent && (Reason == RefusalReason::HomeChanging ||
+                                 Reason == RefusalReason::PeerFailed ||
+                                 Reason == RefusalReason::NoBackend ||
+                                 Reason == RefusalReason::Draining);
+}
+
+/// \returns what a failed call says about its key. If the call reached no other
+/// node, only this node speaks, which does not know the past of the key.
+Verdict verdictOf(const RequestContext &Context, const CallResult &Result) {
+  const bool ReachedNobody = Result.Reason == RefusalReason::PeerFailed ||
+                             Result.Reason == RefusalReason::NodeBusy;
+  if (Result.Verdict == Verdict::NotRun && ReachedNobody)
+    return refusal(Context, Result.Reason).Verdict;
+  return Result.Verdict;
+}
+
+CallTarget targetOf(const RequestContext &Context) {
+  return {Context.Service, Context.Operation};
+}
+
 } // namespace
 
+void CallOriginator::adopt(const ServiceName &Service, const HomeSet &Set) {
+  HomeSet &Known = Homes[Service];
+  if (Set.epoch() > Known.epoch())
+    Known = Set;
+}
+
 void CallOriginator::start(RequestId Id, const RequestContext &Context,
-                           Instant Now) {
-  const std::optional<ProcessId> Target = Peers.pick(Context.Service, {}, Now);
-  if (!Target) {
-    Answers.answer(Id, refusal(Context, RefusalReason::NoBackend));
+                           const Origin &From, Instant Now) {
+  Request Value{.Context = Context,
+                .From = From,
+                .Arrived = Now,
+                .Deadline = Now + Context.Remaining,
+                .Budget = AttemptBudget(Context.ExtraAttempts)};
+  Value.Context.CrashCount =
+      std::max(Context.CrashCount, Guard.crashCount(Context.Fingerprint, Now));
+  Deadlines.add(Value.Deadline, Id);
+  const RequestIterator Entry = Requests.emplace(Id, std::move(Value)).first;
+  if (Guard.refuses(Context.Fingerprint, Now)) {
+    conclude(Entry, refusal(Context, RefusalReason::CrashSuspect));
     return;
   }
+  if (From.MayBeResent) {
+    const ResendChoice Choice = Resends.add(Context.Caller, Context.Key,
+                                            static_cast<std::uint64_t>(Id));
+    if (Choice == ResendChoice::Full) {
+      Entry->second.From.MayBeResent = false;
+      conclude(Entry, refusal(Context, RefusalReason::NodeBusy));
+      return;
+    }
+    if (Choice == ResendChoice::Joined) {
+      Entry->second.Joined = true;
+      return;
+    }
+  }
+  ratio(Context.Service).onFirstAttempt();
+  attempt(Entry, Now);
+}
+
+std::optional<ProcessId> CallOriginator::choose(Request &Value, Instant Now) {
+  if (Value.Context.Idempotent)
+    return Peers.pick(Value.Context.Service, Value.Excluded, Now);
+  const auto Known = Homes.find(Value.Context.Service);
+  if (Known == Homes.end())
+    return std::nullopt;
+  const HomeTenure *Home = Known->second.homeOf(Value.Context.Key);
+  Value.Context.HomeEpoch = Known->second.epoch();
+  return Home != nullptr ? std::optional<ProcessId>(Home->Process)
+                         : std::nullopt;
+}
+
+void CallOriginator::attempt(RequestIterator Entry, Instant Now) {
+  Request &Value = Entry->second;
+  const RequestContext &Context = Value.Context;
+  if (!Shedder.admit(targetOf(Context), Context.Rank, Context.Caller.view(),
+                     Now)) {
+    Answer Refused = refusal(Context, RefusalReason::Shed);
+    Refused.LowestAccepted = Shedder.level(targetOf(Context), Now);
+    Refused.DownstreamRefused = true;
+    finish(Entry, Refused);
+    return;
+  }
+  const std::optional<ProcessId> Target = choose(Value, Now);
+  ++Value.Attempts;
+  if (Target)
+    send(Entry, *Target, Now);
+  else
+    failed(Entry,
+           {.Verdict = refusal(Context, RefusalReason::NoBackend).Verdict,
+            .Reason = Context.Idempotent ? RefusalReason::NoBackend
+                                         : RefusalReason::HomeChanging},
+           Now);
+}
+
+void CallOriginator::send(RequestIterator Entry, const ProcessId &Target,
+                          Instant Now) {
+  Request &Value = Entry->second;
   const CallId Call{++LastCall};
-  Request Entry{.Context = Context,
-                .Deadline = Now + Context.Remaining,
-                .Call = Call,
-                .Target = *Target,
-                .SentAt = Now};
-  Deadlines.add(Entry.Deadline, Id);
-  Requests.emplace(Id, std::move(Entry));
-  Calls.emplace(Call, Id);
-  Peers.callStarted(Context.Service, *Target, Now);
-  Out.sendCall(Call, Id, Target->Address, Context);
+  Value.Call = Call;
+  Value.Target = Target;
+  Value.SentAt = Now;
+  Value.Lent = Value.Budget.lend();
+  Calls.emplace(Call, Entry->first);
+  Peers.callStarted(Value.Context.Service, Target, Now);
+  RequestContext Context = Value.Context;
+  Context.Age += Now - Value.Arrived;
+  Context.Remaining = Value.Deadline - Now;
+  Context.ExtraAttempts = Value.Lent;
+  Context.FirstSend = Context.FirstSend && !Value.Uncertain;
+  Out.sendCall(Call, Entry->first, Target.Address, Context);
 }
 
 void CallOriginator::callDone(CallId Call, const CallResult &Result,
@@ -46,18 +152,79 @@
   if (Found == Calls.end())
     return;
   const RequestIterator Entry = Requests.find(Found->second);
-  const Request &Request = Entry->second;
-  Peers.callEnded(Request.Context.Service, Request.Target, callEnd(Result),
-                  Now - Request.SentAt, Now);
-  Answer Value{.Verdict = Result.Verdict,
-               .Reason = Result.Reason,
-               .UnusedAttempts = Result.UnusedAttempts,
-               .LowestAccepted = Result.LowestAccepted};
-  if (Result.Verdict == Verdict::Ran) {
-    Value.Source = BodySource::Call;
-    Value.SourceId = static_cast<std::uint64_t>(Call);
+  Calls.erase(Found);
+  Request &Value = Entry->second;
+  Value.Call.reset();
+  Value.Budget.giveBack(Value.Lent, Result.UnusedAttempts);
+  observe(Value, Result, Now);
+  if (Result.Verdict != Verdict::Ran) {
+    failed(Entry, Result, Now);
+    return;
   }
-  finish(Entry, Value);
+  finish(Entry, {.Verdict = Verdict::Ran,
+                 .Reason = Result.Reason,
+                 .Source = BodySource::Call,
+                 .SourceId = static_cast<std::uint64_t>(Call),
+                 .LowestAccepted = Result.LowestAccepted,
+                 .DownstreamRefused = Result.DownstreamRefused});
+}
+
+void CallOriginator::observe(const Request &Value, const CallResult &Result,
+                             Instant Now) {
+  const RequestContext &Context = Value.Context;
+  Peers.callEnded(Context.Service, Value.Target, callEnd(Result),
+                  Now - Value.SentAt, Now);
+  // A failed connection says nothing about capacity.
+  if (callEnd(Result) == CallEnd::Failed)
+    return;
+  Shedder.observe(
+      {.Target = targetOf(Context),
+       .Peer = Value.Target,
+       .Rank = Context.Rank,
+       .Caller = Context.Caller.view(),
+       .Level = Result.LowestAccepted,
+       .Accepted = !isForCapacity(Result.Reason) && !Result.DownstreamRefused},
+      Now);
+}
+
+void CallOriginator::failed(RequestIterator Entry, const CallResult &Result,
+                            Instant Now) {
+  Request &Value = Entry->second;
+  Value.Uncertain = Value.Uncertain || Result.Verdict == Verdict::MayHaveRun;
+  if (wantsRetry(Value, Result, Now)) {
+    Value.Excluded.push_back(Value.Target);
+    if (!needsWait(Value.Context, Result.Reason)) {
+      attempt(Entry, Now);
+      return;
+    }
+    const std::uint32_t Doublings = std::min(Value.Attempts, MaxDoublings);
+    const Duration Wait = FirstHomeWait * static_cast<double>(1U << Doublings);
+    Repeats.insert({Now + Wait, Entry->first});
+    return;
+  }
+  Answer Final{.Verdict = verdictOf(Value.Context, Result),
+               .Reason = Result.Reason,
+               .LowestAccepted = Result.LowestAccepted,
+               .DownstreamRefused =
+                   Result.DownstreamRefused || isForCapacity(Result.Reason),
+               .RetryAfter = RetryAfterRefusal};
+  finish(Entry, Final);
+}
+
+bool CallOriginator::wantsRetry(Request &Value, const CallResult &Result,
+                                Instant Now) {
+  const RequestContext &Context = Value.Context;
+  // A refusal or failure that a deeper hop saw reaches this node as the answer
+  // of the backend server between, so all that arrives here is direct.
+  const AttemptFailure Failure{
+      .Verdict = Result.Verdict,
+      .Reason = Result.Reason,
+      .Idempotent = Context.Idempotent,
+      .Direct = true,
+      .Remaining = Value.Deadline - Now,
+      .ExpectedDuration = Peers.expectedLatency(Context.Service, Value.Target)};
+  return RetryPolicy::decide(Failure, Value.Budget, ratio(Context.Service)) ==
+         RetryChoice::Retry;
 }
 
 void CallOriginator::cancel(RequestId Id, Instant Now) {
@@ -65,29 +232,84 @@
 }
 
 void CallOriginator::tick(Instant Now) {
+  while (!Repeats.empty() && Repeats.begin()->Time <= Now) {
+    const RequestId Id = Repeats.begin()->Id;
+    Repeats.erase(Repeats.begin());
+    const RequestIterator Entry = Requests.find(Id);
+    if (Entry != Requests.end() && !Entry->second.Call)
+      attempt(Entry, Now);
+  }
   while (const std::optional<RequestId> Id = Deadlines.takeDue(Now))
     giveUp(*Id, RefusalReason::Deadline, Now);
 }
 
+Instant CallOriginator::nextDeadline() const {
+  const Instant Next = Deadlines.next();
+  return Repeats.empty() ? Next : std::min(Next, Repeats.begin()->Time);
+}
+
 void CallOriginator::giveUp(RequestId Id, RefusalReason Reason, Instant Now) {
   const RequestIterator Entry = Requests.find(Id);
   if (Entry == Requests.end())
     return;
-  const Request &Request = Entry->second;
-  const bool IsLate = Reason == RefusalReason::Deadline;
-  Peers.callEnded(Request.Context.Service, Request.Target,
-                  IsLate ? CallEnd::Failed : CallEnd::Cancelled,
-                  Now - Request.SentAt, Now);
-  Out.cancelCall(Request.Call);
-  finish(Entry, {.Verdict = Verdict::MayHaveRun, .Reason = Reason});
+  Request &Value = Entry->second;
+  if (Value.Joined) {
+    Resends.abandon(Value.Context.Caller, Value.Context.Key,
+                    static_cast<std::uint64_t>(Id));
+    Value.From.MayBeResent = false;
+    conclude(Entry, {.Verdict = Verdict::MayHaveRun, .Reason = Reason});
+    return;
+  }
+  Answer Final = refusal(Value.Context, Reason);
+  if (Value.Call) {
+    const bool IsLate = Reason == RefusalReason::Deadline;
+    Peers.callEnded(Value.Context.Service, Value.Target,
+                    IsLate ? CallEnd::Failed : CallEnd::Cancelled,
+                    Now - Value.SentAt, Now);
+    Out.cancelCall(*Value.Call);
+    Calls.erase(*Value.Call);
+    Final.Verdict = Verdict::MayHaveRun;
+  }
+  finish(Entry, Final);
 }
 
-void CallOriginator::finish(RequestIterator Entry, const Answer &Value) {
+void CallOriginator::finish(RequestIterator Entry, Answer Value) {
+  const Request &Sent = Entry->second;
+  if (Value.Verdict == Verdict::NotRun && Sent.Uncertain)
+    Value.Verdict = Verdict::MayHaveRun;
+  if (!Sent.From.MayBeResent) {
+    conclude(Entry, Value);
+    return;
+  }
+  for (std::uint64_t Id :
+       Resends.finish(Sent.Context.Caller, Sent.Context.Key)) {
+    const RequestIterator Joined = Requests.find(RequestId{Id});
+    if (Joined == Requests.end() || Joined == Entry)
+      continue;
+    Answer Own = Value;
+    if (Value.Verdict == Verdict::NotRun)
+      Own.Verdict = refusal(Joined->second.Context, Value.Reason).Verdict;
+    conclude(Joined, Own);
+  }
+  conclude(Entry, Value);
+}
+
+void CallOriginator::conclude(RequestIterator Entry, const Answer &Value) {
   const RequestId Id = Entry->first;
-  Deadlines.remove(Entry->second.Deadline, Id);
-  Calls.erase(Entry->second.Call);
+  const Request Done = std::move(Entry->second);
+  Deadlines.remove(Done.Deadline, Id);
   Requests.erase(Entry);
+  if (Done.From.Parent)
+    Server.nestedDone({.Parent = *Done.From.Parent,
+                       .Lent = Done.Context.ExtraAttempts,
+                       .Returned = Done.Budget.available(),
+                       .LowestAccepted = Value.LowestAccepted,
+                       .RefusedForCapacity = Value.DownstreamRefused});
   Answers.answer(Id, Value);
 }
 
+RetryRatio &CallOriginator::ratio(const ServiceName &Service) {
+  return Ratios.try_emplace(Service, RatioOfRetries).first->second;
+}
+
 } // namespace camphorpin::detail
--- a/packages/decision/camphorpin/src/Engine/CallOriginator.h
+++ b/packages/decision/camphorpin/src/Engine/CallOriginator.h
@@ -1,27 +1,53 @@
 #ifndef CAMPHORPIN_SRC_ENGINE_CALLORIGINATOR_H
 #define CAMPHORPIN_SRC_ENGINE_CALLORIGINATOR_H
 
+#include "camphorpin/Admission.h"
+#include "camphorpin/Crash.h"
+#include "camphorpin/Retry.h"
 #include "camphorpin/src/Engine/Actions.h"
 #include "camphorpin/src/Engine/AnswerGate.h"
+#include "camphorpin/src/Engine/CallServer.h"
 #include "camphorpin/src/Engine/DeadlineQueue.h"
 #include "camphorpin/src/Engine/MemberDirectory.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
 #include <unordered_map>
+#include <vector>
 
 namespace camphorpin::detail {
 
+/// \class Origin
+/// \brief Where a request came from.
+struct Origin {
+  /// The running request that makes the call, if there is one.
+  std::optional<RequestId> Parent;
+  /// The sender may send the same key again, so that sends must be joined.
+  bool MayBeResent = false;
+};
+
 /// \class CallOriginator
-/// \brief The requests that entered here and were sent on to other nodes.
+/// \brief The requests that entered here and are sent on to other nodes.
 class CallOriginator {
 public:
-  CallOriginator(Actions &Out, AnswerGate &Answers, MemberDirectory &Peers)
-      : Out(Out), Answers(Answers), Peers(Peers) {}
+  CallOriginator(Actions &Out, AnswerGate &Answers, MemberDirectory &Peers,
+                 CallServer &Server, const CrashGuard &Guard)
+      : Out(Out), Answers(Answers), Peers(Peers), Server(Server), Guard(Guard),
+        Resends(MaxKeys, MaxJoined) {}
+
+  /// Adopts the mesh policy.
+  void applyPolicy(const MeshPolicy &Mesh) { RatioOfRetries = Mesh.RetryRatio; }
+
+  /// Takes over a home set. Keyed requests go to the home of their key.
+  void adopt(const ServiceName &Service, const HomeSet &Set);
 
   /// Sends a request to a node beside a backend server of its service. It is
   /// answered now or later, exactly once.
-  void start(RequestId Id, const RequestContext &Context, Instant Now);
+  void start(RequestId Id, const RequestContext &Context, const Origin &From,
+             Instant Now);
 
   /// A call has ended. An unknown or repeated id is ignored.
   void callDone(CallId Call, const CallResult &Result, Instant Now);
@@ -29,31 +55,70 @@
   /// Nobody waits for the answer any longer.
   void cancel(RequestId Id, Instant Now);
 
-  /// Answers the requests whose deadline has passed.
+  /// Answers the requests whose deadline has passed and repeats calls.
   void tick(Instant Now);
 
-  Instant nextDeadline() const { return Deadlines.next(); }
+  Instant nextDeadline() const;
   std::size_t inProgress() const { return Requests.size(); }
 
 private:
+  /// Bounds of the table of sends that may be joined.
+  static constexpr std::size_t MaxKeys = 16384;
+  static constexpr std::size_t MaxJoined = 16;
+
   struct Request {
     RequestContext Context;
+    Origin From;
+    Instant Arrived;
     Instant Deadline;
-    CallId Call{};
+    AttemptBudget Budget{0};
+    /// Set while this send waits for the answer to another one of its key.
+    bool Joined = false;
+    /// An attempt may have run.
+    bool Uncertain = false;
+    /// The call that is under way, or none during a wait between attempts.
+    std::optional<CallId> Call;
     ProcessId Target;
     Instant SentAt;
+    std::uint8_t Lent = 0;
+    std::uint32_t Attempts = 0;
+    /// Nodes that failed or refused an idempotent request.
+    std::vector<ProcessId> Excluded;
+  };
+
+  struct Repeat {
+    Instant Time;
+    RequestId Id{};
+    auto operator<=>(const Repeat &) const = default;
   };
 
   using RequestIterator = std::unordered_map<RequestId, Request>::iterator;
 
-  void finish(RequestIterator Entry, const Answer &Value);
+  std::optional<ProcessId> choose(Request &Value, Instant Now);
+  void attempt(RequestIterator Entry, Instant Now);
+  void send(RequestIterator Entry, const ProcessId &Target, Instant Now);
+  void failed(RequestIterator Entry, const CallResult &Result, Instant Now);
+  bool wantsRetry(Request &Value, const CallResult &Result, Instant Now);
+  void observe(const Request &Value, const CallResult &Result, Instant Now);
   void giveUp(RequestId Id, RefusalReason Reason, Instant Now);
+  void finish(RequestIterator Entry, Answer Value);
+  void conclude(RequestIterator Entry, const Answer &Value);
+  RetryRatio &ratio(const ServiceName &Service);
 
   Actions &Out;
   AnswerGate &Answers;
   MemberDirectory &Peers;
+  CallServer &Server;
+  const CrashGuard &Guard;
+  UpstreamShedder Shedder;
+  ResendTable Resends;
+  double RatioOfRetries = 0.1;
+  /// One for each service that was called; bounded by the policy documents.
+  std::map<ServiceName, RetryRatio> Ratios;
+  std::map<ServiceName, HomeSet> Homes;
   std::unordered_map<RequestId, Request> Requests;
   std::unordered_map<CallId, RequestId> Calls;
+  std::set<Repeat> Repeats;
   DeadlineQueue Deadlines;
   std::uint64_t LastCall = 0;
 };
--- a/packages/decision/camphorpin/src/Engine/CallServer.cpp
+++ b/packages/decision/camphorpin/src/Engine/CallServer.cpp
@@ -1,81 +1,408 @@
 #include "camphorpin/src/Engine/CallServer.h"
 
+#include "camphorpin/src/Engine/Refusal.h"
+
+#include <algorithm>
 #include <utility>
 
 namespace camphorpin::detail {
 
-void CallServer::accept(RequestId Id, const RequestContext &Context,
-                        Instant Now) {
-  if (Context.Service != Service) {
-    Answers.answer(Id, {.Reason = RefusalReason::NoBackend});
+namespace {
+
+constexpr Duration MemberUpdatePeriod = Duration::seconds(1);
+
+std::uint64_t numberOf(RequestId Id) { return static_cast<std::uint64_t>(Id); }
+
+AdmissionOutcome outcomeOf(const BackendResult &Result) {
+  if (Result.Verdict == Verdict::Ran)
+    return AdmissionOutcome::Completed;
+  if (Result.Reason == RefusalReason::BackendShed)
+    return AdmissionOutcome::BackendShed;
+  return Result.Reason == RefusalReason::Cancelled ? AdmissionOutcome::Cancelled
+                                                   : AdmissionOutcome::Failed;
+}
+
+} // namespace
+
+CallServer::CallServer(const ServiceName &Service, Actions &Out,
+                       AnswerGate &Answers, CrashGuard &Guard,
+                       const MemberDirectory &Members, const Clock &Time)
+    : Service(Service), Out(Out), Answers(Answers), Guard(Guard),
+      Members(Members), Time(Time) {}
+
+void CallServer::applyPolicy(const MeshPolicy &Mesh,
+                             const ServicePolicy &Policy) {
+  const Instant Now = Time.now();
+  if (Admission) {
+    Admission->applyMeshPolicy(Mesh, Now);
+    Admission->applyServicePolicy(Policy, Now);
+    settle();
+    return;
+  }
+  AdmissionListener &Admissions = *this;
+  ClaimListener &Decisions = *this;
+  Admission =
+      std::make_unique<AdmissionController>(Mesh, Policy, Admissions, Now);
+  Limits.KeyRetention = Mesh.KeyRetention;
+  Limits.LogSilenceBound =
+      Policy.LogSilenceBound.value_or(Mesh.LogSilenceBound);
+  Claims = std::make_unique<ClaimGate>(Service, Decisions, Out, Members, Time);
+  renew();
+}
+
+void CallServer::renew() {
+  if (!Claims)
+    return;
+  // Keys that the earlier identity claimed are no longer this node's to close.
+  std::vector<RequestId> Undecided;
+  for (auto &[Id, Entry] : Calls) {
+    Entry.Claimed = false;
+    if (Entry.State == Phase::Claiming || Entry.State == Phase::Joined)
+      Undecided.push_back(Id);
+  }
+  for (RequestId Id : Undecided) {
+    Answers.answer(Id, {.Verdict = Verdict::MayHaveRun,
+                        .Reason = RefusalReason::HomeChanging});
+    erase(Calls.find(Id));
+  }
+  Joined.clear();
+  Claims->start(Members.members().self().Process, Limits);
+  if (Homes.epoch() > 0)
+    Claims->adopt(Homes);
+  if (LogReadAt)
+    Claims->onLogRead(*LogReadAt);
+}
+
+void CallServer::accept(RequestId Id, const RequestContext &Context) {
+  const Instant Now = Time.now();
+  if (Context.Service != Service || !Admission) {
+    Answers.answer(Id, refusal(Context, RefusalReason::NoBackend));
     return;
   }
   if (Context.Remaining <= Duration()) {
-    Answers.answer(Id, {.Reason = RefusalReason::Deadline});
+    Answers.answer(Id, refusal(Context, RefusalReason::Deadline));
     return;
   }
-  Call Entry{
-      .Context = Context, .Arrived = Now, .Deadline = Now + Context.Remaining};
-  Deadlines.add(Entry.Deadline, Id);
-  Calls.emplace(Id, std::move(Entry));
-  Out.startBackend(Id, Context);
+  const Instant Deadline = Now + Context.Remaining;
+  Deadlines.add(Deadline, Id);
+  const CallIterator Entry =
+      Calls
+          .emplace(Id, Call{.Context = Context,
+                            .Arrived = Now,
+                            .Deadline = Deadline,
+                            .Children = RunningParent(Context.ExtraAttempts)})
+          .first;
+  if (Context.Idempotent)
+    admit(Entry);
+  else
+    Claims->send(Id, Context, Deadline);
+  settle();
 }
 
-void CallServer::finished(RequestId Id, const BackendResult &Result,
-                          Instant /*Now*/) {
-  const auto Found = Calls.find(Id);
-  if (Found == Calls.end())
+void CallServer::claimDecided(RequestId Id, const ClaimDecision &Decision) {
+  const CallIterator Entry = Calls.find(Id);
+  if (Entry == Calls.end())
     return;
-  Answer Value{.Verdict = Result.Verdict, .Reason = Result.Reason};
+  switch (Decision.Outcome) {
+  case ClaimOutcome::Run:
+    Entry->second.Claimed = true;
+    admit(Entry);
+    break;
+  case ClaimOutcome::Join:
+    Entry->second.State = Phase::Joined;
+    Joined[Entry->second.Context.Key].push_back(Id);
+    break;
+  case ClaimOutcome::Answer:
+    concludeClaim(Entry, {.Verdict = Verdict::Ran,
+                          .Source = BodySource::Stored,
+                          .SourceId = Decision.Answer});
+    break;
+  case ClaimOutcome::Refuse:
+    concludeClaim(Entry, {.Verdict = Decision.Verdict,
+                          .Reason = Decision.Reason,
+                          .UnusedAttempts = Entry->second.Context.ExtraAttempts,
+                          .RetryAfter = RetryAfterRefusal});
+    break;
+  }
+}
+
+void CallServer::concludeClaim(CallIterator Entry, const Answer &Value) {
+  const RequestKey Key = Entry->second.Context.Key;
+  Answers.answer(Entry->first, Value);
+  erase(Entry);
+  // Sends that joined this one while it waited share its fate.
+  answerJoined(Key, Value);
+}
+
+void CallServer::admit(CallIterator Entry) {
+  const Instant Now = Time.now();
+  Call &Value = Entry->second;
+  Value.State = Phase::Queued;
+  // The time that a claim took counts as time spent.
+  RequestContext Current = Value.Context;
+  Current.Age += Now - Value.Arrived;
+  Current.Remaining = Value.Deadline - Now;
+  Admission->offer(AdmissionRequest::from(numberOf(Entry->first), Current),
+                   Now);
+}
+
+void CallServer::start(std::uint64_t Id) {
+  Decided.push_back({Verdicts::Kind::Start, RequestId{Id}});
+}
+
+void CallServer::refuse(std::uint64_t Id, RefusalReason Reason) {
+  Decided.push_back({Verdicts::Kind::Refuse, RequestId{Id}, Reason});
+}
+
+void CallServer::cancelRunning(std::uint64_t Id) {
+  Decided.push_back({Verdicts::Kind::Cancel, RequestId{Id}});
+}
+
+void CallServer::settle() {
+  if (std::exchange(Settling, true))
+    return;
+  while (!Decided.empty()) {
+    const Verdicts Next = Decided.front();
+    Decided.pop_front();
+    const CallIterator Entry = Calls.find(Next.Id);
+    if (Entry == Calls.end())
+      continue;
+    if (Next.What == Verdicts::Kind::Start)
+      run(Entry);
+    else if (Next.What == Verdicts::Kind::Refuse)
+      refuseBeforeRun(Entry, Next.Reason);
+    else
+      Out.cancelBackend(Next.Id);
+  }
+  Settling = false;
+  if (Admission)
+    Answers.setLowestAccepted(Admission->sheddingLevel());
+}
+
+void CallServer::run(CallIterator Entry) {
+  const Instant Now = Time.now();
+  const RequestId Id = Entry->first;
+  Call &Value = Entry->second;
+  const CrashChoice Choice = Guard.start(
+      numberOf(Id), Value.Context.Fingerprint, Value.Context.CrashCount, Now);
+  if (Choice != CrashChoice::Start) {
+    const RefusalReason Reason = Choice == CrashChoice::Refuse
+                                     ? RefusalReason::CrashSuspect
+                                     : RefusalReason::BackendShed;
+    Admission->finished(numberOf(Id), AdmissionOutcome::Cancelled, Now);
+    refuseBeforeRun(Entry, Reason);
+    return;
+  }
+  Value.State = Phase::Running;
+  RequestContext Current = Value.Context;
+  Current.Age += Now - Value.Arrived;
+  Current.Remaining = Value.Deadline - Now;
+  Out.startBackend(Id, Current);
+}
+
+void CallServer::refuseBeforeRun(CallIterator Entry, RefusalReason Reason) {
+  const Call &Value = Entry->second;
+  if (Value.Override != RefusalReason::None)
+    Reason = Value.Override;
+  Answers.answer(Entry->first, {.Verdict = Verdict::NotRun,
+                                .Reason = Reason,
+                                .UnusedAttempts = Value.Context.ExtraAttempts,
+                                .RetryAfter = RetryAfterRefusal});
+  const RequestKey Key = Value.Context.Key;
+  const bool Claimed = Value.Claimed;
+  erase(Entry);
+  if (!Claimed)
+    return;
+  answerJoined(Key, {.Verdict = Verdict::NotRun, .Reason = Reason});
+  Claims->release(Key);
+}
+
+void CallServer::answerJoined(const RequestKey &Key, const Answer &Value) {
+  const auto Found = Joined.find(Key);
+  if (Found == Joined.end())
+    return;
+  const std::vector<RequestId> Ids = std::move(Found->second);
+  Joined.erase(Found);
+  for (RequestId Id : Ids) {
+    const CallIterator Entry = Calls.find(Id);
+    if (Entry == Calls.end())
+      continue;
+    Answer Own = Value;
+    if (Value.Verdict == Verdict::NotRun)
+      Own.Verdict = ClaimHome::refusalVerdict(Entry->second.Context.FirstSend);
+    Answers.answer(Id, Own);
+    erase(Entry);
+  }
+}
+
+void CallServer::finished(RequestId Id, const BackendResult &Result) {
+  const CallIterator Entry = Calls.find(Id);
+  if (Entry == Calls.end() || Entry->second.State != Phase::Running)
+    return;
+  const Instant Now = Time.now();
+  noteServer(Result);
+  Guard.end(numberOf(Id), Result.Verdict == Verdict::Ran, Now);
+  const Call &Value = Entry->second;
+  Admission->finished(numberOf(Id), outcomeOf(Result), Now,
+                      Value.Children.downstream(Now));
+  Answer Reply{.Verdict = Result.Verdict,
+               .Reason = Result.Reason,
+               .UnusedAttempts = Value.Children.unusedAttempts(),
+               .LowestAccepted = Value.Children.level(),
+               .DownstreamRefused = Value.Children.refused()};
   if (Result.Verdict == Verdict::Ran) {
-    Value.Source = BodySource::Backend;
-    Value.SourceId = static_cast<std::uint64_t>(Id);
+    Reply.Source = BodySource::Backend;
+    Reply.SourceId = numberOf(Id);
+  }
+  Answers.answer(Id, Reply);
+  if (Value.Claimed) {
+    answerJoined(Value.Context.Key, Reply);
+    closeClaim(Entry, Result);
+  }
+  erase(Entry);
+  settle();
+}
+
+void CallServer::closeClaim(CallIterator Entry, const BackendResult &Result) {
+  const RequestKey Key = Entry->second.Context.Key;
+  switch (Result.Verdict) {
+  case Verdict::Ran:
+    Out.keepAnswer(Entry->first);
+    Claims->finish(Key, Entry->first, Result.AnswerBytes);
+    break;
+  case Verdict::MayHaveRun:
+    Claims->fail(Key);
+    break;
+  case Verdict::NotRun:
+    Claims->release(Key);
+    break;
+  }
+}
+
+void CallServer::noteServer(const BackendResult &Result) {
+  const Instant Now = Time.now();
+  if (Result.ServerDown && !std::exchange(ServerDown, true)) {
+    Out.logEvent(LogEvent::BackendCrashed,
+                 {{"running", std::to_string(Admission->running())}});
+    Guard.onBackendCrash(Now);
+  }
+  if (Result.Verdict == Verdict::Ran && std::exchange(ServerDown, false)) {
+    Out.logEvent(LogEvent::BackendRecovered, {});
+    Admission->backendRestarted(Now);
   }
-  Deadlines.remove(Found->second.Deadline, Id);
-  Answers.answer(Id, Value);
-  Calls.erase(Found);
 }
 
 void CallServer::cancel(RequestId Id) {
-  const auto Found = Calls.find(Id);
-  if (Found == Calls.end() || !Answers.isOpen(Id))
+  const CallIterator Entry = Calls.find(Id);
+  // A non-idempotent run goes on, so that a resend can join it.
+  if (Entry == Calls.end() || !Entry->second.Context.Idempotent)
     return;
-  Out.cancelBackend(Id);
-  Answers.answer(
-      Id, {.Verdict = Verdict::MayHaveRun, .Reason = RefusalReason::Cancelled});
+  if (Entry->second.State == Phase::Running)
+    Answers.answer(Id, {.Verdict = Verdict::MayHaveRun,
+                        .Reason = RefusalReason::Cancelled});
+  Admission->cancelled(numberOf(Id), Time.now());
+  settle();
 }
 
 void CallServer::tick(Instant Now) {
+  if (!Admission)
+    return;
+  Claims->tick(Now);
+  Admission->tick(Now);
+  if (Now >= NextMemberUpdate) {
+    NextMemberUpdate = Now + MemberUpdatePeriod;
+    Claims->updateMembers();
+  }
+  settle();
   while (const std::optional<RequestId> Id = Deadlines.takeDue(Now)) {
-    const auto Found = Calls.find(*Id);
-    if (Found == Calls.end() || !Answers.isOpen(*Id))
-      continue;
-    Out.cancelBackend(*Id);
-    Answers.answer(*Id, {.Verdict = Verdict::MayHaveRun,
-                         .Reason = RefusalReason::Deadline});
+    const CallIterator Entry = Calls.find(*Id);
+    if (Entry != Calls.end())
+      expire(Entry);
   }
+  settle();
+}
+
+void CallServer::expire(CallIterator Entry) {
+  const RequestId Id = Entry->first;
+  Call &Value = Entry->second;
+  switch (Value.State) {
+  case Phase::Running:
+    Answers.answer(Id, {.Verdict = Verdict::MayHaveRun,
+                        .Reason = RefusalReason::Deadline});
+    if (Value.Context.Idempotent)
+      Admission->cancelled(numberOf(Id), Time.now());
+    break;
+  case Phase::Queued:
+    Value.Override = RefusalReason::Deadline;
+    Admission->cancelled(numberOf(Id), Time.now());
+    break;
+  case Phase::Joined:
+    Answers.answer(Id, {.Verdict = Verdict::MayHaveRun,
+                        .Reason = RefusalReason::Deadline});
+    leaveJoined(Value.Context.Key, Id);
+    erase(Entry);
+    break;
+  case Phase::Claiming:
+    // The claims refuse it themselves when its deadline has passed.
+    break;
+  }
+}
+
+void CallServer::leaveJoined(const RequestKey &Key, RequestId Id) {
+  const auto Found = Joined.find(Key);
+  if (Found == Joined.end())
+    return;
+  std::erase(Found->second, Id);
+  if (Found->second.empty())
+    Joined.erase(Found);
+}
+
+void CallServer::erase(CallIterator Entry) {
+  Deadlines.remove(Entry->second.Deadline, Entry->first);
+  Calls.erase(Entry);
+}
+
+void CallServer::adopt(const HomeSet &Set) {
+  if (Set.epoch() <= Homes.epoch())
+    return;
+  Homes = Set;
+  if (Claims)
+    Claims->adopt(Set);
+  settle();
+}
+
+void CallServer::onLogRead(Instant SentAt) {
+  LogReadAt = SentAt;
+  if (Claims)
+    Claims->onLogRead(SentAt);
+  settle();
+}
+
+void CallServer::onClaimMessage(const ProcessId &To,
+                                const ClaimMessage &Message) {
+  if (Claims)
+    Claims->onMessage(To, Message);
+  settle();
 }
 
 std::optional<NestedCall> CallServer::nest(RequestId Parent,
                                            const std::string &Target,
-                                           const std::string &Step,
-                                           Instant Now) {
-  const auto Found = Calls.find(Parent);
-  if (Found == Calls.end())
-    return std::nullopt;
-  Call &Entry = Found->second;
-  if (Entry.Children.size() >= MaxChildren)
+                                           const std::string &Step) {
+  const CallIterator Entry = Calls.find(Parent);
+  if (Entry == Calls.end() || Entry->second.State != Phase::Running)
     return std::nullopt;
-  const std::string Label =
-      Step.empty() ? std::to_string(Entry.Ordinals[Target]++) : Step;
-  NestedCall Nested;
-  Nested.Parent = Entry.Context;
-  Nested.Parent.Age += Now - Entry.Arrived;
-  Nested.Parent.Remaining = Entry.Deadline - Now;
-  Nested.Key = Entry.Context.Key.child(Target, Label);
-  const bool IsNew = Entry.Children.insert(Nested.Key).second;
-  Nested.FirstSend = IsNew && Entry.Context.FirstSend;
-  return Nested;
+  const Instant Now = Time.now();
+  Call &Value = Entry->second;
+  RequestContext Current = Value.Context;
+  Current.Age += Now - Value.Arrived;
+  Current.Remaining = Value.Deadline - Now;
+  return Value.Children.begin(Current, Target, Step, Now);
+}
+
+void CallServer::nestedDone(const NestedOutcome &Outcome) {
+  const CallIterator Entry = Calls.find(Outcome.Parent);
+  if (Entry != Calls.end())
+    Entry->second.Children.end(Outcome, Time.now());
 }
 
 } // namespace camphorpin::detail
--- a/packages/decision/camphorpin/src/Engine/CallServer.h
+++ b/packages/decision/camphorpin/src/Engine/CallServer.h
@@ -1,74 +1,144 @@
 #ifndef CAMPHORPIN_SRC_ENGINE_CALLSERVER_H
 #define CAMPHORPIN_SRC_ENGINE_CALLSERVER_H
 
+#include "camphorpin/Admission.h"
+#include "camphorpin/Crash.h"
+#include "camphorpin/Retry.h"
 #include "camphorpin/src/Engine/Actions.h"
 #include "camphorpin/src/Engine/AnswerGate.h"
+#include "camphorpin/src/Engine/ClaimGate.h"
 #include "camphorpin/src/Engine/DeadlineQueue.h"
+#include "camphorpin/src/Engine/NestedCall.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
+#include <vector>
 
 namespace camphorpin::detail {
 
-/// \class NestedCall
-/// \brief What a call inherits from the running request that makes it.
-struct NestedCall {
-  RequestContext Parent;
-  RequestKey Key;
-  /// No earlier send of this key can have reached another node.
-  bool FirstSend = false;
-};
-
 /// \class CallServer
 /// \brief The calls that other nodes sent to the local backend server.
-class CallServer {
+///
+/// A non-idempotent call is claimed first, because only the home knows whether
+/// its key ran before; then it is admitted like any other. A call that is
+/// refused before it runs gives its claim back.
+class CallServer final : private AdmissionListener, private ClaimListener {
 public:
-  CallServer(Actions &Out, AnswerGate &Answers, ServiceName Service)
-      : Out(Out), Answers(Answers), Service(std::move(Service)) {}
+  /// \param Out, Answers, Guard, Members and Time must outlive the server.
+  CallServer(const ServiceName &Service, Actions &Out, AnswerGate &Answers,
+             CrashGuard &Guard, const MemberDirectory &Members,
+             const Clock &Time);
+
+  /// Adopts policies. Calls are accepted once this was called.
+  void applyPolicy(const MeshPolicy &Mesh, const ServicePolicy &Policy);
+
+  /// The node has got another identity and starts its claims anew.
+  void renew();
 
   /// Takes a call. It is answered now or later, exactly once.
-  void accept(RequestId Id, const RequestContext &Context, Instant Now);
+  void accept(RequestId Id, const RequestContext &Context);
 
   /// The run has ended. An unknown or repeated id is ignored.
-  void finished(RequestId Id, const BackendResult &Result, Instant Now);
+  void finished(RequestId Id, const BackendResult &Result);
 
   /// Nobody waits for the answer any longer.
   void cancel(RequestId Id);
 
-  /// Answers the calls whose deadline has passed.
+  void adopt(const HomeSet &Set);
+  void onLogRead(Instant SentAt);
+  void onClaimMessage(const ProcessId &To, const ClaimMessage &Message);
+
   void tick(Instant Now);
 
   /// \returns what a call made by the running request \p Parent inherits, or
-  /// nothing if that request does not run.
+  /// nothing if that request does not run. nestedDone() must follow.
   std::optional<NestedCall> nest(RequestId Parent, const std::string &Target,
-                                 const std::string &Step, Instant Now);
+                                 const std::string &Step);
+
+  /// A call that nest() allowed has ended.
+  void nestedDone(const NestedOutcome &Outcome);
 
   Instant nextDeadline() const { return Deadlines.next(); }
   std::size_t inProgress() const { return Calls.size(); }
 
+  /// \returns true if the node may exit without loss of knowledge. A node that
+  /// never read a home set has claimed nothing.
+  bool mayLeave() const {
+    return !Claims || Homes.epoch() == 0 || Claims->mayLeave();
+  }
+
+  /// \returns the claims, or null before a policy is known.
+  const ClaimGate *claims() const { return Claims.get(); }
+  const AdmissionController *admission() const { return Admission.get(); }
+
 private:
-  /// The largest number of different calls of one run whose order is kept.
-  static constexpr std::size_t MaxChildren = 1024;
+  enum class Phase : std::uint8_t { Claiming, Joined, Queued, Running };
 
   struct Call {
     RequestContext Context;
     Instant Arrived;
     Instant Deadline;
-    /// Calls made so far, by target.
-    std::map<std::string, std::uint32_t> Ordinals;
-    std::unordered_set<RequestKey> Children;
+    Phase State = Phase::Claiming;
+    /// The claim is held and must be finished, failed or released.
+    bool Claimed = false;
+    /// Overrides the reason of a refusal by admission control.
+    RefusalReason Override = RefusalReason::None;
+    RunningParent Children;
+  };
+  using CallIterator = std::unordered_map<RequestId, Call>::iterator;
+
+  /// What admission control decided about a call.
+  struct Verdicts {
+    enum class Kind : std::uint8_t { Start, Refuse, Cancel };
+    Kind What = Kind::Start;
+    RequestId Id{};
+    RefusalReason Reason = RefusalReason::None;
   };
 
+  void start(std::uint64_t Id) override;
+  void refuse(std::uint64_t Id, RefusalReason Reason) override;
+  void cancelRunning(std::uint64_t Id) override;
+  void claimDecided(RequestId Id, const ClaimDecision &Decision) override;
+
+  /// Carries out what admission control decided, until nothing is left. It must
+  /// not be called back from within its decisions.
+  void settle();
+  void run(CallIterator Entry);
+  void admit(CallIterator Entry);
+  void refuseBeforeRun(CallIterator Entry, RefusalReason Reason);
+  void answerJoined(const RequestKey &Key, const Answer &Value);
+  void leaveJoined(const RequestKey &Key, RequestId Id);
+  void concludeClaim(CallIterator Entry, const Answer &Value);
+  void closeClaim(CallIterator Entry, const BackendResult &Result);
+  void noteServer(const BackendResult &Result);
+  void expire(CallIterator Entry);
+  void erase(CallIterator Entry);
+
+  ServiceName Service;
   Actions &Out;
   AnswerGate &Answers;
-  ServiceName Service;
+  CrashGuard &Guard;
+  const MemberDirectory &Members;
+  const Clock &Time;
+  std::unique_ptr<AdmissionController> Admission;
+  std::unique_ptr<ClaimGate> Claims;
+  ClaimOptions Limits;
+  HomeSet Homes;
+  std::optional<Instant> LogReadAt;
   std::unordered_map<RequestId, Call> Calls;
+  std::map<RequestKey, std::vector<RequestId>> Joined;
   DeadlineQueue Deadlines;
+  std::deque<Verdicts> Decided;
+  bool Settling = false;
+  /// The backend server has crashed and no run has completed since.
+  bool ServerDown = false;
+  Instant NextMemberUpdate;
 };
 
 } // namespace camphorpin::detail
--- /dev/null
+++ b/packages/decision/camphorpin/src/Engine/ClaimGate.cpp
@@ -0,0 +1,120 @@
+#include "camphorpin/src/Engine/ClaimGate.h"
+
+#include "camphorpin/src/Engine/HomeDocuments.h"
+
+#include <type_traits>
+#include <variant>
+#include <vector>
+
+namespace camphorpin::detail {
+
+namespace {
+
+HomeMemberState homeMemberState(MemberState Value) {
+  if (Value == MemberState::Leaving)
+    return HomeMemberState::Leaving;
+  const bool Ended = Value == MemberState::Dead || Value == MemberState::Left;
+  return Ended ? HomeMemberState::Dead : HomeMemberState::Alive;
+}
+
+} // namespace
+
+ClaimGate::Roles::Roles(const ProcessId &Self, const ClaimOptions &Options,
+                        ClaimGate &Owner)
+    : Home(Self, Options, Owner, Owner, Owner.Time),
+      Mirror(Self, Options, Owner, Owner.Time),
+      Keeper(Self, KeeperOptions(), Options, Owner, Owner) {}
+
+ClaimGate::ClaimGate(const ServiceName &Service, ClaimListener &Listener,
+                     Actions &Out, const MemberDirectory &Members,
+                     const Clock &Time)
+    : Service(Service), Listener(Listener), Out(Out), Members(Members),
+      Time(Time) {}
+
+void ClaimGate::start(const ProcessId &Self, const ClaimOptions &Options) {
+  this->Self = Self;
+  Parts = std::make_unique<Roles>(Self, Options, *this);
+}
+
+void ClaimGate::send(RequestId Id, const RequestContext &Context,
+                     Instant Deadline) {
+  Parts->Home.onSend({.Id = static_cast<SendId>(Id),
+                      .Key = Context.Key,
+                      .FirstSend = Context.FirstSend,
+                      .SenderEpoch = Context.HomeEpoch,
+                      .Deadline = Deadline});
+}
+
+void ClaimGate::finish(const RequestKey &Key, RequestId Run,
+                       std::uint64_t Bytes) {
+  Parts->Home.finish(Key, static_cast<AnswerId>(Run), Bytes);
+}
+
+void ClaimGate::adopt(const HomeSet &Set) {
+  // The mirror is fenced first, so that it accepts nothing of an epoch that
+  // this node as a home already regards as over.
+  Parts->Mirror.adopt(Set);
+  Parts->Home.adopt(Set);
+  Parts->Keeper.onHomeSet(Set, Time.now());
+}
+
+void ClaimGate::onMessage(const ProcessId &To, const ClaimMessage &Message) {
+  if (To != Self)
+    return;
+  std::visit(
+      [this](const auto &Value) {
+        using Type = std::decay_t<decltype(Value)>;
+        constexpr bool ForMirror = std::is_same_v<Type, CopyClaim> ||
+                                   std::is_same_v<Type, ReleaseClaim> ||
+                                   std::is_same_v<Type, SyncPage>;
+        if constexpr (ForMirror) {
+          Parts->Mirror.onMessage(Value);
+        } else if constexpr (std::is_same_v<Type, ResolveRequest>) {
+          if (Value.LinkSince == 0)
+            Parts->Home.onMessage(Value);
+          else
+            Parts->Mirror.onMessage(Value);
+        } else {
+          Parts->Home.onMessage(Value);
+        }
+      },
+      Message);
+}
+
+void ClaimGate::updateMembers() {
+  std::vector<HomeMember> Result;
+  const MemberTable &Table = Members.members().table();
+  for (const HostAddress &Address : Table.addresses()) {
+    const MemberRecord *Record = Table.find(Address);
+    if (Record->Service == Service)
+      Result.push_back(
+          {Record->Process, Record->Zone, homeMemberState(Record->State)});
+  }
+  Parts->Keeper.onMembers(Result);
+}
+
+void ClaimGate::tick(Instant Now) {
+  Parts->Home.tick();
+  Parts->Mirror.tick();
+  Parts->Keeper.tick(Now);
+}
+
+void ClaimGate::sendClaim(const ProcessId &To, const ClaimMessage &Message) {
+  Out.sendClaim(To, Message);
+}
+
+void ClaimGate::decided(SendId Id, const ClaimDecision &Decision) {
+  Listener.claimDecided(RequestId{Id}, Decision);
+}
+
+void ClaimGate::dropAnswer(AnswerId Id) { Out.dropAnswer(RequestId{Id}); }
+
+void ClaimGate::proposeHomes(const HomeSet &Next) {
+  Out.appendLog(homeSetChange(Service, Self, Next));
+}
+
+bool ClaimGate::hasEnded(const ProcessId &Process) const {
+  return Members.members().table().provenEnded(Process);
+}
+
+} // namespace camphorpin::detail
--- a/packages/decision/camphorpin/src/Engine/EngineMessages.h
+++ b/packages/decision/camphorpin/src/Engine/EngineMessages.h
@@ -41,6 +41,8 @@
   RefusalReason Reason = RefusalReason::None;
   /// Size of the answer in bytes, for the bound on stored answers.
   std::uint64_t AnswerBytes = 0;
+  /// The run lost its connection and the backend server accepts no new one.
+  bool ServerDown = false;
 };
 
 /// \class CallResult
@@ -54,6 +56,8 @@
   Rank LowestAccepted = Rank(MaxRanks - 1);
   /// The other node is leaving.
   bool Leaving = false;
+  /// A call that was made for this one was refused for lack of capacity.
+  bool DownstreamRefused = false;
 };
 
 /// \brief Where the body of an answer comes from.
@@ -64,6 +68,8 @@
   Backend,
   /// The call to another node.
   Call,
+  /// An answer that was kept by Actions::keepAnswer().
+  Stored,
 };
 
 /// \class Answer
@@ -77,6 +83,8 @@
   std::uint8_t UnusedAttempts = 0;
   camphorpin::Rank LowestAccepted = camphorpin::Rank(MaxRanks - 1);
   bool Leaving = false;
+  /// A call that was made for this one was refused for lack of capacity.
+  bool DownstreamRefused = false;
   /// The rank of the request, for metrics.
   camphorpin::Rank Rank = camphorpin::Rank(MaxRanks - 1);
   /// Time after which a caller should try again, for refusals.
--- /dev/null
+++ b/packages/decision/camphorpin/src/Engine/HomeDocuments.h
@@ -0,0 +1,17 @@
+#ifndef CAMPHORPIN_SRC_ENGINE_HOMEDOCUMENTS_H
+#define CAMPHORPIN_SRC_ENGINE_HOMEDOCUMENTS_H
+
+#include "camphorpin/Claims.h"
+
+#include <string>
+
+namespace camphorpin::detail {
+
+/// \returns the log record that proposes \p Next as the content of the document
+/// homes/<service>.
+std::string homeSetChange(const ServiceName &Service, const ProcessId &Author,
+                          const HomeSet &Next);
+
+} // namespace camphorpin::detail
+
+#endif
--- a/packages/decision/camphorpin/src/Engine/LogEvent.cpp
+++ b/packages/decision/camphorpin/src/Engine/LogEvent.cpp
@@ -59,6 +59,13 @@
                  "A later incarnation of this node's address was heard, for "
                  "example because the wall clock went back. The node has taken "
                  "a higher one."},
+    LogEventInfo{LogEvent::BackendCrashed, LogSeverity::Error,
+                 "backend-crashed", "running",
+                 "The local backend server lost its connections and accepts no "
+                 "new ones. The requests that were running are suspects."},
+    LogEventInfo{LogEvent::BackendRecovered, LogSeverity::Info,
+                 "backend-recovered", "",
+                 "The local backend server answers again."},
 };
 
 } // namespace
--- a/packages/decision/camphorpin/src/Engine/LogEvent.h
+++ b/packages/decision/camphorpin/src/Engine/LogEvent.h
@@ -26,6 +26,8 @@
   MemberChanged = 400,
   ZoneChanged = 401,
   SelfRenewed = 402,
+  BackendCrashed = 500,
+  BackendRecovered = 501,
 };
 
 /// \brief How important a log event is.
--- a/packages/decision/camphorpin/src/Engine/MemberDirectory.cpp
+++ b/packages/decision/camphorpin/src/Engine/MemberDirectory.cpp
@@ -85,6 +85,20 @@
                           : Duration();
 }
 
+std::vector<HostAddress> MemberDirectory::randomPeers(std::size_t Count) {
+  std::vector<HostAddress> Result;
+  const std::vector<HostAddress> All = Members.table().addresses();
+  // Some draws hit this node or members that have ended.
+  for (std::size_t Draw = 0; Draw < 4 * Count && Result.size() < Count;
+       ++Draw) {
+    const HostAddress Address = All.at(Source.below(All.size()));
+    if (Address != Members.self().Process.Address &&
+        Members.table().find(Address)->present())
+      Result.push_back(Address);
+  }
+  return Result;
+}
+
 MemberDirectory::Route &MemberDirectory::route(const ServiceName &Service,
                                                Instant Now) {
   Route &Entry =
--- a/packages/decision/camphorpin/src/Engine/MemberDirectory.h
+++ b/packages/decision/camphorpin/src/Engine/MemberDirectory.h
@@ -44,6 +44,9 @@
   /// \returns the smoothed duration of calls to a peer.
   Duration expectedLatency(const ServiceName &Service, const ProcessId &Peer);
 
+  /// \returns up to \p Count other members that are present, at random.
+  std::vector<HostAddress> randomPeers(std::size_t Count);
+
   void leave(Instant Now) { Members.leave(Now); }
   void exit(Instant Now) { Members.exit(Now); }
 
--- /dev/null
+++ b/packages/decision/camphorpin/src/Engine/NestedCall.h
@@ -0,0 +1,98 @@
+#ifndef CAMPHORPIN_SRC_ENGINE_NESTEDCALL_H
+#define CAMPHORPIN_SRC_ENGINE_NESTEDCALL_H
+
+#include "camphorpin/Retry.h"
+#include "camphorpin/src/Engine/EngineMessages.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_set>
+
+namespace camphorpin::detail {
+
+/// \class NestedCall
+/// \brief What a call inherits from the running request that makes it.
+struct NestedCall {
+  /// With the age, the time left and the extra attempts as they are now.
+  RequestContext Parent;
+  RequestKey Key;
+  /// No earlier send of this key can have reached another node.
+  bool FirstSend = false;
+};
+
+/// \class NestedOutcome
+/// \brief The end of a call that a running request made.
+struct NestedOutcome {
+  RequestId Parent{};
+  std::uint8_t Lent = 0;
+  std::uint8_t Returned = 0;
+  /// The least urgent rank that the called operation accepts.
+  Rank LowestAccepted = Rank(MaxRanks - 1);
+  /// The call was refused for lack of capacity, there or further down.
+  bool RefusedForCapacity = false;
+};
+
+/// \class RunningParent
+/// \brief What a running request knows of the calls it makes.
+///
+/// Bounded by MaxChildren different calls.
+class RunningParent {
+public:
+  explicit RunningParent(std::uint8_t ExtraAttempts) : Budget(ExtraAttempts) {}
+
+  /// Takes a new call.
+  /// \returns nothing if the request made too many calls.
+  std::optional<NestedCall> begin(const RequestContext &Parent,
+                                  const std::string &Target,
+                                  const std::string &Step, Instant Now) {
+    if (Keys.size() >= MaxChildren)
+      return std::nullopt;
+    const std::string Label =
+        Step.empty() ? std::to_string(Ordinals[Target]++) : Step;
+    NestedCall Nested{.Parent = Parent, .Key = Parent.Key.child(Target, Label)};
+    const bool IsNew = Keys.insert(Nested.Key).second;
+    Nested.FirstSend = IsNew && Parent.FirstSend;
+    Nested.Parent.ExtraAttempts = Budget.lend();
+    if (Active++ == 0)
+      ActiveSince = Now;
+    return Nested;
+  }
+
+  void end(const NestedOutcome &Outcome, Instant Now) {
+    Budget.giveBack(Outcome.Lent, Outcome.Returned);
+    Level = std::min(Level, Outcome.LowestAccepted);
+    Refused = Refused || Outcome.RefusedForCapacity;
+    if (--Active == 0)
+      Waited += Now - ActiveSince;
+  }
+
+  /// \returns the time during which the request waited for calls it made.
+  Duration downstream(Instant Now) const {
+    return Active > 0 ? Waited + (Now - ActiveSince) : Waited;
+  }
+
+  std::uint8_t unusedAttempts() const { return Budget.available(); }
+  Rank level() const { return Level; }
+  bool refused() const { return Refused; }
+
+private:
+  static constexpr std::size_t MaxChildren = 1024;
+
+  AttemptBudget Budget;
+  /// Calls made so far, by target.
+  std::map<std::string, std::uint32_t> Ordinals;
+  std::unordered_set<RequestKey> Keys;
+  Rank Level = Rank(MaxRanks - 1);
+  bool Refused = false;
+  std::size_t Active = 0;
+  Instant ActiveSince;
+  Duration Waited;
+};
+
+} // namespace camphorpin::detail
+
+#endif
--- a/packages/decision/camphorpin/src/Engine/NodeEngine.cpp
+++ b/packages/decision/camphorpin/src/Engine/NodeEngine.cpp
@@ -6,6 +6,10 @@
 #include "camphorpin/src/Engine/Refusal.h"
 
 #include <algorithm>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
 
 namespace camphorpin {
 
@@ -21,6 +25,21 @@
 /// the leaving notice reaches its callers first and no call meets a closed
 /// connection.
 constexpr Duration DrainLinger = Duration::seconds(1);
+/// A leaving node waits this long for the hand-over of its claims. After that
+/// the new homes ask its mirror, so nothing is lost, but they need more time.
+constexpr Duration HandOverPatience = Duration::seconds(10);
+/// Crash reports in one datagram, and nodes that get it.
+constexpr std::size_t MaxReportsPerTick = 32;
+constexpr std::size_t ReportFanout = 3;
+
+/// \returns a hash that is the same whichever node computes it.
+std::uint64_t fingerprint(const RequestContext &Context,
+                          std::uint64_t BodyHash) {
+  const std::string Text = Context.Service.string() + "\n" +
+                           Context.Operation.string() + "\n" +
+                           Context.Caller.string();
+  return stableHash(stableHash(Text), BodyHash);
+}
 
 } // namespace
 
@@ -29,12 +48,18 @@
   Impl(const EngineOptions &Options, Actions &Out, const Clock &Time,
        Random &Source, const PolicySource &Policies)
       : Options(Options), Out(Out), Time(Time), Source(Source),
-        Policies(Policies), Members(Options, Out, Source), Answers(Out),
-        Server(Out, Answers, Options.Service),
-        Originator(Out, Answers, Members) {}
+        Policies(Policies), Members(Options, Out, Source),
+        Guard(Options.Self, CrashOptions()), Answers(Out),
+        Server(Options.Service, Out, Answers, Guard, Members, Time),
+        Originator(Out, Answers, Members, Server, Guard) {
+    applyPolicies();
+  }
 
   void request(RequestId Id, const RequestInfo &Info);
   void call(RequestId Id, const RequestContext &Context);
+  void datagram(HostAddress From, const GossipMessage &Message);
+  void tick();
+  void applyPolicies();
   void advanceLifecycle();
   bool move(LifecycleEvent Event);
   void announceExit();
@@ -50,11 +75,14 @@
   Random &Source;
   const PolicySource &Policies;
   detail::MemberDirectory Members;
+  CrashGuard Guard;
   detail::AnswerGate Answers;
   detail::CallServer Server;
   detail::CallOriginator Originator;
   NodeLifecycle Lifecycle;
   Instant DrainStart;
+  /// When the accepted work was finished during a drain.
+  std::optional<Instant> WorkFinished;
 
 private:
   const OperationPolicy *operation(const RequestInfo &Info) const;
@@ -63,6 +91,9 @@
                                   const RequestInfo &Info,
                                   const OperationPolicy &Policy);
   void dispatch(RequestId Id, RequestContext Context, const RequestInfo &Info);
+  RefusalReason reasonToRefuse(const RequestContext &Context,
+                               const RequestInfo &Info) const;
+  void spreadCrashReports();
 };
 
 const OperationPolicy *
@@ -84,6 +115,7 @@
   Context.FirstSend = Info.FirstAttempt || !Info.Key;
   Context.Remaining = Policy.Deadline;
   Context.HopsLeft = Policies.mesh().MaxHops;
+  Context.ExtraAttempts = Policies.mesh().ExtraAttempts;
   return Context;
 }
 
@@ -113,7 +145,7 @@
     const std::string Target =
         Info.Service.string() + "/" + Info.Operation.string();
     const std::optional<NestedCall> Nested =
-        Server.nest(*Info.Parent, Target, Info.Step, Time.now());
+        Server.nest(*Info.Parent, Target, Info.Step);
     if (!Nested) {
       Answers.answer(Id, badRequest(RefusalReason::BadRequest));
       return;
@@ -134,25 +166,36 @@
   dispatch(Id, std::move(Context), Info);
 }
 
+RefusalReason NodeEngine::Impl::reasonToRefuse(const RequestContext &Context,
+                                               const RequestInfo &Info) const {
+  // Calls of accepted work go on during a drain.
+  if (!Lifecycle.acceptsWork() && !Info.Parent)
+    return RefusalReason::Draining;
+  if (inProgress() > Options.MaxRequests)
+    return RefusalReason::NodeBusy;
+  if (Context.HopsLeft == 0)
+    return RefusalReason::TooDeep;
+  return Context.Remaining <= Duration() ? RefusalReason::Deadline
+                                         : RefusalReason::None;
+}
+
 void NodeEngine::Impl::dispatch(RequestId Id, RequestContext Context,
                                 const RequestInfo &Info) {
   if (Info.Deadline)
     Context.Remaining = std::min(Context.Remaining, *Info.Deadline);
-  RefusalReason Reason = RefusalReason::None;
-  if (!Lifecycle.acceptsWork() && !Info.Parent)
-    Reason = RefusalReason::Draining;
-  else if (inProgress() >= Options.MaxRequests)
-    Reason = RefusalReason::NodeBusy;
-  else if (Context.HopsLeft == 0)
-    Reason = RefusalReason::TooDeep;
-  else if (Context.Remaining <= Duration())
-    Reason = RefusalReason::Deadline;
+  Context.Fingerprint = fingerprint(Context, Info.BodyHash);
+  const RefusalReason Reason = reasonToRefuse(Context, Info);
   if (Reason != RefusalReason::None) {
+    if (Info.Parent)
+      Server.nestedDone({.Parent = *Info.Parent,
+                         .Lent = Context.ExtraAttempts,
+                         .Returned = Context.ExtraAttempts});
     Answers.answer(Id, refusal(Context, Reason));
     return;
   }
   --Context.HopsLeft;
-  Originator.start(Id, Context, Time.now());
+  const bool MayBeResent = Info.Key.has_value() || Info.Parent.has_value();
+  Originator.start(Id, Context, {Info.Parent, MayBeResent}, Time.now());
 }
 
 void NodeEngine::Impl::call(RequestId Id, const RequestContext &Context) {
@@ -162,13 +205,47 @@
   RefusalReason Reason = RefusalReason::None;
   if (!Lifecycle.acceptsWork())
     Reason = RefusalReason::Draining;
-  else if (inProgress() >= Options.MaxRequests)
+  else if (inProgress() > Options.MaxRequests)
     Reason = RefusalReason::NodeBusy;
   if (Reason != RefusalReason::None) {
     Answers.answer(Id, refusal(Context, Reason));
     return;
   }
-  Server.accept(Id, Context, Time.now());
+  Server.accept(Id, Context);
+}
+
+void NodeEngine::Impl::datagram(HostAddress From,
+                                const GossipMessage &Message) {
+  const ProcessId Before = Members.members().self().Process;
+  Members.onGossip(From, Message, Time.now());
+  if (Members.members().self().Process != Before)
+    Server.renew();
+}
+
+void NodeEngine::Impl::applyPolicies() {
+  Originator.applyPolicy(Policies.mesh());
+  const ServicePolicy *Own = Policies.service(Options.Service);
+  if (Own != nullptr && !Policies.mesh().Ranks.empty())
+    Server.applyPolicy(Policies.mesh(), *Own);
+}
+
+void NodeEngine::Impl::spreadCrashReports() {
+  const std::vector<CrashReport> Reports =
+      Guard.takeReports(MaxReportsPerTick, Time.now());
+  if (Reports.empty())
+    return;
+  for (const HostAddress &To : Members.randomPeers(ReportFanout))
+    Out.sendCrashReports(To, Reports);
+}
+
+void NodeEngine::Impl::tick() {
+  const Instant Now = Time.now();
+  Members.tick(Now);
+  Guard.tick(Now);
+  Server.tick(Now);
+  Originator.tick(Now);
+  spreadCrashReports();
+  advanceLifecycle();
 }
 
 bool NodeEngine::Impl::move(LifecycleEvent Event) {
@@ -190,10 +267,14 @@
 void NodeEngine::Impl::advanceLifecycle() {
   if (Members.mayServe(Time.now()))
     move(LifecycleEvent::Joined);
+  const Instant Now = Time.now();
   if (Lifecycle.isDraining() && inProgress() == 0 &&
-      Time.now() - DrainStart >= DrainLinger)
-    move(LifecycleEvent::WorkFinished);
-  if (Lifecycle.isLeaving() && move(LifecycleEvent::HandedOver))
+      Now - DrainStart >= DrainLinger && move(LifecycleEvent::WorkFinished))
+    WorkFinished = Now;
+  if (!Lifecycle.isLeaving())
+    return;
+  const bool WaitedEnough = Now - *WorkFinished >= HandOverPatience;
+  if ((Server.mayLeave() || WaitedEnough) && move(LifecycleEvent::HandedOver))
     announceExit();
 }
 
@@ -223,7 +304,7 @@
 }
 
 void NodeEngine::onBackendDone(RequestId Id, const BackendResult &Result) {
-  State->Server.finished(Id, Result, State->Time.now());
+  State->Server.finished(Id, Result);
   State->advanceLifecycle();
 }
 
@@ -233,7 +314,7 @@
 }
 
 void NodeEngine::onDatagram(HostAddress From, const GossipMessage &Message) {
-  State->Members.onGossip(From, Message, State->Time.now());
+  State->datagram(From, Message);
   State->advanceLifecycle();
 }
 
@@ -248,14 +329,29 @@
   State->advanceLifecycle();
 }
 
-void NodeEngine::tick() {
-  const Instant Now = State->Time.now();
-  State->Members.tick(Now);
-  State->Server.tick(Now);
-  State->Originator.tick(Now);
+void NodeEngine::onClaimMessage(const ProcessId &To,
+                                const ClaimMessage &Message) {
+  State->Server.onClaimMessage(To, Message);
   State->advanceLifecycle();
 }
 
+void NodeEngine::onCrashReports(std::span<const CrashReport> Reports) {
+  for (const CrashReport &Report : Reports)
+    State->Guard.onReport(Report, State->Time.now());
+}
+
+void NodeEngine::onHomeSet(const ServiceName &Service, const HomeSet &Set) {
+  State->Originator.adopt(Service, Set);
+  if (Service == State->Options.Service)
+    State->Server.adopt(Set);
+}
+
+void NodeEngine::onLogRead(Instant SentAt) { State->Server.onLogRead(SentAt); }
+
+void NodeEngine::onPolicyChange() { State->applyPolicies(); }
+
+void NodeEngine::tick() { State->tick(); }
+
 Instant NodeEngine::nextWakeup() const {
   const Instant Deadline =
       std::min(State->Server.nextDeadline(), State->Originator.nextDeadline());
--- a/packages/decision/camphorpin/src/Engine/NodeEngine.h
+++ b/packages/decision/camphorpin/src/Engine/NodeEngine.h
@@ -10,6 +10,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <span>
 #include <string_view>
 
 namespace camphorpin {
@@ -55,6 +56,22 @@
   /// A datagram of another node arrived.
   void onDatagram(HostAddress From, const GossipMessage &Message);
 
+  /// A message about claims arrived, for exactly the process \p To.
+  void onClaimMessage(const ProcessId &To, const ClaimMessage &Message);
+
+  /// News of crashes arrived.
+  void onCrashReports(std::span<const CrashReport> Reports);
+
+  /// A home set was read from the log.
+  void onHomeSet(const ServiceName &Service, const HomeSet &Set);
+
+  /// The log was read and what was read has been handed over.
+  /// \param SentAt a time before the log answered.
+  void onLogRead(Instant SentAt);
+
+  /// The policies have changed.
+  void onPolicyChange();
+
   /// Starts the graceful drain: new work is refused from now on, and accepted
   /// work finishes.
   void onDrain();
--- a/packages/decision/tests/EngineFixture.h
+++ b/packages/decision/tests/EngineFixture.h
@@ -5,6 +5,8 @@
 
 #include <map>
 #include <optional>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace camphorpin::testing {
@@ -65,6 +67,15 @@
   void answer(RequestId Id, const Answer &Value) override {
     Answers[Id].push_back(Value);
   }
+  void keepAnswer(RequestId Id) override { Kept.insert(Id); }
+  void dropAnswer(RequestId Id) override { Kept.erase(Id); }
+  void sendClaim(const ProcessId & /*To*/,
+                 const ClaimMessage & /*Message*/) override {}
+  void sendCrashReports(HostAddress /*To*/,
+                        std::span<const CrashReport> /*Reports*/) override {}
+  void appendLog(std::string_view Record) override {
+    Appended.emplace_back(Record);
+  }
   void sendDatagram(HostAddress /*To*/,
                     const GossipMessage & /*Message*/) override {}
   void logEvent(LogEvent Event, const LogFields & /*Fields*/) override {
@@ -85,6 +96,8 @@
   std::vector<RecordedCall> Calls;
   std::vector<CallId> CancelledCalls;
   std::map<RequestId, std::vector<Answer>> Answers;
+  std::set<RequestId> Kept;
+  std::vector<std::string> Appended;
   std::vector<LogEvent> Events;
 };
 
--- a/packages/decision/tests/EngineTest.cpp
+++ b/packages/decision/tests/EngineTest.cpp
@@ -108,6 +108,7 @@
   cr_assert(Child.Age == Duration::millis(100));
   cr_assert(Child.Key == Context.Key.child("orders/status", "0"));
 
+  Node.Engine.onBackendDone(Parent, RanResult);
   Context.HopsLeft = 0;
   Info.Parent = Node.deliver(Context);
   const RequestId TooDeep = Node.request(Info);
--- a/packages/wire/camphorpin/src/Wire/Codec.cpp
+++ b/packages/wire/camphorpin/src/Wire/Codec.cpp
@@ -84,6 +84,7 @@
   Target.setExtraAttempts(Value.ExtraAttempts);
   Target.setCrashCount(Value.CrashCount);
   Target.setFingerprint(Value.Fingerprint);
+  Target.setHomeEpoch(Value.HomeEpoch);
 }
 
 std::optional<RequestContext> readContext(wire::Context::Reader Source) {
@@ -110,6 +111,7 @@
   Value.ExtraAttempts = Source.getExtraAttempts();
   Value.CrashCount = Source.getCrashCount();
   Value.Fingerprint = Source.getFingerprint();
+  Value.HomeEpoch = Source.getHomeEpoch();
   return Value;
 }
 
--- a/packages/wire/camphorpin/src/Wire/GossipCodec.cpp
+++ b/packages/wire/camphorpin/src/Wire/GossipCodec.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t BytesPerWord = sizeof(capnp::word);
 constexpr std::uint32_t MaxDeltas = 256;
 constexpr std::uint32_t MaxZones = 64;
+constexpr std::uint32_t MaxReports = 256;
+constexpr Duration MaxReportAge = Duration::seconds(24 * 3600);
 constexpr std::uint32_t MaxBucketNumbers = MemberTable::Buckets;
 
 std::string_view textOf(capnp::Text::Reader Source) {
@@ -108,10 +110,20 @@
   return true;
 }
 
-std::optional<GossipMessage> readDatagram(wire::Datagram::Reader Source) {
-  if (Source.getVersion() < OldestProtocolVersion ||
-      Source.getVersion() > NewestProtocolVersion || !Source.isGossip())
+std::optional<CrashReports> readReports(wire::Datagram::Reader Source) {
+  CrashReports Result;
+  if (Source.getCrashReports().size() > MaxReports)
     return std::nullopt;
+  for (wire::CrashReport::Reader Entry : Source.getCrashReports()) {
+    const Duration Age = Duration::ticks(Entry.getAge());
+    if (Age < Duration() || Age > MaxReportAge)
+      return std::nullopt;
+    Result.push_back({Entry.getFingerprint(), Entry.getCrashId(), Age});
+  }
+  return Result;
+}
+
+std::optional<GossipMessage> readGossip(wire::Datagram::Reader Source) {
   const wire::Gossip::Reader Gossip = Source.getGossip();
   if (Gossip.getKind() > static_cast<std::uint8_t>(GossipKind::SyncRecords))
     return std::nullopt;
@@ -127,22 +139,57 @@
   return Message;
 }
 
-} // namespace
+std::optional<DatagramMessage> readDatagram(wire::Datagram::Reader Source) {
+  if (Source.getVersion() < OldestProtocolVersion ||
+      Source.getVersion() > NewestProtocolVersion)
+    return std::nullopt;
+  if (Source.isGossip())
+    return readGossip(Source);
+  if (Source.isCrashReports())
+    return readReports(Source);
+  return std::nullopt;
+}
 
-std::vector<std::byte> encodeDatagram(const GossipMessage &Message) {
-  capnp::MallocMessageBuilder Builder;
+/// Starts a datagram. The older version is named, so that nodes of both
+/// versions read it.
+wire::Datagram::Builder startDatagram(capnp::MessageBuilder &Builder,
+                                      const ProcessId &From) {
   wire::Datagram::Builder Root = Builder.initRoot<wire::Datagram>();
-  writeProcess(Root.initFrom(), Message.Sender);
-  // The older version is named, so that nodes of both versions read it.
+  writeProcess(Root.initFrom(), From);
   Root.setVersion(OldestProtocolVersion);
-  writeGossip(Root.initGossip(), Message);
+  return Root;
+}
+
+std::vector<std::byte> bytesOf(capnp::MessageBuilder &Builder) {
   const kj::Array<capnp::word> Words = capnp::messageToFlatArray(Builder);
   const kj::ArrayPtr<const kj::byte> Bytes = Words.asBytes();
   const std::byte *Begin = reinterpret_cast<const std::byte *>(Bytes.begin());
   return {Begin, Begin + Bytes.size()};
 }
 
-std::optional<GossipMessage> decodeDatagram(std::span<const std::byte> Data) {
+} // namespace
+
+std::vector<std::byte> encodeDatagram(const GossipMessage &Message) {
+  capnp::MallocMessageBuilder Builder;
+  writeGossip(startDatagram(Builder, Message.Sender).initGossip(), Message);
+  return bytesOf(Builder);
+}
+
+std::vector<std::byte> encodeDatagram(const ProcessId &From,
+                                      std::span<const CrashReport> Reports) {
+  capnp::MallocMessageBuilder Builder;
+  capnp::List<wire::CrashReport>::Builder Target =
+      startDatagram(Builder, From)
+          .initCrashReports(static_cast<unsigned>(Reports.size()));
+  for (unsigned Index = 0; Index < Target.size(); ++Index) {
+    Target[Index].setFingerprint(Reports[Index].Fingerprint);
+    Target[Index].setCrashId(Reports[Index].CrashId);
+    Target[Index].setAge(Reports[Index].Age.ticks());
+  }
+  return bytesOf(Builder);
+}
+
+std::optional<DatagramMessage> decodeDatagram(std::span<const std::byte> Data) {
   if (Data.empty() || Data.size() > MaxDatagramBytes ||
       Data.size() % BytesPerWord != 0)
     return std::nullopt;
@@ -152,7 +199,7 @@
   std::memcpy(Words.begin(), Data.data(), Data.size());
   capnp::ReaderOptions Options;
   Options.traversalLimitInWords = 4 * MaxDatagramBytes / BytesPerWord;
-  std::optional<GossipMessage> Result;
+  std::optional<DatagramMessage> Result;
   const kj::Maybe<kj::Exception> Error = kj::runCatchingExceptions([&]() {
     capnp::FlatArrayMessageReader Reader(Words, Options);
     Result = readDatagram(Reader.getRoot<wire::Datagram>());
--- a/packages/wire/tests/WireTest.cpp
+++ b/packages/wire/tests/WireTest.cpp
@@ -102,9 +102,11 @@
 
 Test(Wire, gossipArrivesUnchanged) {
   const GossipMessage Sent = sampleGossip();
-  const std::optional<GossipMessage> Received =
+  const std::optional<DatagramMessage> Decoded =
       decodeDatagram(encodeDatagram(Sent));
-  cr_assert(Received.has_value());
+  cr_assert(Decoded.has_value());
+  const GossipMessage *Received = std::get_if<GossipMessage>(&*Decoded);
+  cr_assert(Received != nullptr);
   cr_assert(Received->Kind == Sent.Kind && Received->Sender == Sent.Sender);
   cr_assert(Received->Sequence == Sent.Sequence &&
             Received->Target == Sent.Target);
@@ -128,8 +130,10 @@
       Data[Position] = static_cast<std::byte>(*rc::gen::arbitrary<uint8_t>());
     }
     Data.resize(*rc::gen::inRange<std::size_t>(0, Data.size() + 1));
-    const std::optional<GossipMessage> Result = decodeDatagram(Data);
-    if (!Result)
+    const std::optional<DatagramMessage> Decoded = decodeDatagram(Data);
+    const GossipMessage *Result =
+        Decoded ? std::get_if<GossipMessage>(&*Decoded) : nullptr;
+    if (Result == nullptr)
       return;
     RC_ASSERT(Result->Deltas.size() <= 256u);
     for (const MemberRecord &Delta : Result->Deltas)
