--- /dev/null
+++ b/tests/process/ChildProcess.cpp
@@ -0,0 +1,75 @@
+#include "ChildProcess.h"
+
+#include <cassert>
+#include <csignal>
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace camphorpin::process {
+
+namespace {
+
+constexpr int ExecFailed = 127;
+
+[[noreturn]] void execute(std::vector<char *> &Arguments, int Output) {
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+  sigset_t None;
+  sigemptyset(&None);
+  ::sigprocmask(SIG_SETMASK, &None, nullptr);
+  ::dup2(Output, STDOUT_FILENO);
+  ::dup2(Output, STDERR_FILENO);
+  ::execv(Arguments[0], Arguments.data());
+  ::_exit(ExecFailed);
+}
+
+} // namespace
+
+ChildProcess::ChildProcess(const std::vector<std::string> &Command,
+                           const std::string &OutputPath) {
+  assert(!Command.empty() && "a command names a program");
+  std::vector<char *> Arguments;
+  Arguments.reserve(Command.size() + 1);
+  for (const std::string &Argument : Command)
+    Arguments.push_back(const_cast<char *>(Argument.c_str()));
+  Arguments.push_back(nullptr);
+  const int Output = ::open(OutputPath.c_str(),
+                            O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  Pid = ::fork();
+  if (Pid == 0)
+    execute(Arguments, Output);
+  ::close(Output);
+}
+
+ChildProcess::~ChildProcess() { kill(); }
+
+void ChildProcess::signal(int Number) {
+  if (Pid > 0 && !Status)
+    ::kill(Pid, Number);
+}
+
+void ChildProcess::freeze() { signal(SIGSTOP); }
+
+void ChildProcess::resume() { signal(SIGCONT); }
+
+void ChildProcess::kill() {
+  signal(SIGKILL);
+  wait();
+}
+
+void ChildProcess::terminate() { signal(SIGTERM); }
+
+std::optional<int> ChildProcess::poll() { return reap(WNOHANG); }
+
+int ChildProcess::wait() { return reap(0).value_or(ExecFailed); }
+
+std::optional<int> ChildProcess::reap(int Options) {
+  int Raw = 0;
+  if (Pid <= 0 || Status || ::waitpid(Pid, &Raw, Options) != Pid)
+    return Status;
+  Status = WIFEXITED(Raw) ? WEXITSTATUS(Raw) : 128 + WTERMSIG(Raw);
+  return Status;
+}
+
+} // namespace camphorpin::process
--- /dev/null
+++ b/tests/process/ChildProcess.h
@@ -0,0 +1,57 @@
+#ifndef CAMPHORPIN_TESTS_PROCESS_CHILDPROCESS_H
+#define CAMPHORPIN_TESTS_PROCESS_CHILDPROCESS_H
+
+#include <optional>
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace camphorpin::process {
+
+/// \class ChildProcess
+/// \brief A process that this program started. It ends with this object, and
+/// with this program if that crashes.
+class ChildProcess {
+public:
+  /// \param Command the program and its arguments.
+  /// \param OutputPath file to which output and errors are appended.
+  ChildProcess(const std::vector<std::string> &Command,
+               const std::string &OutputPath);
+
+  /// Kills the process if it still runs.
+  ~ChildProcess();
+
+  ChildProcess(const ChildProcess &) = delete;
+  ChildProcess &operator=(const ChildProcess &) = delete;
+
+  /// Sends a signal, unless the process has been reaped.
+  void signal(int Number);
+
+  /// Stops the process until resume().
+  void freeze();
+  void resume();
+
+  /// Ends the process at once and reaps it.
+  void kill();
+
+  /// Asks the process to end (SIGTERM).
+  void terminate();
+
+  /// \returns the exit status, 128 + the signal if it was killed, or nothing
+  /// if the process still runs.
+  std::optional<int> poll();
+
+  /// Waits for the end of the process.
+  /// \returns the status as poll() gives it.
+  int wait();
+
+private:
+  std::optional<int> reap(int Options);
+
+  pid_t Pid = -1;
+  std::optional<int> Status;
+};
+
+} // namespace camphorpin::process
+
+#endif
--- /dev/null
+++ b/tests/process/Oracle.h
@@ -0,0 +1,71 @@
+#ifndef CAMPHORPIN_TESTS_PROCESS_ORACLE_H
+#define CAMPHORPIN_TESTS_PROCESS_ORACLE_H
+
+#include "Mesh.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace camphorpin::process {
+
+/// \class Run
+/// \brief A run that a backend server recorded before it began.
+struct Run {
+  std::int64_t StartedAt = 0;
+  std::string Operation;
+  std::string Key;
+  std::string Id;
+};
+
+/// \class Send
+/// \brief A send that the load generator recorded.
+struct Send {
+  std::int64_t SentAt = 0;
+  std::int64_t AnsweredAt = 0;
+  std::string Operation;
+  std::string Key;
+  std::string Id;
+  int Attempt = 1;
+  std::string Outcome;
+};
+
+/// \class Oracle
+/// \brief Compares what callers were told with what backend servers ran.
+class Oracle {
+public:
+  /// Reads the ledgers of all workers of \p Source, also of ended ones, and
+  /// the sends of its load generator.
+  explicit Oracle(Mesh &Source);
+
+  /// \returns for each fault of the verdict "not run" a line: a run that can
+  /// only come from sends that were answered "not run", or a key that is said
+  /// not to have run by an answer to a repeated send although it had.
+  std::vector<std::string> falseNotRuns() const;
+
+  /// \returns the keys of non-idempotent operations that ran more than once,
+  /// also those of nested calls.
+  std::vector<std::string> repeatedKeys() const;
+
+  /// \returns a line for each served request that no backend server ran.
+  std::vector<std::string> inventedAnswers() const;
+
+  /// \returns the number of runs of \p Operation.
+  std::size_t runsOf(std::string_view Operation) const;
+
+  /// \returns the runs in the ledger file at \p Path that began after
+  /// \p Micros on the monotonic clock.
+  static std::vector<Run> runsAfter(const std::string &Path,
+                                    std::int64_t Micros);
+
+private:
+  std::vector<Run> Runs;
+  std::vector<Send> Sends;
+};
+
+/// \returns the first lines of \p Faults for a failure message.
+std::string describe(const std::vector<std::string> &Faults);
+
+} // namespace camphorpin::process
+
+#endif
