--- /dev/null
+++ b/packages/decision/tests/AdmissionRanksTest.cpp
@@ -0,0 +1,96 @@
+// Guards requirement R2: urgent work is the last to be shed, and during a flood
+// the other ranks and callers keep their shares.
+#include "AdmissionFixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace camphorpin;
+using namespace camphorpin::test;
+
+namespace {
+
+MeshPolicy threeRanks() {
+  MeshPolicy Mesh;
+  Mesh.Ranks = {
+      {"urgent", 0.02, 1.0}, {"normal", 0.02, 1.0}, {"lookup", 0.01, 0.8}};
+  return Mesh;
+}
+
+/// 20 slots x 20 ms: 1,000 calls/s.
+const ServiceSpec Service = {.Name = "orders", .Slots = 20};
+constexpr double Capacity = 1000;
+
+} // namespace
+
+Test(AdmissionRanks, floodOfLeastUrgentLeavesUrgentWorkAlone) {
+  double Share[2];
+  for (Mode Kind : {Mode::Camphorpin, Mode::Naive}) {
+    Load Urgent = {.Rank = 0, .PerSecond = 300};
+    Load Flood = {
+        .Rank = 2, .Caller = "b", .PerSecond = 10000, .From = 5, .Until = 15};
+    Chain Run({Service}, threeRanks(), Kind);
+    Run.add(Urgent);
+    Run.add(Flood);
+    Run.runUntil(20);
+    Share[static_cast<int>(Kind)] = Urgent.share(5, 15);
+    cr_log_warn(
+        "flood of lookups, mode %d: urgent %.4f lookup %.4f wasted %.4f",
+        static_cast<int>(Kind), Urgent.share(5, 15), Flood.share(5, 15),
+        1 - Run.Useful / Run.Executions);
+  }
+  cr_assert_geq(Share[0], 0.99);
+  cr_assert_lt(Share[1], 0.5, "the baseline shows that the flood is one");
+}
+
+// Without floors a flood of urgent work starves the other ranks for as long as
+// it lasts. With floors it must still get all the rest.
+Test(AdmissionRanks, floodOfMostUrgentLeavesFloors) {
+  for (bool Floors : {true, false}) {
+    MeshPolicy Mesh = threeRanks();
+    for (RankPolicy &Each : Mesh.Ranks)
+      Each.Floor = Floors ? Each.Floor : 0;
+    Load Flood = {.Rank = 0, .PerSecond = 10000};
+    Load Normal = {.Rank = 1, .Caller = "b", .PerSecond = 300};
+    Load Lookup = {.Rank = 2, .Caller = "c", .PerSecond = 300};
+    Chain Run({Service}, Mesh, Mode::Camphorpin);
+    for (Load *Each : {&Flood, &Normal, &Lookup})
+      Run.add(*Each);
+    Run.runUntil(20);
+    const double Urgent = Flood.rate(5, 15);
+    cr_log_warn("flood of urgent work, floors %d: urgent %.1f/s normal %.1f/s "
+                "lookup %.1f/s",
+                Floors, Urgent, Normal.rate(5, 15), Lookup.rate(5, 15));
+    const double Kept = Floors ? 1 : 0;
+    cr_assert_geq(Normal.rate(5, 15), Kept * 0.9 * 0.02 * Capacity);
+    cr_assert_geq(Lookup.rate(5, 15), Kept * 0.9 * 0.01 * Capacity);
+    cr_assert_leq(Normal.rate(5, 15), 0.01 + Kept * 1.2 * 0.02 * Capacity);
+    cr_assert_leq(Lookup.rate(5, 15), 0.01 + Kept * 1.2 * 0.01 * Capacity);
+    cr_assert_geq(Urgent, 0.95 * (1 - Kept * 0.03) * Capacity);
+  }
+}
+
+// A caller that floods its rank must not take the shares of the others.
+Test(AdmissionRanks, floodingCallerKeepsToItsShare) {
+  for (Mode Kind : {Mode::Camphorpin, Mode::Naive}) {
+    MeshPolicy Mesh = threeRanks();
+    Mesh.CallerShares[CallerName("cooperative")] = 2;
+    Load Flood = {.Rank = 1, .Caller = "flooder", .PerSecond = 10000};
+    Load Small = {.Rank = 1, .Caller = "small", .PerSecond = 200};
+    Load Weighted = {.Rank = 1, .Caller = "cooperative", .PerSecond = 1000};
+    Chain Run({Service}, Mesh, Kind);
+    for (Load *Each : {&Flood, &Small, &Weighted})
+      Run.add(*Each);
+    Run.runUntil(20);
+    cr_log_warn("flooding caller, mode %d: flooder %.1f/s small %.4f "
+                "cooperative %.1f/s",
+                static_cast<int>(Kind), Flood.rate(5, 15), Small.share(5, 15),
+                Weighted.rate(5, 15));
+    if (Kind == Mode::Naive) {
+      cr_assert_lt(Small.share(5, 15), 0.5, "the baseline loses the caller");
+      continue;
+    }
+    cr_assert_geq(Small.share(5, 15), 0.99, "it asks for less than its share");
+    const double Ratio = Weighted.rate(5, 15) / Flood.rate(5, 15);
+    cr_assert(Ratio > 1.8 && Ratio < 2.2, "weights 2 to 1 gave %f", Ratio);
+  }
+}
