Use the retry modules in the fixture and average over seeds

Purpose: the fixture retries with AttemptBudget, RetryRatio and RetryPolicy instead of a budget of its own.

The bound stays and the mean of four seeds is compared.

--- a/packages/decision/tests/AdmissionFixture.h
+++ b/packages/decision/tests/AdmissionFixture.h
@@ -1,14 +1,14 @@
 // A chain of fake backend servers with seeded arrivals under virtual time.
-// Calls pass from service to service through an AdmissionController and an
-// UpstreamShedder or, as the measured baseline, through a FIFO queue with three
-// retries at each hop and no deadlines.
+// Calls pass from service to service through admission control, shedding and
+// retries or, as the measured baseline, through a FIFO queue with three retries
+// at each hop and no deadlines.
 #ifndef CAMPHORPIN_TESTS_ADMISSIONFIXTURE_H
 #define CAMPHORPIN_TESTS_ADMISSIONFIXTURE_H
 
 #include "camphorpin/Admission.h"
+#include "camphorpin/Retry.h"
 #include "camphorpin/src/Admission/AimdLimit.h"
 
-#include <algorithm>
 #include <cmath>
 #include <deque>
 #include <functional>
@@ -45,177 +45,34 @@
   int ClientRetries = 0;
   /// Own service time instead of the service's, in ms.
   double ServiceMs = 0;
-  bool Idempotent = true;
-  /// Results per second of arrival.
+  /// Requests and answers in time, per second of arrival.
   std::vector<double> Offered = {}, Good = {};
 
-  /// \returns answers in time per second, for requests of these seconds.
   double rate(std::size_t First, std::size_t Last) const {
     return sum(Good, First, Last) / static_cast<double>(Last - First);
   }
-  /// \returns the share of the requests that were answered in time.
   double share(std::size_t First, std::size_t Last) const {
     return sum(Good, First, Last) / std::max(1.0, sum(Offered, First, Last));
   }
-  static double sum(std::vector<double> Of, std::size_t First,
-                    std::size_t Last) {
-    Of.resize(std::max(Of.size(), Last));
-    return std::accumulate(Of.begin() + First, Of.begin() + Last, 0.0);
+  static double sum(std::vector<double> Of, std::size_t From, std::size_t To) {
+    Of.resize(std::max(Of.size(), To));
+    return std::accumulate(Of.begin() + From, Of.begin() + To, 0.0);
   }
 };
 
-class Server;
-
-/// One attempt of one call at one service.
-struct Call {
-  Load *Source = nullptr;
-  std::size_t Service = 0;
-  Instant Created, Deadline;
-  /// Executions and spent extra attempts of the whole request.
-  std::shared_ptr<int> Executions, Extra;
-  std::function<void(bool Ok)> Done;
-  Server *At = nullptr;
-  std::uint64_t Id = 0;
-  bool Started = false, Settled = false, Cancelled = false;
-  /// A service that was called for this call refused it; its shedding level.
-  bool Refused = false;
-  Rank Level = Rank(MaxRanks - 1);
-  std::shared_ptr<Call> Child = nullptr;
-  Duration Downstream = {};
-
-  void settle(bool Ok) {
-    if (!std::exchange(Settled, true))
-      std::exchange(Done, nullptr)(Ok);
-  }
-};
-using CallPtr = std::shared_ptr<Call>;
-
-/// What a server needs of the chain.
-struct Environment {
-  Mode Kind;
-  MeshPolicy Policy;
-  SeededRandom Source{20261204};
-  std::multimap<Instant, std::function<void()>> Events;
-  Instant Now;
-  double Executions = 0, Useful = 0, Cancels = 0;
-  std::function<void(Call, UpstreamShedder &, CallPtr Parent)> CallNext;
-
-  bool controlled() const { return Kind == Mode::Camphorpin; }
-  double exponential(double Mean) {
-    return -Mean * std::log(1 - Source.unit());
-  }
-  void after(Duration Span, std::function<void()> Run) {
-    Events.emplace(Now + Span, std::move(Run));
-  }
-};
-
-class Server final : public AdmissionListener {
-public:
-  Server(Environment &Env, const ServiceSpec &Spec, std::uint32_t Number)
-      : Process{{Number, 1}, 1}, Env(Env), Spec(Spec) {
-    ServicePolicy Policy{.Slots = Spec.Slots,
-                         .QueueLimit = Spec.QueueLimit,
-                         .CancelLowerRanks = Spec.CancelLowerRanks};
-    Admission.emplace(Env.Policy, Policy, *this, Env.Now,
-                      Spec.Limit(Spec.Slots));
-  }
-  void arrive(const CallPtr &In) {
-    In->At = this;
-    In->Id = NextId++;
-    Calls.emplace(In->Id, In);
-    const Load &From = *In->Source;
-    if (!Env.controlled())
-      return Running < Spec.Slots ? start(In->Id) : Fifo.push_back(In->Id);
-    Admission->offer({In->Id, Rank(From.Rank), From.Idempotent,
-                      Env.Now - In->Created, In->Deadline - Env.Now,
-                      From.Caller, From.Entry * 8 + From.Rank},
-                     Env.Now);
-  }
-  void start(std::uint64_t Id) override {
-    const CallPtr Started = Calls.at(Id);
-    Started->Started = true;
-    ++*Started->Executions;
-    ++Env.Executions;
-    ++Running;
-    const double Own = Started->Source->ServiceMs;
-    const double Mean = (Own > 0 ? Own : Spec.ServiceMs) * Spec.Slow *
-                        std::max(1.0, Running / Spec.Knee);
-    // Half of the time is constant, half varies.
-    Env.after(Duration::fromMillis(Mean / 2 + Env.exponential(Mean / 2)),
-              [this, Started] { ownWorkDone(Started); });
-  }
-  void refuse(std::uint64_t Id, RefusalReason) override {
-    Calls.extract(Id).mapped()->settle(false);
-  }
-  /// The backend server stops the work, and what it called, after 1 ms.
-  void cancelRunning(std::uint64_t Id) override {
-    ++Env.Cancels;
-    Env.after(Duration::millis(1), [this, Stopped = Calls.at(Id)] {
-      Stopped->Cancelled = true;
-      if (Stopped->Child && Stopped->Child->At)
-        Stopped->Child->At->abandon(Stopped->Child);
-      end(Stopped, AdmissionOutcome::Cancelled, false);
-    });
-  }
-  void abandon(const CallPtr &Gone) { Admission->cancelled(Gone->Id, Env.Now); }
-
-  ProcessId Process;
-  std::optional<AdmissionController> Admission;
-  std::unordered_map<std::uint64_t, CallPtr> Calls;
-
-private:
-  void ownWorkDone(const CallPtr &Parent) {
-    const Load &From = *Parent->Source;
-    if (Parent->Cancelled || Parent->Service + 1 >= From.Entry + From.Depth)
-      return end(Parent, AdmissionOutcome::Completed, true);
-    const auto Done = [this, Parent, Begin = Env.Now](bool Ok) {
-      Parent->Downstream = Env.Now - Begin;
-      end(Parent, Ok ? AdmissionOutcome::Completed : AdmissionOutcome::Failed,
-          Ok);
-    };
-    Env.CallNext({Parent->Source, Parent->Service + 1, Parent->Created,
-                  Parent->Deadline, Parent->Executions, Parent->Extra, Done},
-                 Shedder, Parent);
-  }
-  void end(const CallPtr &Ended, AdmissionOutcome Outcome, bool Ok) {
-    if (Calls.erase(Ended->Id) == 0)
-      return;
-    --Running;
-    Ended->Child.reset();
-    Ended->settle(Ok);
-    if (Env.controlled())
-      Admission->finished(Ended->Id, Outcome, Env.Now, Ended->Downstream);
-    else if (!Fifo.empty())
-      start(std::exchange(Fifo.front(), 0)), Fifo.pop_front();
-  }
-
-  Environment &Env;
-  const ServiceSpec &Spec;
-  UpstreamShedder Shedder;
-  std::deque<std::uint64_t> Fifo;
-  std::uint64_t NextId = 1;
-  std::size_t Running = 0;
-};
-
-class Chain : public Environment {
+class Chain {
 public:
   Chain(std::vector<ServiceSpec> Services, MeshPolicy Policy, Mode Kind)
-      : Environment{Kind, std::move(Policy)}, Specs(std::move(Services)),
-        RetryTokens(Specs.size()), Servers(Specs.size()) {
-    CallNext = [this](Call Sent, UpstreamShedder &From, CallPtr Parent) {
-      RetryTokens[Sent.Service] = std::min(10., RetryTokens[Sent.Service] + .1);
-      attempt(Sent, From, Parent, 0);
-    };
+      : Specs(std::move(Services)), Policy(std::move(Policy)), Kind(Kind),
+        Ratios(Specs.size(), RetryRatio(0.1)), Servers(Specs.size()) {
     for (std::size_t I = 0; I < Specs.size(); ++I)
       for (std::uint32_t Number = 0; Number < Specs[I].Servers; ++Number)
         Servers[I].push_back(std::make_unique<Server>(*this, Specs[I], Number));
     tick();
   }
-
   void add(Load &Added) {
     after(Duration::fromMillis(Added.From * 1000), [&] { arrivals(Added); });
   }
-
   void runUntil(double Seconds) {
     const Instant End = Instant() + Duration::fromMillis(Seconds * 1000);
     while (Events.begin()->first <= End) {
@@ -224,80 +81,197 @@
       First.mapped()();
     }
   }
+  double wasted() const { return 1 - Useful / Executions; }
 
   std::vector<ServiceSpec> Specs;
-  std::vector<double> RetryTokens;
-  std::vector<std::vector<std::unique_ptr<Server>>> Servers;
+  SeededRandom Source{20261204};
+  Instant Now;
+  double Executions = 0, Useful = 0, Cancels = 0;
 
 private:
+  struct Server;
+
+  /// One attempt of one call at one service.
+  struct Call {
+    Load *Source = nullptr;
+    std::size_t Service = 0;
+    Instant Created, Deadline;
+    std::shared_ptr<int> Executions; // of the whole request
+    AttemptBudget Budget{3};
+    std::function<void(bool Ok)> Done = nullptr;
+    Server *At = nullptr;
+    std::uint64_t Id = 0;
+    bool Started = false, Settled = false, Cancelled = false;
+    /// A service that was called for this call refused it; its shedding level.
+    bool Refused = false;
+    Rank Level = Rank(MaxRanks - 1);
+    std::shared_ptr<Call> Child = nullptr;
+    Duration Downstream = {};
+
+    void settle(bool Ok) {
+      if (!std::exchange(Settled, true))
+        std::exchange(Done, nullptr)(Ok);
+    }
+  };
+  using CallPtr = std::shared_ptr<Call>;
+
+  struct Server final : AdmissionListener {
+    Server(Chain &Env, const ServiceSpec &Spec, std::uint32_t Number)
+        : Process{{Number, 1}, 1}, Env(Env), Spec(Spec) {
+      ServicePolicy Policy;
+      Policy.Slots = Spec.Slots;
+      Policy.QueueLimit = Spec.QueueLimit;
+      Policy.CancelLowerRanks = Spec.CancelLowerRanks;
+      Admission.emplace(Env.Policy, Policy, *this, Env.Now,
+                        Spec.Limit(Spec.Slots));
+    }
+    void arrive(const CallPtr &In) {
+      In->At = this;
+      In->Id = NextId++;
+      Calls.emplace(In->Id, In);
+      const Load &From = *In->Source;
+      if (!Env.controlled())
+        return Running < Spec.Slots ? start(In->Id) : Fifo.push_back(In->Id);
+      Admission->offer({In->Id, Rank(From.Rank), true, Env.Now - In->Created,
+                        In->Deadline - Env.Now, From.Caller,
+                        From.Entry * 8 + From.Rank},
+                       Env.Now);
+    }
+    void start(std::uint64_t Id) override {
+      const CallPtr Started = Calls.at(Id);
+      Started->Started = true;
+      ++*Started->Executions;
+      ++Env.Executions;
+      ++Running;
+      const double Own = Started->Source->ServiceMs;
+      const double Mean = (Own > 0 ? Own : Spec.ServiceMs) * Spec.Slow *
+                          std::max(1.0, Running / Spec.Knee);
+      // Half of the time is constant, half varies.
+      Env.after(Duration::fromMillis(Mean / 2 + Env.exponential(Mean / 2)),
+                [this, Started] { ownWorkDone(Started); });
+    }
+    void refuse(std::uint64_t Id, RefusalReason) override {
+      Calls.extract(Id).mapped()->settle(false);
+    }
+    /// The backend server stops the work, and what it called, after 1 ms.
+    void cancelRunning(std::uint64_t Id) override {
+      ++Env.Cancels;
+      Env.after(Duration::millis(1), [this, Stopped = Calls.at(Id)] {
+        Stopped->Cancelled = true;
+        if (Stopped->Child && Stopped->Child->At)
+          Stopped->Child->At->Admission->cancelled(Stopped->Child->Id, Env.Now);
+        end(Stopped, AdmissionOutcome::Cancelled, false);
+      });
+    }
+    void ownWorkDone(const CallPtr &Of) {
+      const Load &From = *Of->Source;
+      if (Of->Cancelled || Of->Service + 1 >= From.Entry + From.Depth)
+        return end(Of, AdmissionOutcome::Completed, true);
+      Call Next{Of->Source, Of->Service + 1, Of->Created, Of->Deadline,
+                Of->Executions};
+      Next.Done = [this, Of, Begin = Env.Now](bool Ok) {
+        Of->Downstream = Env.Now - Begin;
+        end(Of, Ok ? AdmissionOutcome::Completed : AdmissionOutcome::Failed,
+            Ok);
+      };
+      Env.attempt(Of, Next, Shedder);
+    }
+    void end(const CallPtr &Ended, AdmissionOutcome Outcome, bool Ok) {
+      if (Calls.erase(Ended->Id) == 0)
+        return;
+      --Running;
+      Ended->Child.reset();
+      Ended->settle(Ok);
+      if (Env.controlled())
+        return Admission->finished(Ended->Id, Outcome, Env.Now,
+                                   Ended->Downstream);
+      if (Fifo.empty())
+        return;
+      start(Fifo.front());
+      Fifo.pop_front();
+    }
+
+    ProcessId Process;
+    Chain &Env;
+    const ServiceSpec &Spec;
+    std::optional<AdmissionController> Admission;
+    std::unordered_map<std::uint64_t, CallPtr> Calls;
+    UpstreamShedder Shedder;
+    std::deque<std::uint64_t> Fifo;
+    std::uint64_t NextId = 1;
+    std::size_t Running = 0;
+  };
+
   void tick() {
     for (auto &Group : Servers)
       for (auto &Each : Group)
         Each->Admission->tick(Now);
     after(Duration::millis(20), [this] { tick(); });
   }
-
-  /// The baseline retries three times; otherwise the whole request has three
-  /// extra attempts, and an edge has one retry per ten first attempts.
-  /// Only the hop directly above a refusal retries.
-  bool mayRetry(const Call &Failed, const CallPtr &Parent, int Made, bool Ran) {
+  bool controlled() const { return Kind == Mode::Camphorpin; }
+  double exponential(double Mean) {
+    return -Mean * std::log(1 - Source.unit());
+  }
+  void after(Duration Span, std::function<void()> Run) {
+    Events.emplace(Now + Span, std::move(Run));
+  }
+  bool retries(const CallPtr &Caller, const Call &Failed, int Made) {
     if (!controlled())
       return Made < 3;
-    if (Ran || Now >= Failed.Deadline || (Parent && Parent->Cancelled) ||
-        *Failed.Extra >= 3 || RetryTokens[Failed.Service] < 1)
-      return false;
-    ++*Failed.Extra;
-    RetryTokens[Failed.Service] -= 1;
-    return true;
+    if (Failed.Started || Caller->Cancelled)
+      return false; // only the hop directly above a refusal retries
+    const AttemptFailure Failure{Verdict::NotRun, RefusalReason::Overloaded,
+                                 true, true, Failed.Deadline - Now};
+    return RetryPolicy::decide(Failure, Caller->Budget,
+                               Ratios[Failed.Service]) == RetryChoice::Retry;
   }
-
-  void attempt(const Call &Sent, UpstreamShedder &From, const CallPtr &Parent,
-               int Made) {
-    const CallPtr Attempt = std::make_shared<Call>(Sent);
-    const CallTarget To{ServiceName(Specs[Sent.Service].Name),
-                        OperationName(Sent.Source->Caller)};
-    if (Parent)
-      Parent->Child = Attempt;
-    Attempt->Done = [=, this, &From, Of = Attempt.get()](bool Ok) {
+  void attempt(const CallPtr &Caller, const Call &Next, UpstreamShedder &From,
+               int Made = 0) {
+    if (Made == 0)
+      Ratios[Next.Service].onFirstAttempt();
+    const CallPtr Sent = std::make_shared<Call>(Next);
+    const Rank CallRank(Next.Source->Rank);
+    const CallTarget To{ServiceName(Specs[Next.Service].Name),
+                        OperationName(Next.Source->Caller)};
+    const std::uint8_t Lent = Caller->Budget.lend();
+    Sent->Budget = AttemptBudget(Lent);
+    Caller->Child = Sent;
+    Sent->Done = [=, this, &From, Of = Sent.get()](bool Ok) {
       const bool Accepted = Ok || (Of->Started && !Of->Refused);
       if (Of->At && controlled())
-        From.observe(
-            {To, Of->At->Process, Rank(Of->Source->Rank), Of->Source->Caller,
-             std::min(Of->Level, Of->At->Admission->sheddingLevel()), Accepted},
-            Now);
-      if (Parent)
-        Parent->Level = std::min(Parent->Level, From.level(To, Now));
-      if (!Ok && mayRetry(Sent, Parent, Made, Of->Started))
-        return attempt(Sent, From, Parent, Made + 1);
-      if (Parent)
-        Parent->Refused |= !Accepted;
-      Sent.Done(Ok);
+        From.observe({To, Of->At->Process, CallRank, Of->Source->Caller,
+                      std::min(Of->Level, Of->At->Admission->sheddingLevel()),
+                      Accepted},
+                     Now);
+      Caller->Level = std::min(Caller->Level, From.level(To, Now));
+      Caller->Budget.giveBack(Lent, Of->Budget.available());
+      if (!Ok && retries(Caller, *Of, Made))
+        return attempt(Caller, Next, From, Made + 1);
+      Caller->Refused |= !Accepted;
+      Next.Done(Ok);
     };
     // Sending at once would recurse through all retries.
     after(Duration(), [=, this, &From] {
-      if (!controlled() || From.admit(To, Rank(Attempt->Source->Rank),
-                                      Attempt->Source->Caller, Now))
-        send(Attempt);
-      else
-        Attempt->settle(false);
+      if (controlled() && !From.admit(To, CallRank, Next.Source->Caller, Now))
+        return Sent->settle(false);
+      pick(Sent->Service).arrive(Sent);
+      // Without deadlines a hop gives up too, but the work goes on.
+      const Instant End =
+          controlled() ? Sent->Deadline : Now + Sent->Source->Deadline;
+      after(End - Now, [this, Sent] {
+        if (!Sent->Settled && controlled())
+          Sent->At->Admission->cancelled(Sent->Id, Now);
+        Sent->settle(false);
+      });
     });
   }
-
-  void send(const CallPtr &Sent) {
-    auto &Group = Servers[Sent->Service];
+  /// \returns the less loaded of two servers of the service.
+  Server &pick(std::size_t Service) {
+    auto &Group = Servers[Service];
     Server *First = Group[Source.below(Group.size())].get();
     Server *Second = Group[Source.below(Group.size())].get();
-    Server *To = First->Calls.size() <= Second->Calls.size() ? First : Second;
-    To->arrive(Sent);
-    // Without deadlines a hop gives up too, but the work goes on.
-    after(controlled() ? Sent->Deadline - Now : Sent->Source->Deadline,
-          [this, Sent] {
-            if (!Sent->Settled && controlled())
-              Sent->At->abandon(Sent);
-            Sent->settle(false);
-          });
+    return First->Calls.size() <= Second->Calls.size() ? *First : *Second;
   }
-
   void arrivals(Load &Of) {
     const std::size_t Second = Now.wholeMillis() / 1000;
     Of.Offered.resize(std::max(Of.Offered.size(), Second + 1));
@@ -308,22 +282,25 @@
     if ((Now + Gap).wholeMillis() < Of.Until * 1000)
       after(Gap, [this, &Of] { arrivals(Of); });
   }
-
   void clientAttempt(Load &Of, std::size_t Second, int Retries) {
-    const auto Runs = std::make_shared<int>(0);
-    const Instant Deadline = Now + Of.Deadline;
-    const auto Done = [=, this, &Of](bool Ok) {
-      const bool InTime = Ok && Now <= Deadline;
-      Useful += InTime ? *Runs : 0;
+    Call Root{&Of, Of.Entry, Now, Now + Of.Deadline, std::make_shared<int>(0)};
+    const CallPtr Client = std::make_shared<Call>(Root);
+    Root.Done = [=, this, &Of](bool Ok) {
+      const bool InTime = Ok && Now <= Client->Deadline;
+      Client->Child.reset();
+      Useful += InTime ? *Client->Executions : 0;
       Of.Good[Second] += InTime ? 1 : 0;
       if (!InTime && Retries > 0)
         clientAttempt(Of, Second, Retries - 1);
     };
-    CallNext(
-        {&Of, Of.Entry, Now, Deadline, Runs, std::make_shared<int>(0), Done},
-        Ingress, nullptr);
+    attempt(Client, Root, Ingress);
   }
 
+  MeshPolicy Policy;
+  Mode Kind;
+  std::vector<RetryRatio> Ratios;
+  std::vector<std::vector<std::unique_ptr<Server>>> Servers;
+  std::multimap<Instant, std::function<void()>> Events;
   UpstreamShedder Ingress;
 };
 
--- a/packages/decision/tests/AdmissionRanksTest.cpp
+++ b/packages/decision/tests/AdmissionRanksTest.cpp
@@ -36,7 +36,7 @@
     cr_log_warn(
         "flood of lookups, mode %d: urgent %.4f lookup %.4f wasted %.4f",
         static_cast<int>(Kind), Urgent.share(5, 15), Flood.share(5, 15),
-        1 - Run.Useful / Run.Executions);
+        Run.wasted());
   }
   cr_assert_geq(Share[0], 0.99);
   cr_assert_lt(Share[1], 0.5, "the baseline shows that the flood is one");
@@ -123,8 +123,7 @@
       cr_log_warn("long lookups, cap %.1f, cancel %d: urgent %.4f lookups "
                   "%.2f/s cancelled %.0f wasted %.4f",
                   Mesh.Ranks[2].Cap, Cancel, Share[Capped][Cancel],
-                  Lookups.rate(10, 60), Run.Cancels,
-                  1 - Run.Useful / Run.Executions);
+                  Lookups.rate(10, 60), Run.Cancels, Run.wasted());
     }
   }
   cr_assert_lt(Share[0][0], 0.9, "without cap and cancellation they wait");
--- a/packages/decision/tests/ConcurrencyLimitTest.cpp
+++ b/packages/decision/tests/ConcurrencyLimitTest.cpp
@@ -74,33 +74,37 @@
   std::function<double(double Second)> Slow;
 };
 
-double goodput(const Scenario &Of, Algorithm Kind) {
+/// One run of 40 s.
+double goodput(const Scenario &Of, Algorithm Kind, std::uint64_t Seed) {
   MeshPolicy Mesh;
   Mesh.Ranks = {{"urgent", 0.0, 1.0}};
   Load Demand = {.PerSecond = Of.PerSecond, .Deadline = Of.Deadline};
-  Chain Run(
-      {{.Name = "orders",
-        .Slots = 40,
-        .QueueLimit = 80,
-        .Knee = Of.Knee,
-        .Slow = Of.Slow(0),
-        .Limit = [Kind](std::uint32_t Slots) { return make(Kind, Slots); }}},
-      Mesh, Mode::Camphorpin);
+  ServiceSpec Spec = {.Name = "orders",
+                      .Slots = 40,
+                      .QueueLimit = 80,
+                      .Knee = Of.Knee,
+                      .Slow = Of.Slow(0)};
+  Spec.Limit = [Kind](std::uint32_t Slots) { return make(Kind, Slots); };
+  Chain Run({Spec}, Mesh, Mode::Camphorpin);
+  Run.Source = SeededRandom(Seed);
   Run.add(Demand);
   for (int Tenth = 0; Tenth < 400; ++Tenth) {
     Run.Specs[0].Slow = Of.Slow(Tenth * 0.1);
     Run.runUntil(Tenth * 0.1 + 0.1);
   }
-  const double Result = Demand.rate(0, 40);
-  cr_log_warn("%s, %s: %.1f/s in time, wasted %.4f", Of.Name, Names[Kind],
-              Result, 1 - Run.Useful / Run.Executions);
-  return Result;
+  return Demand.rate(0, 40);
 }
 
+/// Mean answers in time per second. Single runs differ by 2%.
 std::array<double, 4> compare(const Scenario &Of) {
   std::array<double, 4> Result;
-  for (Algorithm Kind : {Verified, Unverified, Gradient, Fixed})
-    Result[Kind] = goodput(Of, Kind);
+  constexpr std::uint64_t Seeds = 4;
+  for (Algorithm Kind : {Verified, Unverified, Gradient, Fixed}) {
+    Result[Kind] = 0;
+    for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed)
+      Result[Kind] += goodput(Of, Kind, Seed) / Seeds;
+    cr_log_warn("%s, %s: %.1f/s in time", Of.Name, Names[Kind], Result[Kind]);
+  }
   return Result;
 }
 
--- a/packages/decision/tests/MetastableOverloadTest.cpp
+++ b/packages/decision/tests/MetastableOverloadTest.cpp
@@ -49,7 +49,7 @@
   Result.Before = Steady.share(10, TriggerStart);
   Result.During = Steady.share(TriggerStart, TriggerEnd);
   Result.After = Steady.share(RunEnd - 10, RunEnd);
-  Result.WastedShare = 1 - Run.Useful / Run.Executions;
+  Result.WastedShare = Run.wasted();
   for (std::size_t Second = RunEnd; Second-- > TriggerEnd;) {
     if (Steady.share(Second, Second + 1) < 0.95 * Result.Before)
       break;
--- a/packages/decision/tests/UserProfilesTest.cpp
+++ b/packages/decision/tests/UserProfilesTest.cpp
@@ -134,8 +134,7 @@
       "wasted %.3f",
       Of.Name, By.Name, Kind == Mode::Naive ? "baseline" : "camphorpin",
       FloorSum, Cancel, Result.Urgent, Result.UrgentRate, Result.Normal,
-      Result.Lookup, Result.Goodput, Before, Result.Recovery,
-      1 - Run.Useful / Run.Executions);
+      Result.Lookup, Result.Goodput, Before, Result.Recovery, Run.wasted());
   return Result;
 }
 
