--- a/tests/bench/AdmissionBench.cpp
+++ b/tests/bench/AdmissionBench.cpp
@@ -51,6 +51,7 @@
   Instant Now;
   AdmissionController Admission(mesh(), Service, Listener, Now);
   std::vector<std::string> Names;
+  Names.reserve(Callers);
   for (int Number = 0; Number < Callers; ++Number)
     Names.push_back("caller" + std::to_string(Number));
   std::uint64_t Id = 0;
