Log the figures of the admission tests at the info level

Cause: a warning makes the test runner exit with 1 although all tests pass (AdmissionRanksTest, ConcurrencyLimitTest, MetastableOverloadTest and UserProfilesTest failed in CTest with 0 failing tests).

--- a/packages/decision/tests/AdmissionRanksTest.cpp
+++ b/packages/decision/tests/AdmissionRanksTest.cpp
@@ -33,7 +33,7 @@
     Run.add(Flood);
     Run.runUntil(20);
     Share[static_cast<int>(Kind)] = Urgent.share(5, 15);
-    cr_log_warn(
+    cr_log_info(
         "flood of lookups, mode %d: urgent %.4f lookup %.4f wasted %.4f",
         static_cast<int>(Kind), Urgent.share(5, 15), Flood.share(5, 15),
         1 - Run.Useful / Run.Executions);
@@ -57,7 +57,7 @@
       Run.add(*Each);
     Run.runUntil(20);
     const double Urgent = Flood.rate(5, 15);
-    cr_log_warn("flood of urgent work, floors %d: urgent %.1f/s normal %.1f/s "
+    cr_log_info("flood of urgent work, floors %d: urgent %.1f/s normal %.1f/s "
                 "lookup %.1f/s",
                 Floors, Urgent, Normal.rate(5, 15), Lookup.rate(5, 15));
     const double Kept = Floors ? 1 : 0;
@@ -81,7 +81,7 @@
     for (Load *Each : {&Flood, &Small, &Weighted})
       Run.add(*Each);
     Run.runUntil(20);
-    cr_log_warn("flooding caller, mode %d: flooder %.1f/s small %.4f "
+    cr_log_info("flooding caller, mode %d: flooder %.1f/s small %.4f "
                 "cooperative %.1f/s",
                 static_cast<int>(Kind), Flood.rate(5, 15), Small.share(5, 15),
                 Weighted.rate(5, 15));
--- a/packages/decision/tests/ConcurrencyLimitTest.cpp
+++ b/packages/decision/tests/ConcurrencyLimitTest.cpp
@@ -92,7 +92,7 @@
     Run.runUntil(Tenth * 0.1 + 0.1);
   }
   const double Result = Demand.rate(0, 40);
-  cr_log_warn("%s, %s: %.1f/s in time, wasted %.4f", Of.Name, Names[Kind],
+  cr_log_info("%s, %s: %.1f/s in time, wasted %.4f", Of.Name, Names[Kind],
               Result, 1 - Run.Useful / Run.Executions);
   return Result;
 }
--- a/packages/decision/tests/MetastableOverloadTest.cpp
+++ b/packages/decision/tests/MetastableOverloadTest.cpp
@@ -55,7 +55,7 @@
       break;
     Result.RecoverySeconds = static_cast<double>(Second - TriggerEnd);
   }
-  cr_log_warn("mode %d: before %.4f during %.4f after %.4f recovery %.0f s "
+  cr_log_info("mode %d: before %.4f during %.4f after %.4f recovery %.0f s "
               "wasted %.4f",
               static_cast<int>(Kind), Result.Before, Result.During,
               Result.After, Result.RecoverySeconds, Result.WastedShare);
--- a/packages/decision/tests/UserProfilesTest.cpp
+++ b/packages/decision/tests/UserProfilesTest.cpp
@@ -117,7 +117,7 @@
       break;
     Result.Recovery = static_cast<double>(Second - End);
   }
-  cr_log_warn("%s, %s, %s, floors %.2f, cancel %d: urgent %.4f normal %.4f "
+  cr_log_info("%s, %s, %s, floors %.2f, cancel %d: urgent %.4f normal %.4f "
               "lookup %.4f goodput %.0f/s (before %.0f/s) recovery %.0f s "
               "wasted %.3f",
               Of.Name, By.Name, Kind == Mode::Naive ? "baseline" : "camphorpin",
