--- a/packages/decision/camphorpin/src/Claims/SourceResolver.cpp
+++ b/packages/decision/camphorpin/src/Claims/SourceResolver.cpp
@@ -325,12 +325,14 @@
                                     [&Value](const KeyCutoff &Present) {
                                       return Present.Process == Value.Process;
                                     });
+    if (Found != Known.Cutoffs.end() && Found->Time >= Value.Time)
+      continue;
     if (Found == Known.Cutoffs.end())
       Known.Cutoffs.push_back(Value);
     else
-      Found->Time = std::max(Found->Time, Value.Time);
+      Found->Time = Value.Time;
+    ++Revision;
   }
-  ++Revision;
 }
 
 Epoch SourceResolver::requiredFence(const ProcessId &Process) const {
