--- /dev/null
+++ b/packages/decision/camphorpin/src/Admission/UpstreamShedder.cpp
@@ -0,0 +1,126 @@
+#include "camphorpin/src/Admission/UpstreamShedder.h"
+
+#include <algorithm>
+#include <cmath>
+
+using namespace camphorpin;
+
+namespace {
+
+/// The share of calls sent doubles once per half-life while all are accepted; a
+/// second meant almost 6 s from the trickle to all calls.
+constexpr Duration HalfLife = Duration::millis(250);
+/// Calls sent per accepted call of a shed rank. More than 1, so that a peer
+/// that accepts more again is noticed; at 2 at most half of the calls sent are
+/// refused.
+constexpr double SentPerAccepted = 2.0;
+/// Smallest share of the calls of a shed rank that is sent.
+constexpr double TrickleShare = 0.02;
+/// A shed rank sends at least one call per this time, if it has calls.
+constexpr Duration TrickleInterval = Duration::millis(500);
+
+} // namespace
+
+bool UpstreamShedder::admit(const CallTarget &Target, Rank CallRank,
+                            std::string_view Caller, Instant Now) {
+  const auto Found = Targets.find(Target);
+  if (Found == Targets.end())
+    return true;
+  TargetState &State = Found->second;
+  CallCounts &Counts = countsOf(State, Caller, Now);
+  Counts.Offered += 1;
+  const Rank Level = levelOf(State, Now);
+  const bool ShedAllOthers = Level == Rank(0) && CallRank == Rank(0);
+  if (!Level.moreUrgentThan(CallRank) && !ShedAllOthers) {
+    State.LastSent = Now;
+    return true;
+  }
+  // The added 1 lets the first calls after a pause through.
+  const double Share = (SentPerAccepted * Counts.Accepted + 1) / Counts.Offered;
+  Counts.Credit += std::clamp(Share, TrickleShare, 1.0);
+  if (Counts.Credit < 1 && Now - State.LastSent < TrickleInterval)
+    return false;
+  Counts.Credit = std::max(0.0, Counts.Credit - 1);
+  State.LastSent = Now;
+  return true;
+}
+
+void UpstreamShedder::observe(const SheddingObservation &Seen, Instant Now) {
+  TargetState *State = findOrAdd(Seen.Target, Now);
+  if (!State)
+    return;
+  if (Seen.Accepted)
+    countsOf(*State, Seen.Caller, Now).Accepted += 1;
+  const PeerLevel Fresh = {
+      .Peer = Seen.Peer, .Level = Seen.Level, .Until = Now + LevelLifetime};
+  std::vector<PeerLevel> &Peers = State->Peers;
+  auto Place =
+      std::find_if(Peers.begin(), Peers.end(), [&Seen](const PeerLevel &Each) {
+        return Each.Peer == Seen.Peer;
+      });
+  if (Place == Peers.end() && Peers.size() < MaxPeers) {
+    Peers.push_back(Fresh);
+    return;
+  }
+  if (Place == Peers.end())
+    Place = std::min_element(Peers.begin(), Peers.end(),
+                             [](const PeerLevel &Left, const PeerLevel &Right) {
+                               return Left.Until < Right.Until;
+                             });
+  *Place = Fresh;
+}
+
+Rank UpstreamShedder::level(const CallTarget &Target, Instant Now) const {
+  const auto Found = Targets.find(Target);
+  return Found == Targets.end() ? Rank(MaxRanks - 1)
+                                : levelOf(Found->second, Now);
+}
+
+Rank UpstreamShedder::levelOf(const TargetState &State, Instant Now) {
+  Rank Least;
+  bool Known = false;
+  for (const PeerLevel &Each : State.Peers) {
+    if (Each.Until < Now)
+      continue;
+    Least = std::max(Least, Each.Level);
+    Known = true;
+  }
+  return Known ? Least : Rank(MaxRanks - 1);
+}
+
+UpstreamShedder::CallCounts &UpstreamShedder::countsOf(TargetState &State,
+                                                       std::string_view Caller,
+                                                       Instant Now) {
+  if (State.Counts.empty())
+    State.Counts.resize(CallerClasses);
+  CallCounts &Counts = State.Counts[stableHash(Caller) % CallerClasses];
+  const double HalfLives =
+      (Now - Counts.Updated).toMillis() / HalfLife.toMillis();
+  const double Factor = std::exp2(-HalfLives);
+  Counts.Offered *= Factor;
+  Counts.Accepted *= Factor;
+  Counts.Updated = Now;
+  return Counts;
+}
+
+UpstreamShedder::TargetState *
+UpstreamShedder::findOrAdd(const CallTarget &Target, Instant Now) {
+  const auto Found = Targets.find(Target);
+  if (Found != Targets.end())
+    return &Found->second;
+  if (Targets.size() >= MaxTargets) {
+    const auto Stale =
+        std::find_if(Targets.begin(), Targets.end(), [Now](const auto &Each) {
+          return levelOf(Each.second, Now) == Rank(MaxRanks - 1);
+        });
+    if (Stale == Targets.end())
+      return nullptr;
+    Targets.erase(Stale);
+  }
+  return &Targets[Target];
+}
+
+std::size_t
+UpstreamShedder::TargetHash::operator()(const CallTarget &Target) const {
+  return stableHash(Target.Operation.view(), stableHash(Target.Service.view()));
+}
--- /dev/null
+++ b/packages/decision/camphorpin/src/Admission/UpstreamShedder.h
@@ -0,0 +1,101 @@
+#ifndef CAMPHORPIN_SRC_ADMISSION_UPSTREAMSHEDDER_H
+#define CAMPHORPIN_SRC_ADMISSION_UPSTREAMSHEDDER_H
+
+#include "camphorpin/Policy.h"
+
+#include <cstddef>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace camphorpin {
+
+/// \class SheddingObservation
+/// \brief What an answer of a peer says about the load of an operation.
+struct SheddingObservation {
+  CallTarget Target;
+  ProcessId Peer;
+  /// Rank and caller of the call that was answered.
+  camphorpin::Rank Rank;
+  std::string_view Caller;
+  /// The least urgent rank that is accepted: the shedding level of the peer's
+  /// backend server, or a more urgent one that the peer learned from the calls
+  /// which it made for this call. So the level of a deep service reaches the
+  /// ingress node.
+  camphorpin::Rank Level;
+  /// False if the call was refused for lack of capacity, by the peer or by a
+  /// service that the peer called for it.
+  bool Accepted = true;
+};
+
+/// \class UpstreamShedder
+/// \brief Refuses calls at the calling node that the called service, or one
+/// that it depends on, would refuse anyway.
+///
+/// Only ranks less urgent than the shedding level of the operation are refused,
+/// and only while every peer heard from recently sheds them. When all of them
+/// are shed, the most urgent rank is limited as well. Of a refused rank it
+/// sends at most about twice what the peers accept, so that floors stay used,
+/// and at least a trickle, so that recovery is noticed. This is decided per
+/// caller, so that a caller within its share does not pay for a flood.
+///
+/// Memory is bounded: at most MaxTargets operations with MaxPeers peers and
+/// CallerClasses counts each. Callers share counts by hash. Calls of operations
+/// beyond the bound are always admitted.
+class UpstreamShedder {
+public:
+  static constexpr std::size_t MaxTargets = 256;
+  static constexpr std::size_t MaxPeers = 32;
+  static constexpr std::size_t CallerClasses = 64;
+  /// A shedding level counts for this long after the answer that carried it.
+  static constexpr Duration LevelLifetime = Duration::seconds(2);
+
+  /// \returns true if the call may be sent; otherwise it is to be refused with
+  /// RefusalReason::Shed.
+  bool admit(const CallTarget &Target, Rank CallRank, std::string_view Caller,
+             Instant Now);
+
+  /// Learns from an answer or refusal that a peer sent.
+  void observe(const SheddingObservation &Seen, Instant Now);
+
+  /// \returns the least urgent rank that is accepted as far as known; the
+  /// least urgent of all ranks if nothing is known.
+  Rank level(const CallTarget &Target, Instant Now) const;
+
+private:
+  struct PeerLevel {
+    ProcessId Peer;
+    Rank Level;
+    Instant Until;
+  };
+
+  /// Counts of one caller class with exponential decay.
+  struct CallCounts {
+    double Offered = 0;
+    double Accepted = 0;
+    /// Fraction of the next call that is already allowed.
+    double Credit = 0;
+    Instant Updated;
+  };
+
+  struct TargetState {
+    std::vector<PeerLevel> Peers;
+    std::vector<CallCounts> Counts;
+    Instant LastSent;
+  };
+
+  struct TargetHash {
+    std::size_t operator()(const CallTarget &Target) const;
+  };
+
+  TargetState *findOrAdd(const CallTarget &Target, Instant Now);
+  static Rank levelOf(const TargetState &State, Instant Now);
+  static CallCounts &countsOf(TargetState &State, std::string_view Caller,
+                              Instant Now);
+
+  std::unordered_map<CallTarget, TargetState, TargetHash> Targets;
+};
+
+} // namespace camphorpin
+
+#endif
