Refuse keys that a home may have forgotten after its wall clock was set back

A wall clock that went 1,000 s forward and back made a home forget a key and then regard it as young: the new test ran the key twice without the check, once with it. The check is local: a table that is handed over does not carry it, so clocks within 5 s remain an assumption of takeovers.

--- a/packages/decision/camphorpin/src/Claims/ClaimHome.cpp
+++ b/packages/decision/camphorpin/src/Claims/ClaimHome.cpp
@@ -237,7 +237,9 @@
 
 bool ClaimHome::refusedByAge(const ClaimSend &Send) {
   const Duration Age = Time.wallNow() - Send.Key.createdAt();
-  if (Age >= Options.KeyRetention) {
+  // The wall clock may have been set back since keys were forgotten.
+  const bool Forgotten = Send.Key.createdAt() < Table.expiredBefore();
+  if (Forgotten || Age >= Options.KeyRetention) {
     refuse(Send, Verdict::MayHaveRun, RefusalReason::KeyExpired);
     return true;
   }
--- a/packages/decision/camphorpin/src/Claims/ClaimTable.h
+++ b/packages/decision/camphorpin/src/Claims/ClaimTable.h
@@ -77,6 +77,10 @@
   /// Removes the keys that were created before \p Created.
   void expireBefore(Instant Created);
 
+  /// \returns the latest time that was given to expireBefore(). A key that was
+  /// created before it may have been forgotten.
+  Instant expiredBefore() const { return Expired; }
+
   /// \returns up to \p Limit keys greater than \p After for which \p Wanted is
   /// true. A key in state Copying is reported as unknown.
   EntryPage page(const RequestKey &After, std::size_t Limit,
@@ -100,6 +104,7 @@
   std::map<RequestKey, Chunk> Chunks;
   std::size_t Count = 0;
   std::size_t MaxKeys;
+  Instant Expired;
 };
 
 } // namespace camphorpin
--- a/packages/decision/camphorpin/src/Crash/CrashGuard.h
+++ b/packages/decision/camphorpin/src/Crash/CrashGuard.h
@@ -40,6 +40,9 @@
 /// \brief Limits the crashes that one request can cause. See section 4.7 of the
 /// design.
 ///
+/// A request that is sent P times in the time that reports need to reach a node
+/// crashes at most MaxCrashes + P backend servers.
+///
 /// Bounds: CrashOptions::MaxSuspects fingerprints and one record for each
 /// running request.
 class CrashGuard {
--- a/packages/decision/tests/ClaimHomeTest.cpp
+++ b/packages/decision/tests/ClaimHomeTest.cpp
@@ -217,3 +217,26 @@
   cr_assert_eq(offer(Value, Duration::seconds(1)).Ran, 10U);
   cr_assert_not(Value.Checks.ran(Old), "the key is older than its retention");
 }
+
+// A wall clock that is set forward and back made a home forget a key and then
+// regard it as young.
+Test(ClaimHome, wallClockThatIsSetBackDoesNotRunAKeyAgain) {
+  World Value(Protection::Full, 3);
+  const RequestKey Key = RequestKey::make(Value.Time.wallNow(), Value.Source);
+  const HomeTenure *Owner = Value.Log.back().homeOf(Key);
+  for (const std::unique_ptr<TestNode> &Node : Value.Nodes) {
+    if (!Node || Node->Self != Owner->Process)
+      continue;
+    Value.newSend(Key, Node->Slot, World::Slots);
+    Value.pass(Duration::seconds(1));
+    Node->work(2);
+    cr_assert(Value.Checks.ran(Key));
+    Node->Time.step(Duration::seconds(1000));
+    Value.pass(Duration::seconds(1));
+    Node->Time.step(Duration::seconds(-1000));
+    Value.newSend(Key, Node->Slot, World::Slots);
+    Value.pass(Duration::seconds(1));
+    Node->work(2);
+  }
+  cr_assert_eq(Value.Checks.Twice, 0U);
+}
--- a/packages/decision/tests/ClaimsWorld.h
+++ b/packages/decision/tests/ClaimsWorld.h
@@ -31,6 +31,8 @@
   Instant now() const override { return Base.now(); }
   Instant wallNow() const override { return Base.wallNow() + Skew; }
 
+  void step(Duration Span) { Skew += Span; }
+
 private:
   const ManualClock &Base;
   Duration Skew;
