Spread configuration records to all nodes

Purpose: a change must be in force on 7,100 nodes within 14 s without all nodes reading the log. Two readers for each availability zone poll the log; records are announced to 3 random peers and pulled once; the reading that rides on gossip repairs lost announcements; a node without a fresh reading polls itself.

Only a reading on the answer to a question of this node makes its own reading younger, because an unasked datagram may have waited in the buffer of a paused process, whose home would then claim keys with an old reading.

When all 7,100 nodes start together, 6,409 read the log within one second; so only the readers read it at first. Ruled out: asking random peers for the digest, which joins too slowly when few nodes have a state (349 reads in a second at 3,000 nodes); readers are asked.

--- a/packages/decision/camphorpin/Configuration.h
+++ b/packages/decision/camphorpin/Configuration.h
@@ -5,9 +5,13 @@
 #ifndef CAMPHORPIN_CONFIGURATION_H
 #define CAMPHORPIN_CONFIGURATION_H
 
+#include "camphorpin/src/Configuration/ConfigurationActions.h"
 #include "camphorpin/src/Configuration/ConfigurationDocument.h"
 #include "camphorpin/src/Configuration/ConfigurationFold.h"
+#include "camphorpin/src/Configuration/ConfigurationMessages.h"
+#include "camphorpin/src/Configuration/ConfigurationPeers.h"
 #include "camphorpin/src/Configuration/ConfigurationRecord.h"
+#include "camphorpin/src/Configuration/ConfigurationSpread.h"
 #include "camphorpin/src/Configuration/FoldSnapshot.h"
 #include "camphorpin/src/Configuration/RecordOutcome.h"
 #include "camphorpin/src/Configuration/RestateScheduler.h"
--- a/packages/decision/camphorpin/src/Configuration/ConfigurationFold.cpp
+++ b/packages/decision/camphorpin/src/Configuration/ConfigurationFold.cpp
@@ -127,9 +127,8 @@
                                              ChangeRecord Change) {
   if (isKnown(Change.Document))
     return foldChange(Change);
-  RecordOutcome Outcome{
-      OutcomeKind::UnknownBase,   Change.Document, Change.Base,
-      versionOf(Change.Document), Change.ChangeId, {}};
+  RecordOutcome Outcome{OutcomeKind::UnknownBase, Change.Document, Change.Base,
+                        versionOf(Change.Document), Change.ChangeId};
   const std::optional<std::uint64_t> Dropped =
       Buffer.add(Offset, std::move(Change));
   if (Dropped)
@@ -138,9 +137,8 @@
 }
 
 RecordOutcome ConfigurationFold::foldChange(const ChangeRecord &Change) {
-  RecordOutcome Outcome{OutcomeKind::Conflict, Change.Document,
-                        Change.Base,           versionOf(Change.Document),
-                        Change.ChangeId,       {}};
+  RecordOutcome Outcome{OutcomeKind::Conflict, Change.Document, Change.Base,
+                        versionOf(Change.Document), Change.ChangeId};
   const auto Found = Documents.find(Change.Document);
   const bool Exists = Found != Documents.end();
   if (Exists) {
@@ -170,12 +168,8 @@
 
 RecordOutcome ConfigurationFold::applyRestate(std::uint64_t Offset,
                                               const RestateRecord &Record) {
-  RecordOutcome Outcome{OutcomeKind::Ignored,
-                        Record.Document,
-                        0,
-                        versionOf(Record.Document),
-                        {},
-                        {}};
+  RecordOutcome Outcome{OutcomeKind::Ignored, Record.Document, 0,
+                        versionOf(Record.Document)};
   // The state at AsOf cannot include records that come after the restate.
   if (Record.AsOf > Offset) {
     Outcome.Kind = OutcomeKind::Invalid;
@@ -188,6 +182,11 @@
     adopt(Record, Outcome);
   completeFrom(Record);
   Outcome.InForce = versionOf(Record.Document);
+  const auto Found = Documents.find(Record.Document);
+  if (Found != Documents.end() && Record.AsOf >= Found->second.RestateAfter) {
+    Found->second.RestateAfter = Next;
+    Outcome.IsRestate = true;
+  }
   return Outcome;
 }
 
--- /dev/null
+++ b/packages/decision/camphorpin/src/Configuration/ConfigurationSpread.cpp
@@ -0,0 +1,343 @@
+#include "camphorpin/src/Configuration/ConfigurationSpread.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace camphorpin {
+
+namespace {
+
+void raise(std::optional<Instant> &Target, Instant Value) {
+  Target = Target ? std::max(*Target, Value) : Value;
+}
+
+} // namespace
+
+ConfigurationSpread::ConfigurationSpread(const ConfigurationPeer &Self,
+                                         Duration LogRetention,
+                                         const ConfigurationPeers &Peers,
+                                         Random &Source,
+                                         ConfigurationActions &Actions)
+    : Self(Self), LogRetention(LogRetention), Peers(Peers), Source(Source),
+      Actions(Actions), Election(Self),
+      Join(Self.Address, Peers, Election, Source, Actions),
+      Restates(LogRetention, Source) {}
+
+void ConfigurationSpread::tick(Instant Now) {
+  if (ReadAskedAt && Now - *ReadAskedAt > ReadTimeout)
+    onLogReadFailed(Now);
+  if (!Joined) {
+    tickJoin(Now);
+    return;
+  }
+  if (PullInFlight && Now - PullInFlight->AskedAt > PullTimeout) {
+    // The announcer may have ended; the readings on gossip name another node.
+    if (Latest.From == PullInFlight->From)
+      Latest = {};
+    PullInFlight.reset();
+    pullIfBehind(Now);
+  }
+  tickPolls(Now);
+  if (AnnouncePending && Now >= NextAnnounce)
+    announce(Now);
+  tickRestates(Now);
+}
+
+void ConfigurationSpread::tickJoin(Instant Now) {
+  if (JoiningFromLog)
+    return;
+  Join.tick(Now);
+  if (Now < NextJoinTry || !Join.failed(Now))
+    return;
+  ++JoinTries;
+  // When all nodes start together, only the readers of each zone read the log,
+  // and the others take the snapshots of those.
+  const bool MayRead =
+      JoinTries > SnapshotTries && (isReader() || JoinTries > MaxSnapshotTries);
+  NextJoinTry = Now + JoinRetry * Source.unit();
+  if (!MayRead && Join.ask(Now))
+    return;
+  JoiningFromLog = true;
+  Fold.reset();
+  startRead(Now);
+}
+
+void ConfigurationSpread::tickPolls(Instant Now) {
+  if (ReadAskedAt)
+    return;
+  if (isReader() && Now >= NextPoll) {
+    NextPoll = Now + PollInterval;
+    startRead(Now);
+    return;
+  }
+  if (isFresh(Now) && !MustCatchUp) {
+    NextOwnPoll = Instant::never();
+    return;
+  }
+  if (NextOwnPoll == Instant::never())
+    NextOwnPoll =
+        Now + (MustCatchUp ? CatchUpWindow : OwnPollInterval) * Source.unit();
+  if (Now < NextOwnPoll)
+    return;
+  // Between half and one and a half intervals, so that the polls of many nodes
+  // do not come together.
+  NextOwnPoll = Now + OwnPollInterval * (0.5 + Source.unit());
+  startRead(Now);
+}
+
+void ConfigurationSpread::tickRestates(Instant Now) {
+  const std::optional<DocumentName> Due = Restates.next(Now, isFresh(Now));
+  if (!Due)
+    return;
+  const std::optional<RestateRecord> Record = Fold->restate(*Due);
+  if (Record)
+    Actions.appendLog(formatRecord(*Record));
+}
+
+void ConfigurationSpread::onLogRead(const LogReadResult &Result, Instant Now) {
+  if (!ReadAskedAt)
+    return;
+  const Instant AskedAt = *ReadAskedAt;
+  ReadAskedAt.reset();
+  if (!Joined && !JoiningFromLog)
+    return;
+  if (!Fold) {
+    Fold.emplace(Result.FirstRetained);
+    Recent.restart(Result.FirstRetained);
+  }
+  // A log that ends before what was read from it has lost records.
+  if (Result.Next < Fold->nextOffset())
+    return onLogReadFailed(Now);
+  if (Result.FirstRetained > Fold->nextOffset()) {
+    Fold->skipTo(Result.FirstRetained);
+    Recent.restart(Result.FirstRetained);
+  }
+  foldRecords(Result.Records, Result.Next, Now);
+  if (Result.Records.size() >= ReadBatch)
+    return startRead(Now);
+  MustCatchUp = false;
+  raise(FreshAt, AskedAt);
+  raise(HeardAt, AskedAt);
+  if (JoiningFromLog)
+    joinFromLog(Now);
+}
+
+void ConfigurationSpread::onLogReadFailed(Instant Now) {
+  ReadAskedAt.reset();
+  if (!JoiningFromLog)
+    return;
+  JoiningFromLog = false;
+  Fold.reset();
+  JoinTries = 0;
+  NextJoinTry = Now + JoinRetry;
+}
+
+void ConfigurationSpread::onAnnouncement(HostAddress From,
+                                         const LogReading &Reading,
+                                         Instant Now) {
+  noteNews(From, Reading, Now);
+}
+
+void ConfigurationSpread::onReading(HostAddress From, const LogReading &Reading,
+                                    Instant AskedAt, Instant Now) {
+  noteNews(From, Reading, Now);
+  noteReading(Reading, AskedAt);
+}
+
+void ConfigurationSpread::onRecords(HostAddress From, const RecordsReply &Reply,
+                                    Instant Now) {
+  if (!Joined || !PullInFlight || PullInFlight->From != From)
+    return;
+  const Instant AskedAt = PullInFlight->AskedAt;
+  PullInFlight.reset();
+  if (!Reply.Range) {
+    MustCatchUp = true;
+    NextOwnPoll = Instant::never();
+    return;
+  }
+  foldRecords(Reply.Range->Records, Reply.Range->Next, Now);
+  noteReading(Reply.Reading, AskedAt);
+  pullIfBehind(Now);
+}
+
+void ConfigurationSpread::onSnapshot(HostAddress From, SnapshotReply Reply,
+                                     Instant Now) {
+  if (Joined || JoiningFromLog)
+    return;
+  std::optional<JoinedState> State =
+      Join.onSnapshot(From, std::move(Reply), Now);
+  if (State)
+    takeOver(std::move(*State), Now);
+}
+
+void ConfigurationSpread::onDigest(HostAddress From, const DigestReply &Reply,
+                                   Instant Now) {
+  if (Joined || JoiningFromLog)
+    return;
+  std::optional<JoinedState> State = Join.onDigest(From, Reply, Now);
+  if (State)
+    takeOver(std::move(*State), Now);
+}
+
+RecordsReply ConfigurationSpread::recordsReply(const RecordsRequest &Request,
+                                               Instant Now) const {
+  if (!Joined)
+    return {};
+  return {Recent.range(Request.From), reading(Now)};
+}
+
+SnapshotReply ConfigurationSpread::snapshotReply(Instant Now) const {
+  if (!Joined)
+    return {};
+  return {Fold->snapshot(), Restates.ages(Now), reading(Now)};
+}
+
+DigestReply
+ConfigurationSpread::digestReply(const DigestRequest &Request) const {
+  DigestReply Reply{Request.Offset, {}};
+  if (Joined)
+    Reply.Digest = Fold->digestAt(Request.Offset);
+  return Reply;
+}
+
+LogReading ConfigurationSpread::reading(Instant Now) const {
+  LogReading Result;
+  if (!Joined)
+    return Result;
+  Result.NextOffset = Fold->nextOffset();
+  if (FreshAt)
+    Result.AgeMs = static_cast<std::uint32_t>(std::min<std::int64_t>(
+        (Now - *FreshAt).wholeMillis(), LogReading::NoReading - 1));
+  return Result;
+}
+
+std::optional<Instant> ConfigurationSpread::freshAt() const {
+  return Joined ? FreshAt : std::nullopt;
+}
+
+void ConfigurationSpread::startRead(Instant Now) {
+  ReadAskedAt = Now;
+  Actions.readLog(Fold ? Fold->nextOffset() : 0, ReadBatch);
+}
+
+void ConfigurationSpread::startPull(HostAddress From, Instant Now) {
+  PullInFlight = Pull{From, Now};
+  Actions.requestRecords(From, {Fold->nextOffset()});
+}
+
+void ConfigurationSpread::pullIfBehind(Instant Now) {
+  if (!PullInFlight && Latest.NextOffset > Fold->nextOffset())
+    startPull(Latest.From, Now);
+}
+
+void ConfigurationSpread::noteNews(HostAddress From, const LogReading &Reading,
+                                   Instant Now) {
+  if (!Joined)
+    return;
+  if (Reading.AgeMs != LogReading::NoReading)
+    raise(HeardAt, Now - Duration::millis(Reading.AgeMs));
+  if (Reading.NextOffset > Latest.NextOffset)
+    Latest = {From, Reading.NextOffset};
+  pullIfBehind(Now);
+}
+
+void ConfigurationSpread::noteReading(const LogReading &Reading,
+                                      Instant AskedAt) {
+  if (!Joined || Reading.AgeMs == LogReading::NoReading)
+    return;
+  // The sender's reading covers more records than this node has folded.
+  if (Reading.NextOffset > Fold->nextOffset())
+    return;
+  raise(FreshAt, AskedAt - Duration::millis(Reading.AgeMs));
+}
+
+void ConfigurationSpread::foldRecords(std::span<const CarriedRecord> Records,
+                                      std::uint64_t Next, Instant Now) {
+  bool Folded = false;
+  for (const CarriedRecord &Record : Records) {
+    if (Record.Offset < Fold->nextOffset())
+      continue;
+    const RecordOutcome Outcome = Fold->apply(Record.Offset, Record.Body);
+    Recent.add(Record);
+    noteOutcome(Outcome, Now);
+    Actions.recordFolded(Record.Offset, Outcome);
+    Folded = true;
+  }
+  Fold->advanceTo(Next);
+  Recent.advanceTo(Next);
+  if (!Joined || !Folded)
+    return;
+  publishChanged();
+  announceSoon(Now);
+}
+
+void ConfigurationSpread::noteOutcome(const RecordOutcome &Outcome,
+                                      Instant Now) {
+  if (Outcome.IsRestate)
+    Restates.noteRestated(Outcome.Document, Now);
+  else if (Outcome.Kind == OutcomeKind::Accepted)
+    Restates.noteDocument(Outcome.Document, Now);
+}
+
+void ConfigurationSpread::announceSoon(Instant Now) {
+  if (Now >= NextAnnounce)
+    announce(Now);
+  else
+    AnnouncePending = true;
+}
+
+void ConfigurationSpread::announce(Instant Now) {
+  AnnouncePending = false;
+  NextAnnounce = Now + AnnounceSpacing;
+  const std::span<const ConfigurationPeer> All = Peers.peers();
+  if (All.empty())
+    return;
+  const LogReading Reading = reading(Now);
+  for (std::size_t Count = 0; Count < AnnounceFanout; ++Count) {
+    const HostAddress To = All[Source.below(All.size())].Address;
+    if (To != Self.Address)
+      Actions.announce(To, Reading);
+  }
+}
+
+void ConfigurationSpread::publishChanged() {
+  for (const DocumentName &Name : Fold->takeChanged())
+    Actions.documentChanged(*Fold->document(Name));
+}
+
+void ConfigurationSpread::finishJoin(Instant Now) {
+  Joined = true;
+  JoiningFromLog = false;
+  for (const DocumentName &Name : Fold->documentNames())
+    Restates.noteDocument(Name, Now);
+  publishChanged();
+}
+
+void ConfigurationSpread::takeOver(JoinedState State, Instant Now) {
+  Fold.emplace(std::move(State.Fold));
+  Recent.restart(Fold->nextOffset());
+  Restates.noteAges(State.Ages, Now);
+  if (State.HasReading) {
+    FreshAt = State.FreshAt;
+    HeardAt = State.FreshAt;
+  }
+  finishJoin(Now);
+}
+
+void ConfigurationSpread::joinFromLog(Instant Now) {
+  Fold->noteWholeRetentionRead();
+  // The times of the restates are not known. All count as due, because all
+  // nodes may have started together.
+  std::vector<DocumentAge> Ages;
+  for (const DocumentName &Name : Fold->documentNames())
+    Ages.push_back({Name, RestateScheduler::dueAge(LogRetention)});
+  Restates.noteAges(Ages, Now);
+  finishJoin(Now);
+}
+
+bool ConfigurationSpread::isFresh(Instant Now) const {
+  return HeardAt && Now - *HeardAt <= StaleAfter;
+}
+
+} // namespace camphorpin
--- /dev/null
+++ b/packages/decision/camphorpin/src/Configuration/ConfigurationSpread.h
@@ -0,0 +1,161 @@
+#ifndef CAMPHORPIN_SRC_CONFIGURATION_CONFIGURATIONSPREAD_H
+#define CAMPHORPIN_SRC_CONFIGURATION_CONFIGURATIONSPREAD_H
+
+#include "camphorpin/src/Configuration/ConfigurationActions.h"
+#include "camphorpin/src/Configuration/ConfigurationFold.h"
+#include "camphorpin/src/Configuration/ConfigurationMessages.h"
+#include "camphorpin/src/Configuration/ConfigurationPeers.h"
+#include "camphorpin/src/Configuration/ReaderElection.h"
+#include "camphorpin/src/Configuration/RecentRecords.h"
+#include "camphorpin/src/Configuration/RestateScheduler.h"
+#include "camphorpin/src/Configuration/SnapshotJoin.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+
+namespace camphorpin {
+
+/// \class ConfigurationSpread
+/// \brief Brings the records of the platform's log to this node and on to
+/// others, and keeps the fold of them.
+///
+/// The readers of each availability zone poll the log. A node that has folded
+/// new records announces its offset to AnnounceFanout random peers, and a node
+/// that hears of a higher offset pulls the records once from the announcer. The
+/// reading that rides on all gossip repairs lost announcements. A node that has
+/// heard of no fresh reading polls the log itself.
+///
+/// Bounds: ConfigurationFold, RecentRecords, one pull and one read at a time.
+class ConfigurationSpread {
+public:
+  static constexpr Duration PollInterval = Duration::seconds(1);
+  static constexpr std::size_t AnnounceFanout = 3;
+  /// A node announces at most once in this time, so that a burst of records
+  /// costs few announcements.
+  static constexpr Duration AnnounceSpacing = Duration::millis(100);
+  static constexpr Duration PullTimeout = Duration::seconds(1);
+  /// A read that the owner never answers is given up after this time.
+  static constexpr Duration ReadTimeout = Duration::seconds(30);
+  /// Without a younger reading a node polls the log itself.
+  static constexpr Duration StaleAfter = Duration::seconds(10);
+  static constexpr Duration OwnPollInterval = Duration::seconds(60);
+  /// A node that is further behind than its peers hold records spreads its own
+  /// read over this time.
+  static constexpr Duration CatchUpWindow = Duration::seconds(2);
+  static constexpr std::size_t ReadBatch = 256;
+  /// Tries to get a snapshot before a reader reads the log from its start.
+  static constexpr std::size_t SnapshotTries = 4;
+  /// Tries before any other node does, about half a minute.
+  static constexpr std::size_t MaxSnapshotTries = 30;
+  /// Longest wait between two tries.
+  static constexpr Duration JoinRetry = Duration::seconds(1);
+
+  /// \param Self address and availability zone of this node.
+  /// \param LogRetention how long the log keeps records.
+  ConfigurationSpread(const ConfigurationPeer &Self, Duration LogRetention,
+                      const ConfigurationPeers &Peers, Random &Source,
+                      ConfigurationActions &Actions);
+
+  /// Runs timers. To be called at least every 100 ms.
+  void tick(Instant Now);
+
+  void onLogRead(const LogReadResult &Result, Instant Now);
+  void onLogReadFailed(Instant Now);
+
+  /// Handles the reading on a message that this node did not ask for, such as
+  /// an announcement or a probe.
+  void onAnnouncement(HostAddress From, const LogReading &Reading, Instant Now);
+
+  /// Handles the reading on the answer to a message that this node sent at
+  /// \p AskedAt, such as the acknowledgement of a probe. Only such a reading
+  /// makes this node's own reading younger: an unasked message may have waited
+  /// in a buffer while the process was paused.
+  void onReading(HostAddress From, const LogReading &Reading, Instant AskedAt,
+                 Instant Now);
+
+  void onRecords(HostAddress From, const RecordsReply &Reply, Instant Now);
+  void onSnapshot(HostAddress From, SnapshotReply Reply, Instant Now);
+  void onDigest(HostAddress From, const DigestReply &Reply, Instant Now);
+
+  /// Answers of this node to requests of others.
+  RecordsReply recordsReply(const RecordsRequest &Request, Instant Now) const;
+  SnapshotReply snapshotReply(Instant Now) const;
+  DigestReply digestReply(const DigestRequest &Request) const;
+
+  /// \returns the reading to put on all messages.
+  LogReading reading(Instant Now) const;
+
+  /// \returns the latest instant of which it is certain that all records
+  /// appended before it are folded, or nothing. Claims compare its age with the
+  /// log silence bound.
+  std::optional<Instant> freshAt() const;
+
+  /// \returns true once the configuration can be used.
+  bool joined() const { return Joined; }
+
+  /// \returns true if this node polls the log for its zone.
+  bool isReader() { return Election.isReader(Peers); }
+
+  /// \returns the fold, or null before the node has joined.
+  const ConfigurationFold *fold() const { return Joined ? &*Fold : nullptr; }
+
+private:
+  struct Pull {
+    HostAddress From;
+    Instant AskedAt;
+  };
+  struct News {
+    HostAddress From;
+    std::uint64_t NextOffset = 0;
+  };
+
+  void tickJoin(Instant Now);
+  void tickPolls(Instant Now);
+  void tickRestates(Instant Now);
+  void startRead(Instant Now);
+  void startPull(HostAddress From, Instant Now);
+  void pullIfBehind(Instant Now);
+  void noteNews(HostAddress From, const LogReading &Reading, Instant Now);
+  void noteReading(const LogReading &Reading, Instant AskedAt);
+  void foldRecords(std::span<const CarriedRecord> Records, std::uint64_t Next,
+                   Instant Now);
+  void noteOutcome(const RecordOutcome &Outcome, Instant Now);
+  void announceSoon(Instant Now);
+  void announce(Instant Now);
+  void publishChanged();
+  void finishJoin(Instant Now);
+  void takeOver(JoinedState State, Instant Now);
+  void joinFromLog(Instant Now);
+  bool isFresh(Instant Now) const;
+
+  ConfigurationPeer Self;
+  Duration LogRetention;
+  const ConfigurationPeers &Peers;
+  Random &Source;
+  ConfigurationActions &Actions;
+  ReaderElection Election;
+  SnapshotJoin Join;
+  RestateScheduler Restates;
+  RecentRecords Recent;
+  std::optional<ConfigurationFold> Fold;
+  bool Joined = false;
+  bool JoiningFromLog = false;
+  std::size_t JoinTries = 0;
+  Instant NextJoinTry;
+  std::optional<Pull> PullInFlight;
+  News Latest;
+  std::optional<Instant> ReadAskedAt;
+  Instant NextPoll;
+  Instant NextOwnPoll = Instant::never();
+  bool MustCatchUp = false;
+  std::optional<Instant> FreshAt;
+  std::optional<Instant> HeardAt;
+  Instant NextAnnounce;
+  bool AnnouncePending = false;
+};
+
+} // namespace camphorpin
+
+#endif
--- a/packages/decision/camphorpin/src/Configuration/RecordOutcome.h
+++ b/packages/decision/camphorpin/src/Configuration/RecordOutcome.h
@@ -45,6 +45,8 @@
   /// The version in force after the record.
   std::uint64_t InForce = 0;
   std::string ChangeId;
+  /// The record restates the document later than the restate before it.
+  bool IsRestate = false;
   /// The record, if it is an entry.
   std::optional<EntryRecord> Entry;
 };
--- a/packages/decision/camphorpin/src/Configuration/RestateScheduler.cpp
+++ b/packages/decision/camphorpin/src/Configuration/RestateScheduler.cpp
@@ -21,6 +21,10 @@
   assert(Retention > Duration() && "the log keeps records for some time");
 }
 
+Duration RestateScheduler::dueAge(Duration Retention) {
+  return Retention / QuietPart;
+}
+
 void RestateScheduler::noteRestated(const DocumentName &Document, Instant Now) {
   start(Document, Now);
   updateEarliest();
@@ -76,7 +80,7 @@
 }
 
 void RestateScheduler::start(const DocumentName &Document, Instant RestatedAt) {
-  Timers[Document] = {RestatedAt, RestatedAt + Retention / QuietPart +
+  Timers[Document] = {RestatedAt, RestatedAt + dueAge(Retention) +
                                       draw(Retention / WindowPart)};
 }
 
--- a/packages/decision/camphorpin/src/Configuration/RestateScheduler.h
+++ b/packages/decision/camphorpin/src/Configuration/RestateScheduler.h
@@ -43,6 +43,9 @@
   /// with many documents due does not use up the log's append rate.
   static constexpr Duration MinSpacing = Duration::seconds(1);
 
+  /// \returns the age from which on a document may be restated.
+  static Duration dueAge(Duration Retention);
+
   /// \param Retention how long the log keeps records, greater than zero.
   RestateScheduler(Duration Retention, Random &Source);
 
--- /dev/null
+++ b/packages/decision/camphorpin/src/Configuration/SnapshotJoin.cpp
@@ -0,0 +1,109 @@
+#include "camphorpin/src/Configuration/SnapshotJoin.h"
+
+#include <utility>
+
+namespace camphorpin {
+
+bool SnapshotJoin::ask(Instant Now) {
+  Candidate.reset();
+  DigestsAsked = 0;
+  NextDigest = Instant::never();
+  const ConfigurationPeer *Peer = pick(Peers.peers(), Self, ZoneName());
+  if (Peer == nullptr) {
+    State = Phase::Failed;
+    return false;
+  }
+  State = Phase::Snapshot;
+  First = Peer->Address;
+  FirstZone = Peer->Zone;
+  AskedAt = Now;
+  Deadline = Now + ReplyTimeout;
+  Actions.requestSnapshot(First);
+  return true;
+}
+
+bool SnapshotJoin::failed(Instant Now) const {
+  return State == Phase::Failed || Now >= Deadline;
+}
+
+void SnapshotJoin::tick(Instant Now) {
+  if (State == Phase::Digest && Now >= NextDigest)
+    askDigest(Now);
+}
+
+std::optional<JoinedState>
+SnapshotJoin::onSnapshot(HostAddress From, SnapshotReply Reply, Instant Now) {
+  if (State != Phase::Snapshot || From != First)
+    return std::nullopt;
+  State = Phase::Failed;
+  if (!Reply.Snapshot)
+    return std::nullopt;
+  std::optional<ConfigurationFold> Fold =
+      ConfigurationFold::restore(*Reply.Snapshot);
+  if (!Fold)
+    return std::nullopt;
+  Candidate.emplace(JoinedState{std::move(*Fold), std::move(Reply.Ages)});
+  if (Reply.Reading.AgeMs != LogReading::NoReading) {
+    Candidate->FreshAt = AskedAt - Duration::millis(Reply.Reading.AgeMs);
+    Candidate->HasReading = true;
+  }
+  if (pick(Peers.peers(), First, ZoneName()) == nullptr)
+    return std::exchange(Candidate, std::nullopt);
+  State = Phase::Digest;
+  askDigest(Now);
+  return std::nullopt;
+}
+
+std::optional<JoinedState> SnapshotJoin::onDigest(HostAddress From,
+                                                  const DigestReply &Reply,
+                                                  Instant Now) {
+  if (State != Phase::Digest || From != Second || !Candidate ||
+      Reply.Offset != Candidate->Fold.nextOffset())
+    return std::nullopt;
+  if (!Reply.Digest) {
+    NextDigest = Now + DigestRetry;
+    return std::nullopt;
+  }
+  State = Phase::Failed;
+  if (*Reply.Digest == Candidate->Fold.digest())
+    return std::exchange(Candidate, std::nullopt);
+  Actions.digestMismatch(First, Second);
+  return std::nullopt;
+}
+
+const ConfigurationPeer *
+SnapshotJoin::pick(std::span<const ConfigurationPeer> All, HostAddress Other,
+                   const ZoneName &OtherZone) {
+  if (All.empty())
+    return nullptr;
+  const std::size_t Start = Source.below(All.size());
+  const ConfigurationPeer *SameZone = nullptr;
+  for (std::size_t Index = 0; Index < All.size(); ++Index) {
+    const ConfigurationPeer &Peer = All[(Start + Index) % All.size()];
+    if (Peer.Address == Self || Peer.Address == Other)
+      continue;
+    if (Peer.Zone != OtherZone)
+      return &Peer;
+    SameZone = &Peer;
+  }
+  return SameZone;
+}
+
+void SnapshotJoin::askDigest(Instant Now) {
+  const ConfigurationPeer *Peer = nullptr;
+  if (DigestsAsked < ReaderTries)
+    Peer = pick(Election.readers(Peers), First, FirstZone);
+  if (Peer == nullptr)
+    Peer = pick(Peers.peers(), First, FirstZone);
+  if (Peer == nullptr || DigestsAsked == DigestTries) {
+    State = Phase::Failed;
+    return;
+  }
+  ++DigestsAsked;
+  Second = Peer->Address;
+  Deadline = Now + ReplyTimeout;
+  NextDigest = Instant::never();
+  Actions.requestDigest(Second, {Candidate->Fold.nextOffset()});
+}
+
+} // namespace camphorpin
--- /dev/null
+++ b/packages/decision/camphorpin/src/Configuration/SnapshotJoin.h
@@ -0,0 +1,95 @@
+#ifndef CAMPHORPIN_SRC_CONFIGURATION_SNAPSHOTJOIN_H
+#define CAMPHORPIN_SRC_CONFIGURATION_SNAPSHOTJOIN_H
+
+#include "camphorpin/src/Configuration/ConfigurationActions.h"
+#include "camphorpin/src/Configuration/ConfigurationFold.h"
+#include "camphorpin/src/Configuration/ConfigurationPeers.h"
+#include "camphorpin/src/Configuration/ReaderElection.h"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace camphorpin {
+
+/// \class JoinedState
+/// \brief What a new node takes over from its peers.
+struct JoinedState {
+  ConfigurationFold Fold;
+  std::vector<DocumentAge> Ages;
+  /// The log was read to the state's offset at this instant or later.
+  Instant FreshAt;
+  bool HasReading = false;
+};
+
+/// \class SnapshotJoin
+/// \brief Gets the state of the fold for a new node: a snapshot from one peer,
+/// compared with the digest of a second peer at the same offset. The second
+/// peer is in another availability zone if there is one, and preferably a log
+/// reader, because readers have read furthest. A node that knows only one peer
+/// takes its snapshot without comparison.
+class SnapshotJoin {
+public:
+  static constexpr Duration ReplyTimeout = Duration::seconds(2);
+  /// Wait before a second peer is asked for a digest that another did not have.
+  static constexpr Duration DigestRetry = Duration::millis(500);
+  /// Peers that are asked for a digest before another snapshot is taken.
+  static constexpr std::size_t DigestTries = 5;
+  /// How many of these tries go to log readers, which may have ended.
+  static constexpr std::size_t ReaderTries = 3;
+
+  /// \param Election finds the log readers.
+  SnapshotJoin(HostAddress Self, const ConfigurationPeers &Peers,
+               ReaderElection &Election, Random &Source,
+               ConfigurationActions &Actions)
+      : Self(Self), Peers(Peers), Election(Election), Source(Source),
+        Actions(Actions) {}
+
+  /// Asks a random peer for a snapshot.
+  /// \returns false if no peer is known.
+  bool ask(Instant Now);
+
+  /// \returns true if the current try has failed: a timeout, an empty snapshot
+  /// or a mismatch.
+  bool failed(Instant Now) const;
+
+  /// Asks for the digest again when it is time.
+  void tick(Instant Now);
+
+  /// \returns the state if it can be used without comparison.
+  std::optional<JoinedState> onSnapshot(HostAddress From, SnapshotReply Reply,
+                                        Instant Now);
+
+  /// \returns the state if the digest matches.
+  std::optional<JoinedState> onDigest(HostAddress From,
+                                      const DigestReply &Reply, Instant Now);
+
+private:
+  enum class Phase : std::uint8_t { Failed, Snapshot, Digest };
+
+  /// \returns a random peer other than this node and \p Other, not in
+  /// \p OtherZone if there is one, or null.
+  const ConfigurationPeer *pick(std::span<const ConfigurationPeer> All,
+                                HostAddress Other, const ZoneName &OtherZone);
+  void askDigest(Instant Now);
+
+  HostAddress Self;
+  const ConfigurationPeers &Peers;
+  ReaderElection &Election;
+  Random &Source;
+  ConfigurationActions &Actions;
+  Phase State = Phase::Failed;
+  HostAddress First;
+  ZoneName FirstZone;
+  HostAddress Second;
+  Instant AskedAt;
+  Instant Deadline;
+  Instant NextDigest = Instant::never();
+  std::size_t DigestsAsked = 0;
+  std::optional<JoinedState> Candidate;
+};
+
+} // namespace camphorpin
+
+#endif
