--- /dev/null
+++ b/packages/decision/camphorpin/src/Admission/AimdLimit.cpp
@@ -0,0 +1,135 @@
+#include "camphorpin/src/Admission/AimdLimit.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+using namespace camphorpin;
+
+namespace {
+
+/// The ramp starts at this share of the slots.
+constexpr double RampStart = 0.125;
+constexpr double RampFactor = 1.25;
+/// The smallest limit as a share of the slots.
+constexpr double SmallestShare = 0.05;
+/// Mean slowdown of a window from which the limit decreases.
+constexpr double CongestedSlowdown = 2.0;
+constexpr double DecreaseFactor = 0.75;
+/// Part of the proportional improvement that a decrease has to bring. Half
+/// separates "in proportion" from "not at all" in the noise of one window.
+constexpr double ExpectedPart = 0.5;
+/// Smallest drop of the concurrency from which a decrease is judged.
+constexpr double SmallestEvidence = 0.15;
+/// The reference returns towards 1 by this factor per window, so that an
+/// accepted slowdown is put to the test again.
+constexpr double ReferenceDecay = 0.98;
+/// Increase per window as a share of the slots.
+constexpr double IncreaseShare = 0.05;
+constexpr std::size_t SmallestWindow = 16;
+constexpr Duration ShortestWindow = Duration::millis(50);
+
+} // namespace
+
+AimdLimit::AimdLimit(std::uint32_t Slots, Decreases Check)
+    : Slots(Slots), Check(Check) {
+  assert(Slots > 0 && "a backend server has at least one slot");
+  restart();
+}
+
+double AimdLimit::smallest() const {
+  return std::max(1.0, SmallestShare * Slots);
+}
+
+void AimdLimit::restart() {
+  Limit = std::max(smallest(), RampStart * Slots);
+  Ramping = true;
+  Settling = false;
+  Reference = 1;
+  LimitBefore = 0;
+  Sum = {};
+  Samples = 0;
+  Limited = false;
+}
+
+void AimdLimit::setSlots(std::uint32_t Value) {
+  assert(Value > 0 && "a backend server has at least one slot");
+  Slots = Value;
+  Limit = std::clamp(Limit, smallest(), static_cast<double>(Slots));
+}
+
+std::uint32_t AimdLimit::value() const {
+  return static_cast<std::uint32_t>(Limit);
+}
+
+void AimdLimit::onFinished(const LatencySample &Sample, Instant Now) {
+  if (Samples == 0)
+    WindowStart = Now;
+  Sum.Slowdown += Sample.Slowdown;
+  Sum.Running += static_cast<double>(Sample.Running);
+  ++Samples;
+  Limited |= Sample.Limited;
+  const std::size_t Wanted =
+      std::max(SmallestWindow, static_cast<std::size_t>(Limit));
+  if (Samples >= Wanted && Now - WindowStart >= ShortestWindow)
+    closeWindow();
+}
+
+void AimdLimit::closeWindow() {
+  const double Count = static_cast<double>(Samples);
+  if (!std::exchange(Settling, false))
+    decide({.Slowdown = Sum.Slowdown / Count, .Running = Sum.Running / Count});
+  Limit = std::clamp(Limit, smallest(), static_cast<double>(Slots));
+  Sum = {};
+  Samples = 0;
+  Limited = false;
+}
+
+void AimdLimit::decide(const Window &Seen) {
+  Reference =
+      std::max(1.0, std::min(Reference * ReferenceDecay, Seen.Slowdown));
+  if (LimitBefore > 0 && decreaseFailed(Seen)) {
+    Limit = LimitBefore;
+    LimitBefore = 0;
+    Reference = Seen.Slowdown;
+    return;
+  }
+  if (Seen.Slowdown > CongestedSlowdown * Reference) {
+    if (LimitBefore == 0) {
+      LimitBefore = Limit;
+      Before = Seen;
+    }
+    decrease(Seen.Running);
+    return;
+  }
+  LimitBefore = 0;
+  if (Limited)
+    increase();
+}
+
+bool AimdLimit::decreaseFailed(const Window &Seen) const {
+  const double Expected = 1 - Seen.Running / Before.Running;
+  if (Check == Decreases::Unverified || Expected < SmallestEvidence)
+    return false;
+  const double Improvement = 1 - Seen.Slowdown / Before.Slowdown;
+  return Improvement < ExpectedPart * Expected;
+}
+
+void AimdLimit::increase() {
+  Limit = Ramping ? Limit * RampFactor + 1
+                  : Limit + std::max(1.0, IncreaseShare * Slots);
+}
+
+void AimdLimit::decrease(double Running) {
+  Limit = std::max(smallest(), std::min(Limit, Running) * DecreaseFactor);
+  Ramping = false;
+  Settling = Check == Decreases::Verified;
+}
+
+void AimdLimit::onBackendShed(std::size_t Running, Instant Now) {
+  if (Now - LastShed < ShortestWindow)
+    return;
+  LastShed = Now;
+  LimitBefore = 0;
+  decrease(static_cast<double>(Running));
+}
--- /dev/null
+++ b/packages/decision/camphorpin/src/Engine/NodeEngine.cpp
@@ -0,0 +1,371 @@
+#include "camphorpin/src/Engine/NodeEngine.h"
+
+#include "camphorpin/src/Engine/CallOriginator.h"
+#include "camphorpin/src/Engine/CallServer.h"
+#include "camphorpin/src/Engine/MemberDirectory.h"
+#include "camphorpin/src/Engine/Refusal.h"
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace camphorpin {
+
+using detail::badRequest;
+using detail::NestedCall;
+using detail::refusal;
+
+namespace {
+
+/// Interval of the periodic work of the modules.
+constexpr Duration TickPeriod = Duration::millis(50);
+/// A draining node refuses work for this long before its ports close, so that
+/// the leaving notice reaches its callers first and no call meets a closed
+/// connection.
+constexpr Duration DrainLinger = Duration::seconds(1);
+/// A leaving node waits this long for the hand-over of its claims. After that
+/// the new homes ask its mirror, so nothing is lost, but they need more time.
+constexpr Duration HandOverPatience = Duration::seconds(10);
+/// Crash reports in one datagram, and nodes that get it.
+constexpr std::size_t MaxReportsPerTick = 32;
+constexpr std::size_t ReportFanout = 3;
+
+/// \returns a hash that is the same whichever node computes it.
+std::uint64_t fingerprint(const RequestContext &Context,
+                          std::uint64_t BodyHash) {
+  const std::string Text = Context.Service.string() + "\n" +
+                           Context.Operation.string() + "\n" +
+                           Context.Caller.string();
+  return stableHash(stableHash(Text), BodyHash);
+}
+
+} // namespace
+
+class NodeEngine::Impl {
+public:
+  Impl(const EngineOptions &Options, Actions &Out, const Clock &Time,
+       Random &Source, const PolicySource &Policies)
+      : Options(Options), Out(Out), Time(Time), Source(Source),
+        Policies(Policies), Members(Options, Out, Source),
+        Guard(Options.Self, CrashOptions()), Answers(Out),
+        Server(Options.Service, Out, Answers, Guard, Members, Time),
+        Originator(Out, Answers, Members, Server, Guard) {
+    applyPolicies();
+  }
+
+  void request(RequestId Id, const RequestInfo &Info);
+  void call(RequestId Id, const RequestContext &Context);
+  void datagram(HostAddress From, const GossipMessage &Message);
+  void tick();
+  void applyPolicies();
+  void advanceLifecycle();
+  bool move(LifecycleEvent Event);
+  void announceExit();
+  std::size_t inProgress() const {
+    // A run may still be going on after its call was answered.
+    return std::max(Answers.size(),
+                    Server.inProgress() + Originator.inProgress());
+  }
+
+  EngineOptions Options;
+  Actions &Out;
+  const Clock &Time;
+  Random &Source;
+  const PolicySource &Policies;
+  detail::MemberDirectory Members;
+  CrashGuard Guard;
+  detail::AnswerGate Answers;
+  detail::CallServer Server;
+  detail::CallOriginator Originator;
+  NodeLifecycle Lifecycle;
+  Instant DrainStart;
+  /// When the accepted work was finished during a drain.
+  std::optional<Instant> WorkFinished;
+
+private:
+  const OperationPolicy *operation(const RequestInfo &Info) const;
+  RequestContext fresh(const RequestInfo &Info, const OperationPolicy &Policy);
+  static RequestContext inherited(const NestedCall &Nested,
+                                  const RequestInfo &Info,
+                                  const OperationPolicy &Policy);
+  void dispatch(RequestId Id, RequestContext Context, const RequestInfo &Info);
+  RefusalReason reasonToRefuse(const RequestContext &Context,
+                               const RequestInfo &Info) const;
+  void spreadCrashReports();
+};
+
+const OperationPolicy *
+NodeEngine::Impl::operation(const RequestInfo &Info) const {
+  const ServicePolicy *Service = Policies.service(Info.Service);
+  if (Service == nullptr)
+    return nullptr;
+  const auto Found = Service->Operations.find(Info.Operation);
+  return Found != Service->Operations.end() ? &Found->second : nullptr;
+}
+
+RequestContext NodeEngine::Impl::fresh(const RequestInfo &Info,
+                                       const OperationPolicy &Policy) {
+  RequestContext Context;
+  Context.Key = Info.Key ? *Info.Key : RequestKey::make(Time.wallNow(), Source);
+  Context.Root = Context.Key;
+  Context.Caller = Info.Caller;
+  // A key that the node itself made was never sent before.
+  Context.FirstSend = Info.FirstAttempt || !Info.Key;
+  Context.Remaining = Policy.Deadline;
+  Context.HopsLeft = Policies.mesh().MaxHops;
+  Context.ExtraAttempts = Policies.mesh().ExtraAttempts;
+  return Context;
+}
+
+RequestContext NodeEngine::Impl::inherited(const NestedCall &Nested,
+                                           const RequestInfo &Info,
+                                           const OperationPolicy &Policy) {
+  RequestContext Context = Nested.Parent;
+  Context.Key = Nested.Key;
+  Context.FirstSend = Nested.FirstSend;
+  Context.Remaining = std::min(Nested.Parent.Remaining, Policy.Deadline);
+  Context.CrashCount = 0;
+  if (!Info.Caller.empty())
+    Context.Caller = Info.Caller;
+  return Context;
+}
+
+void NodeEngine::Impl::request(RequestId Id, const RequestInfo &Info) {
+  if (!Answers.open(Id))
+    return;
+  const OperationPolicy *Policy = operation(Info);
+  if (Policy == nullptr) {
+    Answers.answer(Id, badRequest(RefusalReason::BadRequest));
+    return;
+  }
+  RequestContext Context;
+  if (Info.Parent) {
+    const std::string Target =
+        Info.Service.string() + "/" + Info.Operation.string();
+    const std::optional<NestedCall> Nested =
+        Server.nest(*Info.Parent, Target, Info.Step);
+    if (!Nested) {
+      Answers.answer(Id, badRequest(RefusalReason::BadRequest));
+      return;
+    }
+    Context = inherited(*Nested, Info, *Policy);
+  } else {
+    if (!Policy->Idempotent && !Info.Key) {
+      Answers.answer(Id, badRequest(RefusalReason::KeyRequired));
+      return;
+    }
+    Context = fresh(Info, *Policy);
+  }
+  Context.Service = Info.Service;
+  Context.Operation = Info.Operation;
+  Context.Rank = Policy->Rank;
+  Context.Idempotent = Policy->Idempotent;
+  Answers.setRank(Id, Policy->Rank);
+  dispatch(Id, std::move(Context), Info);
+}
+
+RefusalReason NodeEngine::Impl::reasonToRefuse(const RequestContext &Context,
+                                               const RequestInfo &Info) const {
+  // Calls of accepted work go on during a drain.
+  if (!Lifecycle.acceptsWork() && !Info.Parent)
+    return RefusalReason::Draining;
+  if (inProgress() > Options.MaxRequests)
+    return RefusalReason::NodeBusy;
+  if (Context.HopsLeft == 0)
+    return RefusalReason::TooDeep;
+  return Context.Remaining <= Duration() ? RefusalReason::Deadline
+                                         : RefusalReason::None;
+}
+
+void NodeEngine::Impl::dispatch(RequestId Id, RequestContext Context,
+                                const RequestInfo &Info) {
+  if (Info.Deadline)
+    Context.Remaining = std::min(Context.Remaining, *Info.Deadline);
+  Context.Fingerprint = fingerprint(Context, Info.BodyHash);
+  const RefusalReason Reason = reasonToRefuse(Context, Info);
+  if (Reason != RefusalReason::None) {
+    if (Info.Parent)
+      Server.nestedDone({.Parent = *Info.Parent,
+                         .Lent = Context.ExtraAttempts,
+                         .Returned = Context.ExtraAttempts});
+    Answers.answer(Id, refusal(Context, Reason));
+    return;
+  }
+  --Context.HopsLeft;
+  const bool MayBeResent = Info.Key.has_value() || Info.Parent.has_value();
+  Originator.start(Id, Context, {Info.Parent, MayBeResent}, Time.now());
+}
+
+void NodeEngine::Impl::call(RequestId Id, const RequestContext &Context) {
+  if (!Answers.open(Id))
+    return;
+  Answers.setRank(Id, Context.Rank);
+  RefusalReason Reason = RefusalReason::None;
+  if (!Lifecycle.acceptsWork())
+    Reason = RefusalReason::Draining;
+  else if (inProgress() > Options.MaxRequests)
+    Reason = RefusalReason::NodeBusy;
+  if (Reason != RefusalReason::None) {
+    Answers.answer(Id, refusal(Context, Reason));
+    return;
+  }
+  Server.accept(Id, Context);
+}
+
+void NodeEngine::Impl::datagram(HostAddress From,
+                                const GossipMessage &Message) {
+  const ProcessId Before = Members.members().self().Process;
+  Members.onGossip(From, Message, Time.now());
+  if (Members.members().self().Process != Before)
+    Server.renew();
+}
+
+void NodeEngine::Impl::applyPolicies() {
+  Originator.applyPolicy(Policies.mesh());
+  const ServicePolicy *Own = Policies.service(Options.Service);
+  if (Own != nullptr && !Policies.mesh().Ranks.empty())
+    Server.applyPolicy(Policies.mesh(), *Own);
+}
+
+void NodeEngine::Impl::spreadCrashReports() {
+  const std::vector<CrashReport> Reports =
+      Guard.takeReports(MaxReportsPerTick, Time.now());
+  if (Reports.empty())
+    return;
+  for (const HostAddress &To : Members.randomPeers(ReportFanout))
+    Out.sendCrashReports(To, Reports);
+}
+
+void NodeEngine::Impl::tick() {
+  const Instant Now = Time.now();
+  Members.tick(Now);
+  Guard.tick(Now);
+  Server.tick(Now);
+  Originator.tick(Now);
+  spreadCrashReports();
+  advanceLifecycle();
+}
+
+bool NodeEngine::Impl::move(LifecycleEvent Event) {
+  const std::string Before(Lifecycle.state());
+  if (!Lifecycle.handle(Event))
+    return false;
+  Out.logEvent(LogEvent::StateChanged,
+               {{"from", Before}, {"to", std::string(Lifecycle.state())}});
+  return true;
+}
+
+void NodeEngine::Impl::announceExit() {
+  const Instant Now = Time.now();
+  Members.exit(Now);
+  // Sends the urgent notice, because no other tick follows.
+  Members.tick(Now);
+}
+
+void NodeEngine::Impl::advanceLifecycle() {
+  if (Members.mayServe(Time.now()))
+    move(LifecycleEvent::Joined);
+  const Instant Now = Time.now();
+  if (Lifecycle.isDraining() && inProgress() == 0 &&
+      Now - DrainStart >= DrainLinger && move(LifecycleEvent::WorkFinished))
+    WorkFinished = Now;
+  if (!Lifecycle.isLeaving())
+    return;
+  const bool WaitedEnough = Now - *WorkFinished >= HandOverPatience;
+  if ((Server.mayLeave() || WaitedEnough) && move(LifecycleEvent::HandedOver))
+    announceExit();
+}
+
+NodeEngine::NodeEngine(const EngineOptions &Options, Actions &Out,
+                       const Clock &Time, Random &Source,
+                       const PolicySource &Policies)
+    : State(std::make_unique<Impl>(Options, Out, Time, Source, Policies)) {}
+
+NodeEngine::~NodeEngine() = default;
+
+void NodeEngine::onStarted() {
+  State->move(LifecycleEvent::Started);
+  tick();
+}
+
+void NodeEngine::onRequest(RequestId Id, const RequestInfo &Info) {
+  State->request(Id, Info);
+}
+
+void NodeEngine::onCall(RequestId Id, const RequestContext &Context) {
+  State->call(Id, Context);
+}
+
+void NodeEngine::onCancel(RequestId Id) {
+  State->Server.cancel(Id);
+  State->Originator.cancel(Id, State->Time.now());
+}
+
+void NodeEngine::onBackendDone(RequestId Id, const BackendResult &Result) {
+  State->Server.finished(Id, Result);
+  State->advanceLifecycle();
+}
+
+void NodeEngine::onCallDone(CallId Call, const CallResult &Result) {
+  State->Originator.callDone(Call, Result, State->Time.now());
+  State->advanceLifecycle();
+}
+
+void NodeEngine::onDatagram(HostAddress From, const GossipMessage &Message) {
+  State->datagram(From, Message);
+  State->advanceLifecycle();
+}
+
+void NodeEngine::onDrain() {
+  if (State->move(LifecycleEvent::Drain)) {
+    State->Out.logEvent(LogEvent::DrainRequested,
+                        {{"inProgress", std::to_string(inProgress())}});
+    State->DrainStart = State->Time.now();
+    State->Answers.setLeaving();
+    State->Members.leave(State->Time.now());
+  }
+  State->advanceLifecycle();
+}
+
+void NodeEngine::onClaimMessage(const ProcessId &To,
+                                const ClaimMessage &Message) {
+  State->Server.onClaimMessage(To, Message);
+  State->advanceLifecycle();
+}
+
+void NodeEngine::onCrashReports(std::span<const CrashReport> Reports) {
+  for (const CrashReport &Report : Reports)
+    State->Guard.onReport(Report, State->Time.now());
+}
+
+void NodeEngine::onHomeSet(const ServiceName &Service, const HomeSet &Set) {
+  State->Originator.adopt(Service, Set);
+  if (Service == State->Options.Service)
+    State->Server.adopt(Set);
+}
+
+void NodeEngine::onLogRead(Instant SentAt) { State->Server.onLogRead(SentAt); }
+
+void NodeEngine::onPolicyChange() { State->applyPolicies(); }
+
+void NodeEngine::tick() { State->tick(); }
+
+Instant NodeEngine::nextWakeup() const {
+  const Instant Deadline =
+      std::min(State->Server.nextDeadline(), State->Originator.nextDeadline());
+  return std::min(Deadline, State->Time.now() + TickPeriod);
+}
+
+std::string_view NodeEngine::state() const { return State->Lifecycle.state(); }
+
+bool NodeEngine::hasEnded() const { return State->Lifecycle.hasEnded(); }
+
+std::size_t NodeEngine::members() const {
+  return State->Members.members().table().present();
+}
+
+std::size_t NodeEngine::inProgress() const { return State->inProgress(); }
+
+} // namespace camphorpin
