--- a/packages/decision/camphorpin/src/Configuration/ConfigurationFold.h
+++ b/packages/decision/camphorpin/src/Configuration/ConfigurationFold.h
@@ -68,10 +68,17 @@
   /// \returns true if the state is known to be that of a reader from offset 0.
   bool resolved() const { return Complete && Unconfirmed == 0; }
 
+  /// \returns true if the version of the document is known to be that of a
+  /// reader from offset 0, also if that is "does not exist".
+  bool isKnown(const DocumentName &Name) const;
+
   /// \returns the document in force, or null. The pointer is valid until the
   /// next call that changes the fold.
   const ConfigurationDocument *document(const DocumentName &Name) const;
 
+  /// \returns the version in force, 0 if there is none.
+  std::uint64_t versionOf(const DocumentName &Name) const;
+
   /// \returns the names of all documents in force.
   std::vector<DocumentName> documentNames() const;
 
@@ -120,8 +127,6 @@
   void markComplete();
   void noteDigest();
   void replace(DocumentState &State, ConfigurationDocument Document);
-  bool isKnown(const DocumentName &Name) const;
-  std::uint64_t versionOf(const DocumentName &Name) const;
 
   std::map<DocumentName, DocumentState> Documents;
   std::vector<DocumentName> Changed;
