Test that restates outlive the restart of all nodes

Purpose: hosts persist nothing, so after the end of all nodes only the log holds the configuration, while the records of the changes have expired from it.

A node now also starts the restate time of a document whose first change was kept and accepted later; before, that node would never have restated it.

Failing first: without restates 30 restarted nodes find version 0.

The fake fleet moved to its own header.

--- a/packages/decision/camphorpin/src/Configuration/ConfigurationSpread.cpp
+++ b/packages/decision/camphorpin/src/Configuration/ConfigurationSpread.cpp
@@ -260,7 +260,8 @@
       continue;
     const RecordOutcome Outcome = Fold->apply(Record.Offset, Record.Body);
     Recent.add(Record);
-    noteOutcome(Outcome, Now);
+    if (Outcome.IsRestate)
+      Restates.noteRestated(Outcome.Document, Now);
     Actions.recordFolded(Record.Offset, Outcome);
     Folded = true;
   }
@@ -268,18 +269,10 @@
   Recent.advanceTo(Next);
   if (!Joined || !Folded)
     return;
-  publishChanged();
+  publishChanged(Now);
   announceSoon(Now);
 }
 
-void ConfigurationSpread::noteOutcome(const RecordOutcome &Outcome,
-                                      Instant Now) {
-  if (Outcome.IsRestate)
-    Restates.noteRestated(Outcome.Document, Now);
-  else if (Outcome.Kind == OutcomeKind::Accepted)
-    Restates.noteDocument(Outcome.Document, Now);
-}
-
 void ConfigurationSpread::announceSoon(Instant Now) {
   if (Now >= NextAnnounce)
     announce(Now);
@@ -301,17 +294,17 @@
   }
 }
 
-void ConfigurationSpread::publishChanged() {
-  for (const DocumentName &Name : Fold->takeChanged())
+void ConfigurationSpread::publishChanged(Instant Now) {
+  for (const DocumentName &Name : Fold->takeChanged()) {
+    Restates.noteDocument(Name, Now);
     Actions.documentChanged(*Fold->document(Name));
+  }
 }
 
 void ConfigurationSpread::finishJoin(Instant Now) {
   Joined = true;
   JoiningFromLog = false;
-  for (const DocumentName &Name : Fold->documentNames())
-    Restates.noteDocument(Name, Now);
-  publishChanged();
+  publishChanged(Now);
 }
 
 void ConfigurationSpread::takeOver(JoinedState State, Instant Now) {
--- a/packages/decision/camphorpin/src/Configuration/ConfigurationSpread.h
+++ b/packages/decision/camphorpin/src/Configuration/ConfigurationSpread.h
@@ -121,10 +121,9 @@
   void noteReading(const LogReading &Reading, Instant AskedAt);
   void foldRecords(std::span<const CarriedRecord> Records, std::uint64_t Next,
                    Instant Now);
-  void noteOutcome(const RecordOutcome &Outcome, Instant Now);
   void announceSoon(Instant Now);
   void announce(Instant Now);
-  void publishChanged();
+  void publishChanged(Instant Now);
   void finishJoin(Instant Now);
   void takeOver(JoinedState State, Instant Now);
   void joinFromLog(Instant Now);
--- a/packages/decision/tests/ConfigurationSpreadTest.cpp
+++ b/packages/decision/tests/ConfigurationSpreadTest.cpp
@@ -1,287 +1,14 @@
 // Guards the distribution of configuration: in force everywhere within seconds
 // although announcements are lost, the log is down, and readers end.
-#include "camphorpin/Configuration.h"
+#include "ConfigurationFleet.h"
 
-#include <algorithm>
 #include <criterion/criterion.h>
-#include <functional>
 #include <iostream>
-#include <memory>
-#include <queue>
 
 using namespace camphorpin;
 
 namespace {
 
-constexpr std::size_t Zones = 9;
-constexpr std::size_t ContentBytes = 1200;
-/// Headers of IP and UDP or TCP with a small message.
-constexpr std::size_t SmallMessageBytes = 80;
-constexpr Duration LogLatency = Duration::millis(20);
-
-class Fleet;
-
-/// \class Node
-/// \brief One ConfigurationSpread and its way to the fake network.
-class Node final : public ConfigurationActions {
-public:
-  Node(Fleet &Net, std::size_t Index, const ConfigurationPeer &Self);
-
-  void readLog(std::uint64_t From, std::size_t Max) override;
-  void appendLog(const std::string &Body) override;
-  void announce(HostAddress To, const LogReading &Reading) override;
-  void requestRecords(HostAddress To, const RecordsRequest &Request) override;
-  void requestSnapshot(HostAddress To) override;
-  void requestDigest(HostAddress To, const DigestRequest &Request) override;
-  void documentChanged(const ConfigurationDocument &Document) override;
-  void recordFolded(std::uint64_t, const RecordOutcome &) override {}
-  void digestMismatch(HostAddress, HostAddress) override { ++Mismatches; }
-
-  HostAddress Address;
-  SeededRandom Source;
-  ConfigurationSpread Spread;
-  bool Alive = true;
-  bool CorruptSnapshots = false;
-  std::size_t Mismatches = 0;
-  std::uint64_t Version = 0;
-  Instant ChangedAt;
-
-private:
-  Fleet &Net;
-};
-
-/// \class Fleet
-/// \brief Many nodes in one process, joined by a queue of messages with delay
-/// and loss under a virtual clock, and the platform's log.
-class Fleet final : public ConfigurationPeers {
-public:
-  explicit Fleet(std::size_t Size) {
-    for (std::size_t Index = 0; Index < Size; ++Index)
-      add();
-  }
-
-  std::uint64_t version() const override { return PeersVersion; }
-  std::span<const ConfigurationPeer> peers() const override { return Known; }
-
-  Node &add() {
-    const std::size_t Index = Nodes.size();
-    Known.push_back({{static_cast<std::uint32_t>(Index), 1},
-                     ZoneName("z" + std::to_string(Index % Zones))});
-    ++PeersVersion;
-    Nodes.push_back(std::make_unique<Node>(*this, Index, Known.back()));
-    // The phases of the nodes' timers are spread over a second.
-    every(Index, Duration::millis(100),
-          [this](Node &Self) { Self.Spread.tick(Now); });
-    every(Index, Duration::seconds(1), [this](Node &Self) { probe(Self); });
-    return *Nodes.back();
-  }
-
-  Node &at(HostAddress Address) { return *Nodes[Address.Ip]; }
-
-  void after(Duration Delay, std::function<void()> Event) {
-    Queue.push({Now + Delay, ++Sequence, std::move(Event)});
-  }
-
-  /// Runs \p Event at another node after the network delay.
-  void send(HostAddress To, std::size_t Bytes, bool MayBeLost,
-            std::function<void(Node &)> Event) {
-    BytesSent += Bytes;
-    if (MayBeLost && Source.unit() < Loss)
-      return;
-    // 1 ms within a region, up to 60 ms between regions.
-    const Duration Delay =
-        Duration::millis(static_cast<std::int64_t>(1 + Source.below(60)));
-    after(Delay, [this, To, Event = std::move(Event)] {
-      if (at(To).Alive)
-        Event(at(To));
-    });
-  }
-
-  void run(Duration Span) {
-    const Instant End = Now + Span;
-    while (!Queue.empty() && Queue.top().At <= End) {
-      const Item Next = Queue.top();
-      Queue.pop();
-      Now = Next.At;
-      Next.Event();
-    }
-    Now = End;
-  }
-
-  void noteRead() {
-    ++LogReads;
-    const std::int64_t Second = Now.wholeMillis() / 1000;
-    ReadsInSecond = Second == ReadSecond ? ReadsInSecond + 1 : 1;
-    ReadSecond = Second;
-    MostReadsInASecond = std::max(MostReadsInASecond, ReadsInSecond);
-  }
-
-  /// Appends a change of the document "mesh".
-  void publish() {
-    const std::string Content =
-        R"({"a":")" + std::string(ContentBytes, 'x') + "\"}";
-    Log.push_back(formatRecord(ChangeRecord{DocumentName("mesh"), Published,
-                                            "c" + std::to_string(Published),
-                                            "op", Content}));
-    ++Published;
-  }
-
-  /// \returns the time from \p Since until the last living node had the newest
-  /// version, or nothing if one does not have it.
-  std::optional<Duration> inForceAfter(Instant Since) const {
-    Duration Longest;
-    for (const std::unique_ptr<Node> &Member : Nodes) {
-      if (Member->Alive && Member->Version != Published)
-        return std::nullopt;
-      if (Member->Alive)
-        Longest = std::max(Longest, Member->ChangedAt - Since);
-    }
-    return Longest;
-  }
-
-  std::vector<std::unique_ptr<Node>> Nodes;
-  std::vector<std::string> Log;
-  std::uint64_t Published = 0;
-  Instant Now;
-  double Loss = 0.01;
-  bool LogUp = true;
-  bool Announcements = true;
-  bool ProbesCarryReadings = true;
-  std::uint64_t FirstRetained = 0;
-  std::size_t LogReads = 0;
-  /// The most reads of the log that began within one second.
-  std::size_t MostReadsInASecond = 0;
-  std::size_t BytesSent = 0;
-  SeededRandom Source{42};
-
-private:
-  struct Item {
-    Instant At;
-    std::uint64_t Sequence;
-    std::function<void()> Event;
-    bool operator<(const Item &Other) const {
-      return At != Other.At ? At > Other.At : Sequence > Other.Sequence;
-    }
-  };
-
-  void every(std::size_t Index, Duration Interval,
-             const std::function<void(Node &)> &Event) {
-    after(Interval * Source.unit(),
-          [this, Index, Interval, Event] { repeat(Index, Interval, Event); });
-  }
-
-  void repeat(std::size_t Index, Duration Interval,
-              const std::function<void(Node &)> &Event) {
-    if (!Nodes[Index]->Alive)
-      return;
-    Event(*Nodes[Index]);
-    after(Interval,
-          [this, Index, Interval, Event] { repeat(Index, Interval, Event); });
-  }
-
-  /// The reading on a probe and its acknowledgement; the probes themselves are
-  /// part of membership.
-  void probe(Node &Self) {
-    if (!ProbesCarryReadings)
-      return;
-    const HostAddress From = Self.Address;
-    const Instant AskedAt = Now;
-    const LogReading Reading = Self.Spread.reading(Now);
-    const HostAddress To = Known[Source.below(Known.size())].Address;
-    send(To, sizeof(LogReading), true, [=, this](Node &Target) {
-      Target.Spread.onAnnouncement(From, Reading, Now);
-      const LogReading Answer = Target.Spread.reading(Now);
-      send(From, sizeof(LogReading), true, [=, this](Node &Asker) {
-        Asker.Spread.onReading(To, Answer, AskedAt, Now);
-      });
-    });
-  }
-
-  std::int64_t ReadSecond = 0;
-  std::size_t ReadsInSecond = 0;
-  std::vector<ConfigurationPeer> Known;
-  std::uint64_t PeersVersion = 1;
-  std::priority_queue<Item> Queue;
-  std::uint64_t Sequence = 0;
-};
-
-Node::Node(Fleet &Net, std::size_t Index, const ConfigurationPeer &Self)
-    : Address(Self.Address), Source(Index + 1),
-      Spread(Self, Duration::seconds(24 * 3600), Net, Source, *this), Net(Net) {
-}
-
-void Node::readLog(std::uint64_t From, std::size_t Max) {
-  Net.noteRead();
-  Net.after(LogLatency, [this, From, Max] {
-    if (!Alive)
-      return;
-    if (!Net.LogUp)
-      return Spread.onLogReadFailed(Net.Now);
-    LogReadResult Result;
-    Result.FirstRetained = Net.FirstRetained;
-    Result.Next = std::max(From, Net.FirstRetained);
-    for (; Result.Next < Net.Log.size() && Result.Records.size() < Max;
-         ++Result.Next)
-      Result.Records.push_back({Result.Next, Net.Log[Result.Next]});
-    Spread.onLogRead(Result, Net.Now);
-  });
-}
-
-void Node::appendLog(const std::string &Body) { Net.Log.push_back(Body); }
-
-void Node::announce(HostAddress To, const LogReading &Reading) {
-  if (Net.Announcements)
-    Net.send(To, SmallMessageBytes, true, [this, Reading](Node &Target) {
-      Target.Spread.onAnnouncement(Address, Reading, Net.Now);
-    });
-}
-
-void Node::requestRecords(HostAddress To, const RecordsRequest &Request) {
-  Net.send(To, SmallMessageBytes, false, [this, Request](Node &Target) {
-    const RecordsReply Reply = Target.Spread.recordsReply(Request, Net.Now);
-    std::size_t Size = SmallMessageBytes;
-    for (const CarriedRecord &Record :
-         Reply.Range.value_or(RecordRange()).Records)
-      Size += Record.Body.size();
-    const HostAddress From = Target.Address;
-    Net.send(Address, Size, false, [this, From, Reply](Node &Asker) {
-      Asker.Spread.onRecords(From, Reply, Net.Now);
-    });
-  });
-}
-
-void Node::requestSnapshot(HostAddress To) {
-  Net.send(To, SmallMessageBytes, false, [this](Node &Target) {
-    SnapshotReply Reply = Target.Spread.snapshotReply(Net.Now);
-    if (Target.CorruptSnapshots && Reply.Snapshot) {
-      // A node with a faulty state: consistent in itself, but different.
-      Reply.Snapshot->Documents.clear();
-      Reply.Snapshot->Digest = 0;
-    }
-    const HostAddress From = Target.Address;
-    Net.send(Address, ContentBytes, false, [this, From, Reply](Node &Asker) {
-      Asker.Spread.onSnapshot(From, Reply, Net.Now);
-    });
-  });
-}
-
-void Node::requestDigest(HostAddress To, const DigestRequest &Request) {
-  Net.send(To, SmallMessageBytes, false, [this, Request](Node &Target) {
-    const DigestReply Reply = Target.Spread.digestReply(Request);
-    const HostAddress From = Target.Address;
-    Net.send(Address, SmallMessageBytes, false,
-             [this, From, Reply](Node &Asker) {
-               Asker.Spread.onDigest(From, Reply, Net.Now);
-             });
-  });
-}
-
-void Node::documentChanged(const ConfigurationDocument &Document) {
-  cr_assert_geq(Document.Version, Version, "an accepted version is kept");
-  Version = Document.Version;
-  ChangedAt = Net.Now;
-}
-
 void checkStart(const Fleet &Net) {
   std::cout << Net.Nodes.size() << " nodes start together: at most "
             << Net.MostReadsInASecond << " reads of the log in a second\n";
@@ -383,7 +110,8 @@
 // All nodes start together on a log whose first records have expired.
 Test(ConfigurationSpread, startsOnALogThatHasLostItsFirstRecords) {
   Fleet Net(50);
-  Net.Log.resize(500, R"({"type":"other"})");
+  for (int Count = 0; Count < 500; ++Count)
+    Net.append(R"({"type":"other"})");
   Net.FirstRetained = 400;
   Net.run(Duration::seconds(20));
   const std::optional<Duration> Time =
@@ -391,6 +119,39 @@
   cr_assert(Time.has_value());
 }
 
+namespace {
+
+/// Lets the changes expire, ends all nodes at once and starts new ones.
+/// \returns the version that the new nodes have.
+std::uint64_t versionAfterRestart(bool Restates) {
+  constexpr Duration Retention = Duration::seconds(1200);
+  Fleet Net(30, Retention);
+  Net.Restates = Restates;
+  Net.publish();
+  Net.run(Duration::seconds(30));
+  Net.publish();
+  Net.run(Retention * 3);
+  Net.endAll();
+  for (int Count = 0; Count < 30; ++Count)
+    Net.add();
+  Net.run(Duration::seconds(60));
+  std::cout << "after the restart of all nodes: version "
+            << Net.Nodes.back()->Version << ", records in the log "
+            << Net.Log.size() << "\n";
+  return Net.inForceAfter(Instant()) ? Net.Published
+                                     : Net.Nodes.back()->Version;
+}
+
+} // namespace
+
+// Hosts persist nothing. When all nodes end at once, only the log can hold the
+// configuration, and the records of the changes have expired from it. Without
+// restates the configuration is lost.
+Test(ConfigurationSpread, restatesOutliveTheRestartOfAllNodes) {
+  cr_assert_eq(versionAfterRestart(false), 0);
+  cr_assert_eq(versionAfterRestart(true), 2);
+}
+
 Test(ConfigurationSpread, survivesReadersThatEndWithoutNotice) {
   const std::unique_ptr<Fleet> Net = joinedFleet(1000);
   std::size_t Ended = 0;
