Bound contents by document and read large records

Purpose: a home set with 512 homes does not fit in 32 KiB, and 256 records of such size do not fit in a reply of the log client, whose readers would have been stuck. Homes may now have 224 KiB, other documents 32 KiB, and a failed read is repeated with fewer records until the end of the log is reached.

Failing first: with a fixed number of records the fleet never joins on a log whose replies are refused. After: it joins.

The policy parser is fuzzed with damaged documents: 100 cases, each ends with errors or with a policy whose canonical text is read back alike.

--- a/packages/client/camphorpin/src/Client/LogView.cpp
+++ b/packages/client/camphorpin/src/Client/LogView.cpp
@@ -10,10 +10,11 @@
 
 /// \returns the batch, or nothing and the error in \p Error.
 std::optional<LogBatch> readBatch(PlatformLog &Log, LogOffset From,
+                                  std::size_t Max,
                                   std::optional<LogReadError> &Error) {
   return boost::leaf::try_handle_all(
       [&]() -> boost::leaf::result<std::optional<LogBatch>> {
-        BOOST_LEAF_AUTO(Batch, Log.read(From, LogView::ReadBatch));
+        BOOST_LEAF_AUTO(Batch, Log.read(From, Max));
         return std::optional<LogBatch>(std::move(Batch));
       },
       [&Error](const LogReadError &Found) {
@@ -29,13 +30,19 @@
 } // namespace
 
 std::optional<LogReadError> LogView::refresh() {
-  std::optional<LogReadError> Error;
+  std::size_t Max = ReadBatch;
   while (true) {
+    std::optional<LogReadError> Error;
     const std::optional<LogBatch> Batch =
-        readBatch(Log, State ? State->nextOffset() : 0, Error);
+        readBatch(Log, State ? State->nextOffset() : 0, Max, Error);
+    if (!Batch && Error->Reason == LogReadError::Cause::Malformed &&
+        Max > MinReadBatch) {
+      Max /= 2;
+      continue;
+    }
     if (!Batch)
       return Error;
-    const bool AtEnd = Batch->Records.size() < ReadBatch;
+    const bool AtEnd = Batch->Records.size() < Max;
     fold(*Batch);
     if (AtEnd)
       break;
--- a/packages/client/camphorpin/src/Client/LogView.h
+++ b/packages/client/camphorpin/src/Client/LogView.h
@@ -24,7 +24,9 @@
 /// \brief The configuration according to the retained records of the log.
 class LogView {
 public:
-  static constexpr std::size_t ReadBatch = 500;
+  static constexpr std::size_t ReadBatch = 256;
+  /// Fewer records are read while replies are too large to be taken.
+  static constexpr std::size_t MinReadBatch = 8;
   /// The newest changes are kept.
   static constexpr std::size_t MaxHistory = 20000;
 
--- a/packages/client/camphorpin/src/Client/PolicyCommands.cpp
+++ b/packages/client/camphorpin/src/Client/PolicyCommands.cpp
@@ -63,7 +63,7 @@
     return "conflict: the change was made for version " + Base + ", version " +
            InForce + " is in force";
   case PublishStatus::Invalid:
-    return "invalid: the record exceeds a limit";
+    return "invalid: the document is too large, or there are too many";
   case PublishStatus::Unknown:
     return "unknown: the answer of the log was lost (" + Result.Detail +
            "); run the same command again";
--- a/packages/client/camphorpin/src/Client/Publisher.cpp
+++ b/packages/client/camphorpin/src/Client/Publisher.cpp
@@ -69,6 +69,8 @@
 std::optional<PublishStatus>
 Publisher::statusBefore(const PublishRequest &Request,
                         const PublishResult &Result) const {
+  if (Request.Content.size() > maxContentBytes(Request.Document))
+    return PublishStatus::Invalid;
   const ConfigurationFold &Fold = View.fold();
   if (!Fold.isKnown(Request.Document)) {
     if (Request.Base)
--- a/packages/decision/camphorpin/src/Configuration/ConfigurationFold.h
+++ b/packages/decision/camphorpin/src/Configuration/ConfigurationFold.h
@@ -29,8 +29,11 @@
 /// from AsOf on. It knows that no further document exists once it knows as many
 /// documents as a restate counts at its AsOf.
 ///
-/// Bounds: MaxDocuments contents of MaxContentBytes (32 MiB at worst, about
-/// 2 MiB at the target size), and ChangeBuffer::MaxBytes for a late reader.
+/// Bounds: MaxDocuments contents of maxContentBytes(), and
+/// ChangeBuffer::MaxBytes for a late reader. The sum is about 3 MiB at the
+/// target size (7,100 homes of about 250 bytes each, and the policies). The
+/// worst case is far larger; it takes operators who publish as many maximal
+/// documents.
 class ConfigurationFold {
 public:
   /// The target has 621: mesh, and two for each of 310 services.
--- a/packages/decision/camphorpin/src/Configuration/ConfigurationRecord.cpp
+++ b/packages/decision/camphorpin/src/Configuration/ConfigurationRecord.cpp
@@ -48,35 +48,43 @@
 }
 
 std::optional<std::string> validName(const nlohmann::json &Root,
-                                     std::string_view Field,
-                                     bool AllowSlash = false) {
+                                     std::string_view Field) {
   std::optional<std::string> Value = text(Root, Field);
-  if (!Value || !isValidName(*Value, AllowSlash))
+  if (!Value || !isValidName(*Value))
     return std::nullopt;
   return Value;
 }
 
-std::optional<std::string> content(const nlohmann::json &Root) {
+/// \returns the name of the document, empty if it is missing or malformed.
+DocumentName documentName(const nlohmann::json &Root) {
+  const std::optional<std::string> Value = text(Root, "document");
+  if (!Value || !isValidName(*Value, /*AllowSlash=*/true))
+    return DocumentName();
+  return DocumentName(*Value);
+}
+
+std::optional<std::string> content(const nlohmann::json &Root,
+                                   const DocumentName &Document) {
   const auto Found = Root.find("content");
   if (Found == Root.end() || !Found->is_object())
     return std::nullopt;
   std::string Canonical = Found->dump();
-  if (Canonical.size() > MaxContentBytes)
+  if (Canonical.size() > maxContentBytes(Document))
     return std::nullopt;
   return Canonical;
 }
 
 std::optional<ConfigurationRecord> parseChange(const nlohmann::json &Root) {
-  const std::optional<std::string> Document = validName(Root, "document", true);
+  const DocumentName Document = documentName(Root);
   const std::optional<std::uint64_t> Base = number(Root, "base");
   std::optional<std::string> ChangeId = validName(Root, "changeId");
   std::optional<std::string> Author = text(Root, "author");
-  std::optional<std::string> Content = content(Root);
-  if (!Document || !Base || !ChangeId || !Author || !Content ||
+  std::optional<std::string> Content = content(Root, Document);
+  if (Document.empty() || !Base || !ChangeId || !Author || !Content ||
       Author->size() > MaxAuthorBytes)
     return std::nullopt;
-  return ChangeRecord{DocumentName(*Document), *Base, std::move(*ChangeId),
-                      std::move(*Author), std::move(*Content)};
+  return ChangeRecord{Document, *Base, std::move(*ChangeId), std::move(*Author),
+                      std::move(*Content)};
 }
 
 std::optional<std::vector<std::string>> changeIds(const nlohmann::json &Root) {
@@ -94,17 +102,18 @@
 }
 
 std::optional<ConfigurationRecord> parseRestate(const nlohmann::json &Root) {
-  const std::optional<std::string> Document = validName(Root, "document", true);
+  const DocumentName Document = documentName(Root);
   const std::optional<std::uint64_t> Version = number(Root, "version");
   std::optional<std::vector<std::string>> Ids = changeIds(Root);
-  std::optional<std::string> Content = content(Root);
+  std::optional<std::string> Content = content(Root, Document);
   const std::optional<std::uint64_t> AsOf = number(Root, "asOf");
   const std::optional<std::uint64_t> Documents = number(Root, "documents");
-  if (!Document || !Version || *Version == 0 || !Ids || !Content || !AsOf ||
-      !Documents || *Documents == 0)
+  if (Document.empty() || !Version || *Version == 0 || !Ids || !Content ||
+      !AsOf || !Documents || *Documents == 0)
     return std::nullopt;
-  return RestateRecord{DocumentName(*Document), *Version, std::move(*Ids),
-                       std::move(*Content),     *AsOf,    *Documents};
+  return RestateRecord{Document,        *Version,
+                       std::move(*Ids), std::move(*Content),
+                       *AsOf,           *Documents};
 }
 
 std::optional<ConfigurationRecord> parseEntry(const nlohmann::json &Root) {
@@ -170,6 +179,11 @@
       .dump();
 }
 
+std::size_t maxContentBytes(const DocumentName &Document) {
+  return Document.view().starts_with("homes/") ? MaxHomesBytes
+                                               : MaxContentBytes;
+}
+
 std::string deriveChangeId(const DocumentName &Document, std::uint64_t Base,
                            std::string_view Content) {
   constexpr std::string_view HexDigits = "0123456789abcdef";
--- a/packages/decision/camphorpin/src/Configuration/ConfigurationRecord.h
+++ b/packages/decision/camphorpin/src/Configuration/ConfigurationRecord.h
@@ -14,10 +14,12 @@
 namespace camphorpin {
 
 /// \brief The largest record that is folded, in bytes.
-inline constexpr std::size_t MaxRecordBytes = 64UL * 1024;
-/// \brief The largest content of a document, in bytes. It holds the homes of
-/// about 300 backend servers.
+inline constexpr std::size_t MaxRecordBytes = 256UL * 1024;
+/// \brief The largest content of a policy document, in bytes.
 inline constexpr std::size_t MaxContentBytes = 32UL * 1024;
+/// \brief The largest content of a document homes/<service>, in bytes. It holds
+/// 512 homes with their mirrors.
+inline constexpr std::size_t MaxHomesBytes = 224UL * 1024;
 /// \brief The number of accepted changes whose ids are kept for a document.
 inline constexpr std::size_t MaxChangeIds = 16;
 
@@ -87,6 +89,9 @@
 std::string formatRecord(const RestateRecord &Record);
 std::string formatRecord(const EntryRecord &Record);
 
+/// \returns the largest content of this document, in bytes.
+std::size_t maxContentBytes(const DocumentName &Document);
+
 /// \returns the id of a change, which is the same whenever the same content is
 /// published on the same base, so that a repetition is recognised.
 std::string deriveChangeId(const DocumentName &Document, std::uint64_t Base,
--- a/packages/decision/camphorpin/src/Configuration/ConfigurationSpread.cpp
+++ b/packages/decision/camphorpin/src/Configuration/ConfigurationSpread.cpp
@@ -114,8 +114,9 @@
     Recent.restart(Result.FirstRetained);
   }
   foldRecords(Result.Records, Result.Next, Now);
-  if (Result.Records.size() >= ReadBatch)
+  if (Result.Records.size() >= ReadMax)
     return startRead(Now);
+  ReadMax = ReadBatch;
   MustCatchUp = false;
   raise(FreshAt, AskedAt);
   raise(HeardAt, AskedAt);
@@ -125,6 +126,7 @@
 
 void ConfigurationSpread::onLogReadFailed(Instant Now) {
   ReadAskedAt.reset();
+  ReadMax = std::max(MinReadBatch, ReadMax / 2);
   if (!JoiningFromLog)
     return;
   JoiningFromLog = false;
@@ -218,7 +220,7 @@
 
 void ConfigurationSpread::startRead(Instant Now) {
   ReadAskedAt = Now;
-  Actions.readLog(Fold ? Fold->nextOffset() : 0, ReadBatch);
+  Actions.readLog(Fold ? Fold->nextOffset() : 0, ReadMax);
 }
 
 void ConfigurationSpread::startPull(HostAddress From, Instant Now) {
--- a/packages/decision/camphorpin/src/Configuration/ConfigurationSpread.h
+++ b/packages/decision/camphorpin/src/Configuration/ConfigurationSpread.h
@@ -45,6 +45,9 @@
   /// read over this time.
   static constexpr Duration CatchUpWindow = Duration::seconds(2);
   static constexpr std::size_t ReadBatch = 256;
+  /// After a failed read, which may have had too large a reply, fewer records
+  /// are read, down to this number, until the end of the log is reached.
+  static constexpr std::size_t MinReadBatch = 8;
   /// Tries to get a snapshot before a reader reads the log from its start.
   static constexpr std::size_t SnapshotTries = 4;
   /// Tries before any other node does, about half a minute.
@@ -146,6 +149,7 @@
   std::optional<Pull> PullInFlight;
   News Latest;
   std::optional<Instant> ReadAskedAt;
+  std::size_t ReadMax = ReadBatch;
   Instant NextPoll;
   Instant NextOwnPoll = Instant::never();
   bool MustCatchUp = false;
--- a/packages/decision/tests/ConfigurationFleet.h
+++ b/packages/decision/tests/ConfigurationFleet.h
@@ -162,6 +162,8 @@
   Instant Now;
   double Loss = 0.01;
   bool LogUp = true;
+  /// Replies with more records fail, as those with too many bytes do.
+  std::size_t LargestReply = ConfigurationSpread::ReadBatch;
   bool Announcements = true;
   bool ProbesCarryReadings = true;
   bool Restates = true;
@@ -231,9 +233,12 @@
   constexpr Duration Latency = Duration::millis(20);
   Net.noteRead();
   Net.after(Latency, [this, From, Max] {
-    if (Alive && Net.LogUp)
-      Spread.onLogRead(Net.read(From, Max), Net.Now);
-    else if (Alive)
+    if (!Alive)
+      return;
+    const LogReadResult Result = Net.read(From, Max);
+    if (Net.LogUp && Result.Records.size() <= Net.LargestReply)
+      Spread.onLogRead(Result, Net.Now);
+    else
       Spread.onLogReadFailed(Net.Now);
   });
 }
--- a/packages/decision/tests/ConfigurationFoldTest.cpp
+++ b/packages/decision/tests/ConfigurationFoldTest.cpp
@@ -66,6 +66,15 @@
   cr_assert(Fold.documentNames().empty());
 }
 
+// The homes of the largest service need more room than a policy.
+Test(ConfigurationFold, limitsTheSizeOfContents) {
+  ConfigurationFold Fold;
+  const std::string Large = R"({"a":")" + std::string(100000, 'x') + "\"}";
+  cr_assert(Fold.apply(0, change(0, "a", Large)).Kind == OutcomeKind::Invalid);
+  const ChangeRecord Homes{DocumentName("homes/orders"), 0, "a", "n", Large};
+  cr_assert(Fold.apply(1, formatRecord(Homes)).Kind == OutcomeKind::Accepted);
+}
+
 Test(ConfigurationFold, ignoresRecordsThatArriveTwice) {
   ConfigurationFold Fold;
   Fold.apply(0, change(0, "a"));
--- a/packages/decision/tests/ConfigurationSpreadTest.cpp
+++ b/packages/decision/tests/ConfigurationSpreadTest.cpp
@@ -119,6 +119,17 @@
   cr_assert(Time.has_value());
 }
 
+// The log client refuses replies that are too large. With a fixed number of
+// records, such a part of the log could never be read.
+Test(ConfigurationSpread, readsPartsOfTheLogWithLargeRecords) {
+  Fleet Net(10);
+  Net.LargestReply = 10;
+  for (int Count = 0; Count < 300; ++Count)
+    Net.publish();
+  Net.run(Duration::seconds(60));
+  cr_assert(Net.inForceAfter(Instant()).has_value());
+}
+
 namespace {
 
 /// Lets the changes expire, ends all nodes at once and starts new ones.
--- a/packages/policy/tests/PolicyJsonTest.cpp
+++ b/packages/policy/tests/PolicyJsonTest.cpp
@@ -3,6 +3,7 @@
 #include "camphorpin/Policy.h"
 
 #include <criterion/criterion.h>
+#include <rapidcheck.h>
 
 using namespace camphorpin;
 
@@ -156,3 +157,27 @@
       hasError(Cyclic, PolicyFault::Inconsistent, "operations.run.calls[0]"),
       "a deadline of 901 ms below one of 900 ms grows");
 }
+
+// Whatever an operator's file holds, the parser ends with errors or with a
+// policy whose canonical text is read back alike.
+Test(PolicyJson, damagedDocumentsNeverBreakTheParser) {
+  cr_assert(rc::check("damaged documents", [] {
+    std::string Text(OrdersText);
+    const int Damages = *rc::gen::inRange(1, 4);
+    for (int Count = 0; Count < Damages; ++Count) {
+      const std::size_t At = *rc::gen::inRange<std::size_t>(0, Text.size());
+      const std::size_t Length = *rc::gen::inRange<std::size_t>(0, 12);
+      Text.replace(At, Length, *rc::gen::arbitrary<std::string>());
+    }
+    const std::variant<ServicePolicy, PolicyErrors> Parsed =
+        parseServicePolicy(Text, mesh());
+    if (std::holds_alternative<PolicyErrors>(Parsed)) {
+      RC_ASSERT(!std::get<PolicyErrors>(Parsed).empty());
+      RC_ASSERT(!toString(std::get<PolicyErrors>(Parsed)).empty());
+      return;
+    }
+    const std::string Canonical =
+        toJson(std::get<ServicePolicy>(Parsed), mesh());
+    RC_ASSERT(toJson(service(Canonical), mesh()) == Canonical);
+  }));
+}
