--- a/packages/daemon/camphorpin/src/Daemon/HttpFront.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/HttpFront.cpp
@@ -40,8 +40,9 @@
 
 } // namespace
 
-HttpFront::HttpFront(const HttpLimits &Limits, EventQueue &Events)
-    : Events(Events),
+HttpFront::HttpFront(const HttpLimits &Limits, EventQueue &Events,
+                     EventLog &Log)
+    : Events(Events), Log(Log),
       Server(Limits, [this](const httplib::Request &Request, std::string &&Body,
                             httplib::Response &Response) {
         handle(Request, std::move(Body), Response);
@@ -51,6 +52,8 @@
                        httplib::Response &Response) {
   std::optional<RequestInfo> Info = readRequest(Request, Body);
   if (!Info) {
+    Log.write(LogEvent::RequestRejected,
+              {{"remote", Request.remote_addr}, {"status", "400"}});
     writeHttpAnswer({.Reason = RefusalReason::BadRequest}, nullptr, Response);
     Response.status = 400;
     return;
@@ -62,6 +65,7 @@
       std::make_shared<const Payload>(readPayload(Request, std::move(Body))),
       Sink};
   if (!Events.offer(std::move(Event))) {
+    Log.write(LogEvent::NodeOverloaded, {{"ring", "events"}});
     writeHttpAnswer(
         {.Verdict = MaySayNotRun ? Verdict::NotRun : Verdict::MayHaveRun,
          .Reason = RefusalReason::NodeBusy},
--- a/packages/daemon/camphorpin/src/Daemon/HttpFront.h
+++ b/packages/daemon/camphorpin/src/Daemon/HttpFront.h
@@ -1,6 +1,7 @@
 #ifndef CAMPHORPIN_SRC_DAEMON_HTTPFRONT_H
 #define CAMPHORPIN_SRC_DAEMON_HTTPFRONT_H
 
+#include "camphorpin/src/Daemon/EventLog.h"
 #include "camphorpin/src/Daemon/EventQueue.h"
 #include "camphorpin/src/Daemon/HttpServer.h"
 
@@ -10,8 +11,8 @@
 /// \brief Takes the requests of callers and of the local backend server.
 class HttpFront {
 public:
-  /// \param Events must outlive the front end.
-  HttpFront(const HttpLimits &Limits, EventQueue &Events);
+  /// \param Events and \p Log must outlive the front end.
+  HttpFront(const HttpLimits &Limits, EventQueue &Events, EventLog &Log);
 
   bool bind(const HostAddress &Address) { return Server.bind(Address); }
   void start() { Server.start(); }
@@ -24,6 +25,7 @@
               httplib::Response &Response);
 
   EventQueue &Events;
+  EventLog &Log;
   HttpServer Server;
 };
 
--- a/packages/daemon/camphorpin/src/Daemon/NodeDaemon.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/NodeDaemon.cpp
@@ -40,7 +40,8 @@
       Events(MaxRequests), Self{Options.Address,
                                 static_cast<std::uint64_t>(
                                     Time.wallNow().wholeMillis())},
-      Datagrams(Events, Log), Front(Options.Limits, Events), Admin(*this) {}
+      Datagrams(Events, Log), Front(Options.Limits, Events, Log), Admin(*this) {
+}
 
 NodeDaemon::~NodeDaemon() = default;
 
@@ -55,7 +56,7 @@
                  .ListenSocket = Socket,
                  .MaxBody = Options.Limits.Body,
                  .ConnectionSilence = Options.ConnectionSilence};
-  this->Rpc = std::make_unique<RpcThread>(Rpc, Events);
+  this->Rpc = std::make_unique<RpcThread>(Rpc, Events, Log);
   if (!Datagrams.bind(Options.Address))
     return bindError(Options.Address);
   if (!Front.bind(Options.HttpAddress))
--- a/packages/daemon/camphorpin/src/Daemon/PeerLink.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/PeerLink.cpp
@@ -3,6 +3,7 @@
 #include "camphorpin/src/Daemon/Listener.h"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace camphorpin::detail {
@@ -82,7 +83,12 @@
 void PeerLink::open() {
   Environment.Tasks.add(connect().then(
       [this](kj::Own<RpcChannel> &&Fresh) { opened(kj::mv(Fresh)); },
-      [this](kj::Exception && /*Error*/) { opened(kj::Own<RpcChannel>()); }));
+      [this](kj::Exception &&Error) {
+        Environment.Log.write(LogEvent::ConnectionFailed,
+                              {{"peer", Address.toString()},
+                               {"error", Error.getDescription().cStr()}});
+        opened(kj::Own<RpcChannel>());
+      }));
 }
 
 void PeerLink::opened(kj::Own<RpcChannel> Fresh) {
@@ -94,6 +100,8 @@
     failWaiting(RefusalReason::PeerFailed);
     return;
   }
+  Environment.Log.write(LogEvent::ConnectionOpened,
+                        {{"peer", Address.toString()}});
   for (const SendClaim &Command : Claims)
     Channel->send(Command);
   for (const SendCall &Command : std::exchange(Waiting, {}))
@@ -107,7 +115,7 @@
 }
 
 void PeerLink::checkSilence() {
-  if (!usable() || !Channel->hasCalls() || Comparing)
+  if (!usable() || Channel->callCount() == 0 || Comparing)
     return;
   const kj::Duration Silent = Environment.now() - Channel->silentSince();
   if (Silent > toKj(Environment.Options.ConnectionSilence))
@@ -135,8 +143,12 @@
 void PeerLink::compare(kj::Own<RpcChannel> Fresh, kj::TimePoint Begin) {
   Comparing = false;
   const bool OldAnswered = usable() && Channel->silentSince() >= Begin;
-  if (OldAnswered || Opening)
+  if (OldAnswered || Opening || !usable())
     return;
+  Environment.Log.write(LogEvent::ConnectionReplaced,
+                        {{"peer", Address.toString()},
+                         {"calls", std::to_string(Channel->callCount())}});
+  // The old connection is closed here and reports its calls as may-have-run.
   Channel = kj::mv(Fresh);
 }
 
--- a/packages/daemon/camphorpin/src/Daemon/RpcChannel.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/RpcChannel.cpp
@@ -46,8 +46,13 @@
   return Request.send().then(
       [this](capnp::Response<wire::Node::HelloResults> &&Reply) {
         if (Reply.getVersion() < OldestProtocolVersion ||
-            Reply.getVersion() > NewestProtocolVersion)
+            Reply.getVersion() > NewestProtocolVersion) {
+          Environment.Log.write(
+              LogEvent::VersionMismatch,
+              {{"peer", readProcess(Reply.getIdentity().getProcess())
+                            .Address.toString()}});
           KJ_FAIL_REQUIRE("no common protocol version");
+        }
         LastProgress = Environment.now();
       });
 }
--- a/packages/daemon/camphorpin/src/Daemon/RpcChannel.h
+++ b/packages/daemon/camphorpin/src/Daemon/RpcChannel.h
@@ -36,7 +36,7 @@
 
   /// \returns true once the connection has ended.
   bool ended() const { return Ended; }
-  bool hasCalls() const { return !Outstanding.empty(); }
+  std::size_t callCount() const { return Outstanding.size(); }
 
   /// \returns the time since which outstanding calls have seen no progress.
   kj::TimePoint silentSince() const { return LastProgress; }
--- a/packages/daemon/camphorpin/src/Daemon/RpcEnvironment.h
+++ b/packages/daemon/camphorpin/src/Daemon/RpcEnvironment.h
@@ -16,9 +16,9 @@
 /// \brief What the connections on the RPC thread share.
 class RpcEnvironment final : public kj::TaskSet::ErrorHandler {
 public:
-  RpcEnvironment(const RpcOptions &Options, EventQueue &Events,
+  RpcEnvironment(const RpcOptions &Options, EventQueue &Events, EventLog &Log,
                  kj::AsyncIoContext &Io)
-      : Options(Options), Events(Events), Io(Io), Tasks(*this) {}
+      : Options(Options), Events(Events), Log(Log), Io(Io), Tasks(*this) {}
 
   /// Runs \p Open when fewer than MaxOpening connections are being opened, so
   /// that a restart causes no connection storm. openFinished() must follow.
@@ -37,6 +37,7 @@
 
   const RpcOptions &Options;
   EventQueue &Events;
+  EventLog &Log;
   kj::AsyncIoContext &Io;
   kj::TaskSet Tasks;
 
--- a/packages/daemon/camphorpin/src/Daemon/RpcService.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/RpcService.cpp
@@ -63,6 +63,9 @@
 kj::Promise<void> RpcService::hello(HelloContext Context) {
   const wire::Node::HelloParams::Reader Params = Context.getParams();
   Version = commonVersion(Params.getNewest(), Params.getOldest());
+  PeerName = readProcess(Params.getIdentity().getProcess()).Address.toString();
+  if (Version == 0)
+    Environment.Log.write(LogEvent::VersionMismatch, {{"peer", PeerName}});
   wire::Node::HelloResults::Builder Results = Context.getResults();
   Results.setVersion(Version);
   Environment.fillIdentity(Results.initIdentity());
@@ -76,6 +79,8 @@
       readContext(Params.getContext());
   std::optional<Payload> Body = readPayload(Params.getPayload());
   if (!Request || !Body || Body->Body.size() > Environment.Options.MaxBody) {
+    Environment.Log.write(LogEvent::MessageRejected,
+                          {{"peer", PeerName}, {"kind", "call"}});
     DeliverAnswer Refused;
     Refused.Value.Reason = RefusalReason::BadRequest;
     writeAnswer(Context.getResults().initAnswer(), Refused);
--- a/packages/daemon/camphorpin/src/Daemon/RpcService.h
+++ b/packages/daemon/camphorpin/src/Daemon/RpcService.h
@@ -3,6 +3,7 @@
 
 #include "camphorpin/src/Daemon/RpcEnvironment.h"
 
+#include <string>
 #include <unordered_map>
 
 namespace camphorpin::detail {
@@ -41,6 +42,7 @@
   RpcThread &Thread;
   /// Zero until the two sides have agreed on a version.
   std::uint16_t Version = 0;
+  std::string PeerName;
   std::unordered_map<std::uint64_t, RequestId> Running;
 };
 
--- a/packages/daemon/camphorpin/src/Daemon/RpcThread.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/RpcThread.cpp
@@ -158,8 +158,8 @@
 
 } // namespace
 
-RpcThread::RpcThread(RpcOptions Options, EventQueue &Events)
-    : Options(std::move(Options)), Events(Events),
+RpcThread::RpcThread(RpcOptions Options, EventQueue &Events, EventLog &Log)
+    : Options(std::move(Options)), Events(Events), Log(Log),
       Commands(this->Options.MaxCommands),
       WakeSocket(::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {
   assert(WakeSocket >= 0 && "an event counter can be made");
@@ -198,7 +198,7 @@
 
 void RpcThread::run() {
   kj::AsyncIoContext Io = kj::setupAsyncIo();
-  detail::RpcEnvironment Environment(Options, Events, Io);
+  detail::RpcEnvironment Environment(Options, Events, Log, Io);
   RpcLoop Loop(*this, Commands, Environment, WakeSocket);
   Environment.Tasks.add(Loop.acceptAll());
   Environment.Tasks.add(Loop.watchSilence());
--- a/packages/daemon/camphorpin/src/Daemon/RpcThread.h
+++ b/packages/daemon/camphorpin/src/Daemon/RpcThread.h
@@ -1,6 +1,7 @@
 #ifndef CAMPHORPIN_SRC_DAEMON_RPCTHREAD_H
 #define CAMPHORPIN_SRC_DAEMON_RPCTHREAD_H
 
+#include "camphorpin/src/Daemon/EventLog.h"
 #include "camphorpin/src/Daemon/EventQueue.h"
 #include "camphorpin/src/Daemon/RpcCommand.h"
 
@@ -32,8 +33,8 @@
 /// \brief The KJ event loop with the connections to and from other nodes.
 class RpcThread {
 public:
-  /// \param Events must outlive the thread.
-  RpcThread(RpcOptions Options, EventQueue &Events);
+  /// \param Events and \p Log must outlive the thread.
+  RpcThread(RpcOptions Options, EventQueue &Events, EventLog &Log);
   ~RpcThread();
   RpcThread(const RpcThread &) = delete;
   RpcThread &operator=(const RpcThread &) = delete;
@@ -53,6 +54,7 @@
 
   const RpcOptions Options;
   EventQueue &Events;
+  EventLog &Log;
   BoundedRing<RpcCommand> Commands;
   /// Event counter that wakes the event loop.
   int WakeSocket = -1;
