Take policies and home sets from the platform's log

Purpose: keyed operations run at most once at the home of their key, and documents of the log are in force. Change: ConfigurationKeeper polls the log, folds it, restates documents and names entry points; PolicyStore keeps the policies of the settings until the log supplies others; threads for reads and appends of the log. Fault found: nextWakeup() was relative to the present, so the decision thread called tick() only when a deadline was due, and a drain without deadlines never ended (seen: two nodes in draining for 10 minutes). The new test fails with that version and passes now.

--- a/packages/daemon/camphorpin/src/Daemon/DecisionThread.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/DecisionThread.cpp
@@ -7,10 +7,10 @@
 
 namespace camphorpin {
 
-DecisionThread::DecisionThread(const EngineOptions &Options,
-                               const PolicySource &Policies, const Clock &Time,
+DecisionThread::DecisionThread(const EngineOptions &Options, const Clock &Time,
                                Random &Source, const DecisionPorts &Ports)
-    : Time(Time), Ports(Ports), Engine(Options, *this, Time, Source, Policies) {
+    : Time(Time), Ports(Ports), Self(Options.Self),
+      Engine(Options, *this, Time, Source) {
   publish();
 }
 
@@ -107,6 +107,14 @@
   Engine.onClaimMessage(Event.Claim.To, Event.Claim.Message);
 }
 
+void DecisionThread::handle(LogPageRead &&Event) {
+  Engine.onLogPage(Event.Page);
+}
+
+void DecisionThread::handle(LogReadFailed && /*Event*/) {
+  Engine.onLogReadFailed();
+}
+
 void DecisionThread::handle(DrainRequested && /*Event*/) { Engine.onDrain(); }
 
 void DecisionThread::drop(RequestId Id) {
@@ -207,7 +215,18 @@
   Ports.Datagrams.send(To, encodeDatagram(Self, Reports));
 }
 
-void DecisionThread::appendLog(std::string_view /*Record*/) {}
+void DecisionThread::readLog(std::uint64_t From, std::size_t Max) {
+  if (Ports.PlatformRecords == nullptr ||
+      !Ports.PlatformRecords->read({From, Max}))
+    Immediate.push_back(LogReadFailed{});
+}
+
+void DecisionThread::appendLog(std::string_view Record) {
+  // A record that finds no place is proposed again by the engine.
+  if (Ports.PlatformRecords == nullptr ||
+      !Ports.PlatformRecords->append(std::string(Record)))
+    Ports.Log.write(LogEvent::AppendFailed, {{"detail", "the ring is full"}});
+}
 
 void DecisionThread::sendDatagram(HostAddress To,
                                   const GossipMessage &Message) {
--- a/packages/daemon/camphorpin/src/Daemon/DecisionThread.h
+++ b/packages/daemon/camphorpin/src/Daemon/DecisionThread.h
@@ -5,6 +5,7 @@
 #include "camphorpin/src/Daemon/DatagramThread.h"
 #include "camphorpin/src/Daemon/EventLog.h"
 #include "camphorpin/src/Daemon/EventQueue.h"
+#include "camphorpin/src/Daemon/LogThreads.h"
 #include "camphorpin/src/Daemon/Metrics.h"
 #include "camphorpin/src/Daemon/RpcThread.h"
 
@@ -35,6 +36,8 @@
   Metrics &Statistics;
   /// Null for a node without a backend server.
   BackendRunners *Runners = nullptr;
+  /// Null for a node without the platform's log.
+  LogThreads *PlatformRecords = nullptr;
 };
 
 /// \class DecisionThread
@@ -42,8 +45,8 @@
 /// bodies, which the engine only knows by number.
 class DecisionThread final : private Actions {
 public:
-  DecisionThread(const EngineOptions &Options, const PolicySource &Policies,
-                 const Clock &Time, Random &Source, const DecisionPorts &Ports);
+  DecisionThread(const EngineOptions &Options, const Clock &Time,
+                 Random &Source, const DecisionPorts &Ports);
   ~DecisionThread() override;
 
   void start();
@@ -75,6 +78,8 @@
   void handle(CallDone &&Event);
   void handle(DatagramArrived &&Event);
   void handle(ClaimArrived &&Event);
+  void handle(LogPageRead &&Event);
+  void handle(LogReadFailed &&Event);
   void handle(DrainRequested &&Event);
   void drop(RequestId Id);
   SharedPayload bodyOf(const Answer &Value) const;
@@ -91,6 +96,7 @@
   void sendClaim(const ProcessId &To, const ClaimMessage &Message) override;
   void sendCrashReports(HostAddress To,
                         std::span<const CrashReport> Reports) override;
+  void readLog(std::uint64_t From, std::size_t Max) override;
   void appendLog(std::string_view Record) override;
   void sendDatagram(HostAddress To, const GossipMessage &Message) override;
   void logEvent(LogEvent Event, const LogFields &Fields) override;
--- a/packages/daemon/camphorpin/src/Daemon/NodeDaemon.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/NodeDaemon.cpp
@@ -24,6 +24,9 @@
           .Zone = Options.Zone,
           .Region = Options.Region,
           .Peers = Options.Peers,
+          .Policies = Options.Policies,
+          .HasLog = Options.LogAddress.has_value(),
+          .LogRetention = Options.LogRetention,
           .MaxRequests = MaxRequests};
 }
 
@@ -33,10 +36,8 @@
 
 } // namespace
 
-NodeDaemon::NodeDaemon(const Settings &Options,
-                       const DocumentPolicies &Policies)
-    : Options(Options), Policies(Policies), Source(randomSeed()),
-      Log(Options.Logging, Time),
+NodeDaemon::NodeDaemon(const Settings &Options)
+    : Options(Options), Source(randomSeed()), Log(Options.Logging, Time),
       Events(MaxRequests), Self{Options.Address,
                                 static_cast<std::uint64_t>(
                                     Time.wallNow().wholeMillis())},
@@ -73,20 +74,26 @@
   if (Options.Backend)
     Runners = std::make_unique<BackendRunners>(*Options.Backend, Options.Limits,
                                                Time, Events);
+  if (Options.LogAddress)
+    PlatformRecords =
+        std::make_unique<LogThreads>(*Options.LogAddress, Events, Log);
   const DecisionPorts Ports{.Events = Events,
                             .Rpc = *Rpc,
                             .Datagrams = Datagrams,
                             .Log = Log,
                             .Statistics = Statistics,
-                            .Runners = Runners.get()};
+                            .Runners = Runners.get(),
+                            .PlatformRecords = PlatformRecords.get()};
   Decisions = std::make_unique<DecisionThread>(engineOptions(Options, Self),
-                                               Policies, Time, Source, Ports);
+                                               Time, Source, Ports);
   Log.write(LogEvent::NodeStarted, {{"address", Self.Address.toString()},
                                     {"service", Options.Service.string()},
                                     {"zone", Options.Zone.string()},
                                     {"region", Options.Region.string()}});
   Rpc->start();
   Datagrams.start();
+  if (PlatformRecords)
+    PlatformRecords->start();
   if (Runners)
     Runners->start();
   Decisions->start();
@@ -107,6 +114,8 @@
   Datagrams.stop();
   if (Runners)
     Runners->stop();
+  if (PlatformRecords)
+    PlatformRecords->stop();
   Admin.stop();
   Log.write(LogEvent::NodeEnded, {});
 }
--- a/packages/daemon/camphorpin/src/Daemon/NodeDaemon.h
+++ b/packages/daemon/camphorpin/src/Daemon/NodeDaemon.h
@@ -3,7 +3,6 @@
 
 #include "camphorpin/src/Daemon/AdminServer.h"
 #include "camphorpin/src/Daemon/DecisionThread.h"
-#include "camphorpin/src/Daemon/DocumentPolicies.h"
 #include "camphorpin/src/Daemon/HttpFront.h"
 #include "camphorpin/src/Daemon/Settings.h"
 
@@ -16,7 +15,7 @@
 /// \brief The threads of one node, connected by bounded rings.
 class NodeDaemon final : private AdminSource {
 public:
-  NodeDaemon(const Settings &Options, const DocumentPolicies &Policies);
+  explicit NodeDaemon(const Settings &Options);
   ~NodeDaemon() override;
 
   /// Binds all addresses and starts the threads.
@@ -38,7 +37,6 @@
   std::string bindAll();
 
   const Settings Options;
-  const DocumentPolicies &Policies;
   SystemClock Time;
   SeededRandom Source;
   EventLog Log;
@@ -48,6 +46,7 @@
   DatagramThread Datagrams;
   std::unique_ptr<RpcThread> Rpc;
   std::unique_ptr<BackendRunners> Runners;
+  std::unique_ptr<LogThreads> PlatformRecords;
   std::unique_ptr<DecisionThread> Decisions;
   HttpFront Front;
   AdminServer Admin;
--- a/packages/daemon/camphorpin/src/Daemon/NodeEvent.h
+++ b/packages/daemon/camphorpin/src/Daemon/NodeEvent.h
@@ -74,6 +74,16 @@
   AddressedClaim Claim;
 };
 
+/// \class LogPageRead
+/// \brief A read of the platform's log has ended.
+struct LogPageRead {
+  LogPage Page;
+};
+
+/// \class LogReadFailed
+/// \brief A read of the platform's log has failed.
+struct LogReadFailed {};
+
 /// \class DrainRequested
 /// \brief An operator or a signal starts the graceful drain.
 struct DrainRequested {};
@@ -81,7 +91,8 @@
 /// \brief Everything that the decision thread reacts to.
 using NodeEvent =
     std::variant<RequestArrived, CallArrived, RequestCancelled, BackendDone,
-                 CallDone, DatagramArrived, ClaimArrived, DrainRequested>;
+                 CallDone, DatagramArrived, ClaimArrived, LogPageRead,
+                 LogReadFailed, DrainRequested>;
 
 } // namespace camphorpin
 
--- a/packages/daemon/camphorpin/src/Daemon/Settings.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/Settings.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t MaxHeaders = 1U << 20U;
 constexpr std::uint64_t MaxConnections = 2000;
 constexpr std::uint64_t MaxHttpThreads = 4000;
+constexpr std::uint64_t MinRetentionMillis = 60000;
+constexpr std::uint64_t MaxRetentionMillis = 366ULL * 24 * 3600 * 1000;
 constexpr std::uint64_t MaxWaitMillis = 3600000;
 constexpr std::array<std::string_view, 5> Levels = {"trace", "debug", "info",
                                                     "warn", "error"};
@@ -56,12 +58,19 @@
   }
 }
 
-void readDocuments(JsonFields &Root, Settings &Target) {
+void readDocuments(JsonFields &Root, Settings &Target,
+                   std::vector<SettingsError> &Errors) {
   const nlohmann::json *Documents = Root.object("documents");
   if (Documents == nullptr)
     return;
-  for (const auto &Entry : Documents->items())
-    Target.Documents.emplace(Entry.key(), Entry.value().dump());
+  std::variant<PolicySet, PolicyErrors> Result =
+      parsePolicySet(Documents->dump());
+  if (const PolicyErrors *Faults = std::get_if<PolicyErrors>(&Result)) {
+    for (const PolicyError &Fault : *Faults)
+      Errors.push_back({"documents", Fault.toString()});
+    return;
+  }
+  Target.Policies = std::get<PolicySet>(std::move(Result));
 }
 
 void readLimits(JsonFields &Root, Settings &Target,
@@ -101,6 +110,9 @@
     return;
   JsonFields Fields(*Value, Root.path("log"), Errors);
   Target.LogAddress = Fields.address("address", true);
+  Target.LogRetention = Duration::millis(static_cast<std::int64_t>(
+      Fields.number("retentionMs", MinRetentionMillis, MaxRetentionMillis,
+                    Target.LogRetention.wholeMillis())));
 }
 
 void readRoot(const nlohmann::json &Value, Settings &Target,
@@ -117,7 +129,7 @@
   readBackend(Root, Target, Errors);
   readLog(Root, Target, Errors);
   readPeers(Root, Target, Errors);
-  readDocuments(Root, Target);
+  readDocuments(Root, Target, Errors);
   readLimits(Root, Target, Errors);
   Target.ConnectionSilence = Duration::millis(static_cast<std::int64_t>(
       Root.number("connectionSilenceMs", 10, MaxWaitMillis,
--- a/packages/daemon/camphorpin/src/Daemon/Settings.h
+++ b/packages/daemon/camphorpin/src/Daemon/Settings.h
@@ -6,7 +6,6 @@
 #include "camphorpin/src/Daemon/JsonFields.h"
 
 #include <cstddef>
-#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -56,9 +55,11 @@
   ServiceName Service;
   std::optional<BackendSettings> Backend;
   std::optional<HostAddress> LogAddress;
+  /// How long the log keeps records.
+  Duration LogRetention = Duration::seconds(24 * 3600);
   std::vector<KnownPeer> Peers;
-  /// Policy documents by name, as JSON text.
-  std::map<std::string, std::string> Documents;
+  /// In force until the log supplies other policies.
+  PolicySet Policies;
   HttpLimits Limits;
   Duration ConnectionSilence = Duration::seconds(1);
   LoggingSettings Logging;
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -18,7 +18,6 @@
 
 namespace {
 
-using camphorpin::DocumentPolicies;
 using camphorpin::NodeDaemon;
 using camphorpin::Settings;
 using camphorpin::SettingsError;
@@ -34,7 +33,7 @@
   return EXIT_FAILURE;
 }
 
-int runNode(const Settings &Options, const DocumentPolicies &Policies) {
+int runNode(const Settings &Options) {
   // The signals are taken by one thread; all threads inherit the mask.
   sigset_t Signals;
   sigemptyset(&Signals);
@@ -43,7 +42,7 @@
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
 
-  NodeDaemon Node(Options, Policies);
+  NodeDaemon Node(Options);
   const std::string Error = Node.start();
   if (!Error.empty()) {
     std::cerr << "camphorpind: cannot bind " << Error << "\n";
@@ -77,11 +76,7 @@
   if (std::holds_alternative<std::vector<SettingsError>>(Result))
     return printErrors(std::get<std::vector<SettingsError>>(Result));
   const Settings &Options = std::get<Settings>(Result);
-  std::vector<SettingsError> Errors;
-  const DocumentPolicies Policies(Options.Documents, Errors);
-  if (!Errors.empty())
-    return printErrors(Errors);
   if (FLAGS_check_settings)
     return EXIT_SUCCESS;
-  return runNode(Options, Policies);
+  return runNode(Options);
 }
--- a/packages/decision/camphorpin/src/Engine/Actions.h
+++ b/packages/decision/camphorpin/src/Engine/Actions.h
@@ -7,6 +7,8 @@
 #include "camphorpin/src/Engine/EngineMessages.h"
 #include "camphorpin/src/Engine/LogEvent.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <span>
 #include <string_view>
 
@@ -52,6 +54,10 @@
   virtual void sendCrashReports(HostAddress To,
                                 std::span<const CrashReport> Reports) = 0;
 
+  /// Reads the platform's log. Answered by NodeEngine::onLogPage() or
+  /// NodeEngine::onLogReadFailed().
+  virtual void readLog(std::uint64_t From, std::size_t Max) = 0;
+
   /// Appends a record to the platform's log.
   virtual void appendLog(std::string_view Record) = 0;
 
--- a/packages/decision/camphorpin/src/Engine/EngineOptions.h
+++ b/packages/decision/camphorpin/src/Engine/EngineOptions.h
@@ -2,6 +2,7 @@
 #define CAMPHORPIN_SRC_ENGINE_ENGINEOPTIONS_H
 
 #include "camphorpin/Core.h"
+#include "camphorpin/Policy.h"
 
 #include <cstddef>
 #include <vector>
@@ -27,6 +28,12 @@
   ZoneName Zone;
   RegionName Region;
   std::vector<KnownPeer> Peers;
+  /// In force until the log supplies other policies.
+  PolicySet Policies;
+  /// The platform's log can be used.
+  bool HasLog = false;
+  /// How long the log keeps records.
+  Duration LogRetention = Duration::seconds(24 * 3600);
   /// Requests in progress, as ingress node and beside the backend server
   /// together. More are refused with NodeBusy. It bounds the engine's memory.
   std::size_t MaxRequests = 16384;
--- a/packages/decision/camphorpin/src/Engine/HomeDocuments.cpp
+++ b/packages/decision/camphorpin/src/Engine/HomeDocuments.cpp
@@ -1,22 +1,19 @@
 #include "camphorpin/src/Engine/HomeDocuments.h"
 
-#include <nlohmann/json.hpp>
+#include "camphorpin/Configuration.h"
 
 namespace camphorpin::detail {
 
 std::string homeSetChange(const ServiceName &Service, const ProcessId &Author,
                           const HomeSet &Next) {
-  const std::string Content = Next.toJson();
-  const std::string Origin =
-      Author.Address.toString() + "." + std::to_string(Author.Incarnation);
-  nlohmann::json Record;
-  Record["type"] = "change";
-  Record["document"] = "homes/" + Service.string();
-  Record["base"] = Next.epoch() - 1;
-  Record["changeId"] = std::to_string(stableHash(Content + Origin));
-  Record["author"] = Origin;
-  Record["content"] = nlohmann::json::parse(Content);
-  return Record.dump();
+  ChangeRecord Record;
+  Record.Document = DocumentName("homes/" + Service.string());
+  Record.Base = Next.epoch() - 1;
+  Record.Content = Next.toJson();
+  Record.ChangeId =
+      deriveChangeId(Record.Document, Record.Base, Record.Content);
+  Record.Author = Author.Address.toString();
+  return formatRecord(Record);
 }
 
 } // namespace camphorpin::detail
--- a/packages/decision/camphorpin/src/Engine/LogEvent.cpp
+++ b/packages/decision/camphorpin/src/Engine/LogEvent.cpp
@@ -59,6 +59,31 @@
                  "A later incarnation of this node's address was heard, for "
                  "example because the wall clock went back. The node has taken "
                  "a higher one."},
+    LogEventInfo{LogEvent::LogUnreachable, LogSeverity::Warning,
+                 "log-unreachable", "",
+                 "A read of the platform's log failed. The configuration in "
+                 "force stays, and non-idempotent work goes on until the log "
+                 "silence bound."},
+    LogEventInfo{LogEvent::LogReachable, LogSeverity::Info, "log-reachable", "",
+                 "The platform's log can be read again."},
+    LogEventInfo{LogEvent::DocumentInForce, LogSeverity::Info,
+                 "document-in-force", "document,version",
+                 "A version of a document is in force on this node."},
+    LogEventInfo{LogEvent::DocumentRejected, LogSeverity::Error,
+                 "document-rejected", "document,faults",
+                 "A document that the log accepted is faulty. What was in "
+                 "force before stays; publish a corrected version."},
+    LogEventInfo{LogEvent::ChangeConflict, LogSeverity::Info, "change-conflict",
+                 "document,changeId,base,inForce",
+                 "A change was made for another version than the one in "
+                 "force and has no effect."},
+    LogEventInfo{LogEvent::RecordInvalid, LogSeverity::Warning,
+                 "record-invalid", "",
+                 "A record of the log is malformed and was skipped."},
+    LogEventInfo{LogEvent::AppendFailed, LogSeverity::Warning, "append-failed",
+                 "detail",
+                 "A record was not appended to the log, or its answer was "
+                 "lost. It is proposed again while it is needed."},
     LogEventInfo{LogEvent::BackendCrashed, LogSeverity::Error,
                  "backend-crashed", "running",
                  "The local backend server lost its connections and accepts no "
--- a/packages/decision/camphorpin/src/Engine/LogEvent.h
+++ b/packages/decision/camphorpin/src/Engine/LogEvent.h
@@ -26,6 +26,13 @@
   MemberChanged = 400,
   ZoneChanged = 401,
   SelfRenewed = 402,
+  LogUnreachable = 410,
+  LogReachable = 411,
+  DocumentInForce = 412,
+  DocumentRejected = 413,
+  ChangeConflict = 414,
+  RecordInvalid = 415,
+  AppendFailed = 416,
   BackendCrashed = 500,
   BackendRecovered = 501,
 };
--- a/packages/decision/camphorpin/src/Engine/MemberDirectory.cpp
+++ b/packages/decision/camphorpin/src/Engine/MemberDirectory.cpp
@@ -1,5 +1,6 @@
 #include "camphorpin/src/Engine/MemberDirectory.h"
 
+#include <algorithm>
 #include <array>
 #include <string>
 #include <string_view>
@@ -12,6 +13,7 @@
 constexpr Duration JoinInterval = Duration::seconds(1);
 /// Time after which a node that reaches no entry point serves its own backend
 /// server alone, while it goes on trying.
+constexpr std::size_t MaxEntryPoints = 128;
 constexpr Duration JoinPatience = Duration::seconds(3);
 
 std::string_view memberStateName(MemberState Value) {
@@ -48,6 +50,13 @@
   Members.tick(Now);
 }
 
+void MemberDirectory::addEntryPoint(const HostAddress &Address) {
+  const bool IsKnown = std::find(EntryPoints.begin(), EntryPoints.end(),
+                                 Address) != EntryPoints.end();
+  if (!IsKnown && EntryPoints.size() < MaxEntryPoints)
+    EntryPoints.push_back(Address);
+}
+
 bool MemberDirectory::mayServe(Instant Now) const {
   return Members.joined() || EntryPoints.empty() ||
          (FirstTick && Now - *FirstTick >= JoinPatience);
--- a/packages/decision/camphorpin/src/Engine/MemberDirectory.h
+++ b/packages/decision/camphorpin/src/Engine/MemberDirectory.h
@@ -26,6 +26,12 @@
   /// Asks the entry points for their tables until one has answered.
   void tick(Instant Now);
 
+  /// Adds a node to join through.
+  void addEntryPoint(const HostAddress &Address);
+
+  /// Sets the reading of the log that rides on messages.
+  void setReading(const LogReading &Reading) { Members.setReading(Reading); }
+
   /// \returns true if the node need not wait for others any longer.
   bool mayServe(Instant Now) const;
 
--- a/packages/decision/camphorpin/src/Engine/NodeEngine.cpp
+++ b/packages/decision/camphorpin/src/Engine/NodeEngine.cpp
@@ -2,12 +2,15 @@
 
 #include "camphorpin/src/Engine/CallOriginator.h"
 #include "camphorpin/src/Engine/CallServer.h"
+#include "camphorpin/src/Engine/ConfigurationKeeper.h"
 #include "camphorpin/src/Engine/MemberDirectory.h"
+#include "camphorpin/src/Engine/PolicyStore.h"
 #include "camphorpin/src/Engine/Refusal.h"
 
 #include <algorithm>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -28,6 +31,11 @@
 /// A leaving node waits this long for the hand-over of its claims. After that
 /// the new homes ask its mirror, so nothing is lost, but they need more time.
 constexpr Duration HandOverPatience = Duration::seconds(10);
+/// A starting node with policies in its settings waits this long for the log.
+constexpr Duration LogPatience = Duration::seconds(3);
+constexpr std::string_view MeshName = "mesh";
+constexpr std::string_view ServicePrefix = "service/";
+constexpr std::string_view HomesPrefix = "homes/";
 /// Crash reports in one datagram, and nodes that get it.
 constexpr std::size_t MaxReportsPerTick = 32;
 constexpr std::size_t ReportFanout = 3;
@@ -43,15 +51,16 @@
 
 } // namespace
 
-class NodeEngine::Impl {
+class NodeEngine::Impl final : private detail::DocumentListener {
 public:
   Impl(const EngineOptions &Options, Actions &Out, const Clock &Time,
-       Random &Source, const PolicySource &Policies)
+       Random &Source)
       : Options(Options), Out(Out), Time(Time), Source(Source),
-        Policies(Policies), Members(Options, Out, Source),
+        Policies(Options.Policies), Members(Options, Out, Source),
         Guard(Options.Self, CrashOptions()), Answers(Out),
         Server(Options.Service, Out, Answers, Guard, Members, Time),
-        Originator(Out, Answers, Members, Server, Guard) {
+        Originator(Out, Answers, Members, Server, Guard),
+        Configuration(Out, *this, Source, Options.LogRetention) {
     applyPolicies();
   }
 
@@ -73,13 +82,17 @@
   Actions &Out;
   const Clock &Time;
   Random &Source;
-  const PolicySource &Policies;
+  detail::PolicyStore Policies;
   detail::MemberDirectory Members;
   CrashGuard Guard;
   detail::AnswerGate Answers;
   detail::CallServer Server;
   detail::CallOriginator Originator;
+  detail::ConfigurationKeeper Configuration;
+  EntryElection Election;
   NodeLifecycle Lifecycle;
+  std::optional<Instant> Started;
+  Instant LastTick;
   Instant DrainStart;
   /// When the accepted work was finished during a drain.
   std::optional<Instant> WorkFinished;
@@ -94,6 +107,10 @@
   RefusalReason reasonToRefuse(const RequestContext &Context,
                                const RequestInfo &Info) const;
   void spreadCrashReports();
+  void tickConfiguration(Instant Now);
+  void electEntry(Instant Now);
+  void documentChanged(const ConfigurationDocument &Document) override;
+  bool mayServe(Instant Now) const;
 };
 
 const OperationPolicy *
@@ -238,8 +255,72 @@
     Out.sendCrashReports(To, Reports);
 }
 
+void NodeEngine::Impl::documentChanged(const ConfigurationDocument &Document) {
+  const std::string_view Name = Document.Name.view();
+  std::string Faults;
+  if (Name.starts_with(HomesPrefix)) {
+    const std::optional<HomeSet> Set = HomeSet::parse(Document.Content);
+    const ServiceName Service(Name.substr(HomesPrefix.size()));
+    if (!Set || Set->epoch() != Document.Version) {
+      Faults = "not a home set of this version";
+    } else {
+      Originator.adopt(Service, *Set);
+      if (Service == Options.Service)
+        Server.adopt(*Set);
+    }
+  } else if (Name == MeshName || Name.starts_with(ServicePrefix)) {
+    Faults = Policies.apply(Document.Name, Document.Content);
+    applyPolicies();
+  }
+  if (!Faults.empty())
+    Out.logEvent(LogEvent::DocumentRejected,
+                 {{"document", Document.Name.string()}, {"faults", Faults}});
+}
+
+void NodeEngine::Impl::tickConfiguration(Instant Now) {
+  if (!Options.HasLog)
+    return;
+  Configuration.tick(Now);
+  if (const std::optional<Instant> Fresh = Configuration.freshAt())
+    Server.onLogRead(*Fresh);
+  Members.setReading(Configuration.reading(Now));
+  for (const EntryRecord &Entry : Configuration.entries(Now))
+    Members.addEntryPoint(Entry.Address);
+  electEntry(Now);
+}
+
+void NodeEngine::Impl::electEntry(Instant Now) {
+  if (!Configuration.freshAt() || !Lifecycle.acceptsWork())
+    return;
+  const MemberTable &Table = Members.members().table();
+  std::size_t Fresh = 0;
+  for (const EntryRecord &Entry : Configuration.entries(Now)) {
+    const MemberRecord *Record = Table.find(Entry.Address);
+    const bool IsFresh = Record != nullptr && Record->present() &&
+                         Record->Process.Incarnation == Entry.Incarnation;
+    Fresh += IsFresh && Entry.Region == Options.Region ? 1 : 0;
+  }
+  const MemberRecord &Self = Members.members().self();
+  if (Election.shouldWrite(Fresh, Table.present(), Source, Now))
+    Out.appendLog(
+        formatRecord(EntryRecord{Self.Process.Address, Self.Process.Incarnation,
+                                 Self.Zone, Self.Region}));
+}
+
+bool NodeEngine::Impl::mayServe(Instant Now) const {
+  // Without any policy every request would look like a wrong one.
+  const bool HasPolicy = !Policies.mesh().Ranks.empty();
+  const bool HasRead = !Options.HasLog || Configuration.freshAt().has_value();
+  const bool WaitedEnough = Started && Now - *Started >= LogPatience;
+  return HasPolicy && (HasRead || WaitedEnough) && Members.mayServe(Now);
+}
+
 void NodeEngine::Impl::tick() {
   const Instant Now = Time.now();
+  LastTick = Now;
+  if (!Started)
+    Started = Now;
+  tickConfiguration(Now);
   Members.tick(Now);
   Guard.tick(Now);
   Server.tick(Now);
@@ -265,7 +346,7 @@
 }
 
 void NodeEngine::Impl::advanceLifecycle() {
-  if (Members.mayServe(Time.now()))
+  if (mayServe(Time.now()))
     move(LifecycleEvent::Joined);
   const Instant Now = Time.now();
   if (Lifecycle.isDraining() && inProgress() == 0 &&
@@ -279,9 +360,8 @@
 }
 
 NodeEngine::NodeEngine(const EngineOptions &Options, Actions &Out,
-                       const Clock &Time, Random &Source,
-                       const PolicySource &Policies)
-    : State(std::make_unique<Impl>(Options, Out, Time, Source, Policies)) {}
+                       const Clock &Time, Random &Source)
+    : State(std::make_unique<Impl>(Options, Out, Time, Source)) {}
 
 NodeEngine::~NodeEngine() = default;
 
@@ -340,22 +420,21 @@
     State->Guard.onReport(Report, State->Time.now());
 }
 
-void NodeEngine::onHomeSet(const ServiceName &Service, const HomeSet &Set) {
-  State->Originator.adopt(Service, Set);
-  if (Service == State->Options.Service)
-    State->Server.adopt(Set);
+void NodeEngine::onLogPage(const LogPage &Page) {
+  State->Configuration.onPage(Page, State->Time.now());
+  State->advanceLifecycle();
 }
 
-void NodeEngine::onLogRead(Instant SentAt) { State->Server.onLogRead(SentAt); }
-
-void NodeEngine::onPolicyChange() { State->applyPolicies(); }
+void NodeEngine::onLogReadFailed() {
+  State->Configuration.onReadFailed(State->Time.now());
+}
 
 void NodeEngine::tick() { State->tick(); }
 
 Instant NodeEngine::nextWakeup() const {
   const Instant Deadline =
       std::min(State->Server.nextDeadline(), State->Originator.nextDeadline());
-  return std::min(Deadline, State->Time.now() + TickPeriod);
+  return std::min(Deadline, State->LastTick + TickPeriod);
 }
 
 std::string_view NodeEngine::state() const { return State->Lifecycle.state(); }
--- a/packages/decision/camphorpin/src/Engine/NodeEngine.h
+++ b/packages/decision/camphorpin/src/Engine/NodeEngine.h
@@ -5,8 +5,8 @@
 #include "camphorpin/src/Engine/Actions.h"
 #include "camphorpin/src/Engine/EngineMessages.h"
 #include "camphorpin/src/Engine/EngineOptions.h"
+#include "camphorpin/src/Engine/LogPage.h"
 #include "camphorpin/src/Engine/NodeLifecycle.h"
-#include "camphorpin/src/Engine/PolicySource.h"
 
 #include <cstddef>
 #include <memory>
@@ -26,9 +26,9 @@
 /// one that came before, is dropped.
 class NodeEngine {
 public:
-  /// \param Out, Time, Source and Policies must outlive the engine.
+  /// \param Out, Time and Source must outlive the engine.
   NodeEngine(const EngineOptions &Options, Actions &Out, const Clock &Time,
-             Random &Source, const PolicySource &Policies);
+             Random &Source);
   ~NodeEngine();
   NodeEngine(const NodeEngine &) = delete;
   NodeEngine &operator=(const NodeEngine &) = delete;
@@ -62,15 +62,11 @@
   /// News of crashes arrived.
   void onCrashReports(std::span<const CrashReport> Reports);
 
-  /// A home set was read from the log.
-  void onHomeSet(const ServiceName &Service, const HomeSet &Set);
+  /// A read of the platform's log has ended.
+  void onLogPage(const LogPage &Page);
 
-  /// The log was read and what was read has been handed over.
-  /// \param SentAt a time before the log answered.
-  void onLogRead(Instant SentAt);
-
-  /// The policies have changed.
-  void onPolicyChange();
+  /// A read of the platform's log has failed.
+  void onLogReadFailed();
 
   /// Starts the graceful drain: new work is refused from now on, and accepted
   /// work finishes.
--- a/packages/decision/tests/EngineFixture.h
+++ b/packages/decision/tests/EngineFixture.h
@@ -11,35 +11,23 @@
 
 namespace camphorpin::testing {
 
-/// \class FixedPolicies
-/// \brief A mesh of the services "orders" and "lots".
-class FixedPolicies final : public PolicySource {
-public:
-  FixedPolicies() {
-    Mesh.Ranks = {{"urgent", 0.02, 1.0}, {"lookup", 0.01, 1.0}};
-    Orders.Service = ServiceName("orders");
-    Orders.Slots = 4;
-    Orders.QueueLimit = 8;
-    Orders.Operations[OperationName("pay")] = {
-        .Rank = Rank(0), .Deadline = Duration::millis(1000)};
-    Orders.Operations[OperationName("status")] = {
-        .Rank = Rank(1), .Idempotent = true, .Deadline = Duration::millis(500)};
-    Lots = Orders;
-    Lots.Service = ServiceName("lots");
-  }
-
-  const MeshPolicy &mesh() const override { return Mesh; }
-
-  const ServicePolicy *service(const ServiceName &Name) const override {
-    if (Name == Orders.Service)
-      return &Orders;
-    return Name == Lots.Service ? &Lots : nullptr;
-  }
-
-  MeshPolicy Mesh;
-  ServicePolicy Orders;
-  ServicePolicy Lots;
-};
+/// \returns the policies of a mesh of the services "orders" and "lots".
+inline PolicySet fixedPolicies() {
+  PolicySet Policies;
+  Policies.Mesh.Ranks = {{"urgent", 0.02, 1.0}, {"lookup", 0.01, 1.0}};
+  ServicePolicy Service;
+  Service.Slots = 4;
+  Service.QueueLimit = 8;
+  Service.Operations[OperationName("pay")] = {
+      .Rank = Rank(0), .Deadline = Duration::millis(1000)};
+  Service.Operations[OperationName("status")] = {
+      .Rank = Rank(1), .Idempotent = true, .Deadline = Duration::millis(500)};
+  for (std::string_view Name : {"lots", "orders"}) {
+    Service.Service = ServiceName(Name);
+    Policies.Services.push_back(Service);
+  }
+  return Policies;
+}
 
 /// \class RecordedCall
 /// \brief A call that the engine sent.
@@ -73,6 +61,9 @@
                  const ClaimMessage & /*Message*/) override {}
   void sendCrashReports(HostAddress /*To*/,
                         std::span<const CrashReport> /*Reports*/) override {}
+  void readLog(std::uint64_t From, std::size_t /*Max*/) override {
+    LogReads.push_back(From);
+  }
   void appendLog(std::string_view Record) override {
     Appended.emplace_back(Record);
   }
@@ -98,6 +89,7 @@
   std::map<RequestId, std::vector<Answer>> Answers;
   std::set<RequestId> Kept;
   std::vector<std::string> Appended;
+  std::vector<std::uint64_t> LogReads;
   std::vector<LogEvent> Events;
 };
 
@@ -107,7 +99,7 @@
 public:
   EngineFixture()
       : Time(Instant::fromMillis(1780000000000)), Source(7),
-        Engine(options(), Out, Time, Source, Policies) {
+        Engine(options(), Out, Time, Source) {
     Engine.onStarted();
   }
 
@@ -117,6 +109,7 @@
     Options.Service = ServiceName("orders");
     Options.Zone = ZoneName("z1");
     Options.Region = RegionName("r1");
+    Options.Policies = fixedPolicies();
     return Options;
   }
 
@@ -180,7 +173,6 @@
 
   ManualClock Time;
   SeededRandom Source;
-  FixedPolicies Policies;
   RecordedActions Out;
   NodeEngine Engine;
   std::uint64_t LastId = 0;
--- a/packages/decision/tests/EngineTest.cpp
+++ b/packages/decision/tests/EngineTest.cpp
@@ -114,3 +114,17 @@
   const RequestId TooDeep = Node.request(Info);
   cr_assert(Node.Out.only(TooDeep)->Reason == RefusalReason::TooDeep);
 }
+
+// Guards the periodic work: a node that is only woken at nextWakeup() must get
+// its ticks although nothing else happens. With a wakeup relative to the
+// present, the decision thread never called tick() on an idle node.
+Test(Engine, idleNodeIsWokenForItsPeriodicWork) {
+  EngineFixture Node;
+  Node.Engine.onDrain();
+  for (int Wakeup = 0; Wakeup < 1000 && !Node.Engine.hasEnded(); ++Wakeup) {
+    Node.Time.advance(Duration::millis(10));
+    if (Node.Engine.nextWakeup() <= Node.Time.now())
+      Node.Engine.tick();
+  }
+  cr_assert(Node.Engine.hasEnded());
+}
