Serve keyed requests while homes change

Purpose: WholeAnswerTest and ShutdownTest of the process rig, in which nothing fails, must not see may-have-run. Change: a node serves when it has read a home set of its service; a keyed request waits for an unknown home set, which is no retry; a refusal because homes change or the node leaves counts as an attempt that did not run; a leaving node takes keyed calls for 3 s, until others have read the next home set, and sends resends on, because it cannot say not-run about them.

--- a/packages/decision/camphorpin/src/Engine/CallOriginator.cpp
+++ b/packages/decision/camphorpin/src/Engine/CallOriginator.cpp
@@ -49,6 +49,16 @@
   return Result.Verdict;
 }
 
+/// \returns true if this attempt may have run. A node that refuses for one of
+/// these reasons has not run it, although an earlier send may have; and
+/// whatever happens to a further attempt, claims let the key run only once.
+bool mayHaveRun(const CallResult &Result) {
+  return Result.Verdict == Verdict::MayHaveRun &&
+         Result.Reason != RefusalReason::HomeChanging &&
+         Result.Reason != RefusalReason::Draining &&
+         Result.Reason != RefusalReason::NodeBusy;
+}
+
 CallTarget targetOf(const RequestContext &Context) {
   return {Context.Service, Context.Operation};
 }
@@ -118,14 +128,25 @@
   }
   const std::optional<ProcessId> Target = choose(Value, Now);
   ++Value.Attempts;
-  if (Target)
+  if (Target) {
     send(Entry, *Target, Now);
-  else
-    failed(Entry,
-           {.Verdict = refusal(Context, RefusalReason::NoBackend).Verdict,
-            .Reason = Context.Idempotent ? RefusalReason::NoBackend
-                                         : RefusalReason::HomeChanging},
-           Now);
+    return;
+  }
+  // The home set of the service is not known yet. Nothing was sent, so waiting
+  // for it is no retry; the deadline bounds it.
+  if (!Context.Idempotent) {
+    repeatLater(Entry, Now);
+    return;
+  }
+  failed(Entry,
+         {.Verdict = Verdict::NotRun, .Reason = RefusalReason::NoBackend}, Now);
+}
+
+void CallOriginator::repeatLater(RequestIterator Entry, Instant Now) {
+  const std::uint32_t Doublings =
+      std::min(Entry->second.Attempts, MaxDoublings);
+  const Duration Wait = FirstHomeWait * static_cast<double>(1U << Doublings);
+  Repeats.insert({Now + Wait, Entry->first});
 }
 
 void CallOriginator::send(RequestIterator Entry, const ProcessId &Target,
@@ -190,16 +211,14 @@
 void CallOriginator::failed(RequestIterator Entry, const CallResult &Result,
                             Instant Now) {
   Request &Value = Entry->second;
-  Value.Uncertain = Value.Uncertain || Result.Verdict == Verdict::MayHaveRun;
+  Value.Uncertain = Value.Uncertain || mayHaveRun(Result);
   if (wantsRetry(Value, Result, Now)) {
     Value.Excluded.push_back(Value.Target);
     if (!needsWait(Value.Context, Result.Reason)) {
       attempt(Entry, Now);
       return;
     }
-    const std::uint32_t Doublings = std::min(Value.Attempts, MaxDoublings);
-    const Duration Wait = FirstHomeWait * static_cast<double>(1U << Doublings);
-    Repeats.insert({Now + Wait, Entry->first});
+    repeatLater(Entry, Now);
     return;
   }
   Answer Final{.Verdict = verdictOf(Value.Context, Result),
@@ -217,7 +236,7 @@
   // A refusal or failure that a deeper hop saw reaches this node as the answer
   // of the backend server between, so all that arrives here is direct.
   const AttemptFailure Failure{
-      .Verdict = Result.Verdict,
+      .Verdict = mayHaveRun(Result) ? Verdict::MayHaveRun : Verdict::NotRun,
       .Reason = Result.Reason,
       .Idempotent = Context.Idempotent,
       .Direct = true,
--- a/packages/decision/camphorpin/src/Engine/CallOriginator.h
+++ b/packages/decision/camphorpin/src/Engine/CallOriginator.h
@@ -96,6 +96,7 @@
 
   std::optional<ProcessId> choose(Request &Value, Instant Now);
   void attempt(RequestIterator Entry, Instant Now);
+  void repeatLater(RequestIterator Entry, Instant Now);
   void send(RequestIterator Entry, const ProcessId &Target, Instant Now);
   void failed(RequestIterator Entry, const CallResult &Result, Instant Now);
   bool wantsRetry(Request &Value, const CallResult &Result, Instant Now);
--- a/packages/decision/camphorpin/src/Engine/CallServer.h
+++ b/packages/decision/camphorpin/src/Engine/CallServer.h
@@ -73,6 +73,9 @@
     return !Claims || Homes.epoch() == 0 || Claims->mayLeave();
   }
 
+  /// \returns true if a home set of the service was read, or none is needed.
+  bool knowsHomes() const { return Service.empty() || Homes.epoch() > 0; }
+
   /// \returns the claims, or null before a policy is known.
   const ClaimGate *claims() const { return Claims.get(); }
   const AdmissionController *admission() const { return Admission.get(); }
--- a/packages/decision/camphorpin/src/Engine/NodeEngine.cpp
+++ b/packages/decision/camphorpin/src/Engine/NodeEngine.cpp
@@ -28,11 +28,18 @@
 /// the leaving notice reaches its callers first and no call meets a closed
 /// connection.
 constexpr Duration DrainLinger = Duration::seconds(1);
+/// A leaving node takes calls for the keys of its home this long. The change of
+/// the home set takes about 1 s: 0.2 s until it is proposed, then one poll of
+/// the log by every node.
+constexpr Duration HomeServeTime = Duration::seconds(3);
+/// A leaving node sends resends of keys on for this long.
+constexpr Duration ForwardTime = Duration::seconds(10);
 /// A leaving node waits this long for the hand-over of its claims. After that
 /// the new homes ask its mirror, so nothing is lost, but they need more time.
 constexpr Duration HandOverPatience = Duration::seconds(10);
-/// A starting node with policies in its settings waits this long for the log.
-constexpr Duration LogPatience = Duration::seconds(3);
+/// A starting node with policies in its settings waits this long for the log
+/// and for a home set of its service.
+constexpr Duration LogPatience = Duration::seconds(10);
 constexpr std::string_view MeshName = "mesh";
 constexpr std::string_view ServicePrefix = "service/";
 constexpr std::string_view HomesPrefix = "homes/";
@@ -103,6 +110,13 @@
   static RequestContext inherited(const NestedCall &Nested,
                                   const RequestInfo &Info,
                                   const OperationPolicy &Policy);
+  /// \returns true if a leaving node still takes a keyed call. Until the home
+  /// set has changed, no other node may run the key.
+  bool isStillHome(const RequestContext &Context) const;
+  /// \returns true if a leaving node sends a request on although it refuses new
+  /// work: a resend of a key, because only the home of the key can say that it
+  /// did not run.
+  bool forwards(const RequestContext &Context) const;
   void dispatch(RequestId Id, RequestContext Context, const RequestInfo &Info);
   RefusalReason reasonToRefuse(const RequestContext &Context,
                                const RequestInfo &Info) const;
@@ -183,10 +197,22 @@
   dispatch(Id, std::move(Context), Info);
 }
 
+bool NodeEngine::Impl::isStillHome(const RequestContext &Context) const {
+  const bool IsLeaving = Lifecycle.isDraining() || Lifecycle.isLeaving();
+  return IsLeaving && !Context.Idempotent &&
+         Time.now() - DrainStart < HomeServeTime;
+}
+
+bool NodeEngine::Impl::forwards(const RequestContext &Context) const {
+  const bool IsLeaving = Lifecycle.isDraining() || Lifecycle.isLeaving();
+  return IsLeaving && !Context.Idempotent && !Context.FirstSend &&
+         Time.now() - DrainStart < ForwardTime;
+}
+
 RefusalReason NodeEngine::Impl::reasonToRefuse(const RequestContext &Context,
                                                const RequestInfo &Info) const {
   // Calls of accepted work go on during a drain.
-  if (!Lifecycle.acceptsWork() && !Info.Parent)
+  if (!Lifecycle.acceptsWork() && !Info.Parent && !forwards(Context))
     return RefusalReason::Draining;
   if (inProgress() > Options.MaxRequests)
     return RefusalReason::NodeBusy;
@@ -220,7 +246,7 @@
     return;
   Answers.setRank(Id, Context.Rank);
   RefusalReason Reason = RefusalReason::None;
-  if (!Lifecycle.acceptsWork())
+  if (!Lifecycle.acceptsWork() && !isStillHome(Context))
     Reason = RefusalReason::Draining;
   else if (inProgress() > Options.MaxRequests)
     Reason = RefusalReason::NodeBusy;
@@ -310,7 +336,9 @@
 bool NodeEngine::Impl::mayServe(Instant Now) const {
   // Without any policy every request would look like a wrong one.
   const bool HasPolicy = !Policies.mesh().Ranks.empty();
-  const bool HasRead = !Options.HasLog || Configuration.freshAt().has_value();
+  const bool HasRead =
+      !Options.HasLog ||
+      (Configuration.freshAt().has_value() && Server.knowsHomes());
   const bool WaitedEnough = Started && Now - *Started >= LogPatience;
   return HasPolicy && (HasRead || WaitedEnough) && Members.mayServe(Now);
 }
--- a/packages/decision/tests/EngineTest.cpp
+++ b/packages/decision/tests/EngineTest.cpp
@@ -58,6 +58,7 @@
   Info.Service = ServiceName("lots"); // No node is beside this service.
   const RequestId Resend = Node.request(Info);
   Info.FirstAttempt = true;
+  Info.Key = RequestKey::make(Node.Time.wallNow(), Node.Source);
   const RequestId First = Node.request(Info);
   Node.pass(Duration::millis(1100));
   cr_assert(Node.Out.only(Resend)->Verdict == Verdict::MayHaveRun);
@@ -92,6 +93,20 @@
   cr_assert(Node.Engine.hasEnded());
 }
 
+// Guards R4 and R7 together: a leaving node cannot say not-run about a resend,
+// so it sends the resend on instead of answering may-have-run.
+Test(Engine, leavingNodeForwardsResends) {
+  EngineFixture Node;
+  Node.Engine.onDrain();
+  RequestInfo Info = EngineFixture::info("pay");
+  Info.Key = RequestKey::make(Node.Time.wallNow(), Node.Source);
+  const RequestId Resend = Node.request(Info);
+  cr_assert_not(Node.Out.only(Resend).has_value());
+  Info.Key = RequestKey::make(Node.Time.wallNow(), Node.Source);
+  Info.FirstAttempt = true;
+  cr_assert(Node.Out.only(Node.request(Info))->Verdict == Verdict::NotRun);
+}
+
 // Guards R1 at its base: a chain of calls cannot exceed the policy's depth.
 Test(Engine, nestedCallInheritsDeadlineDepthAndKey) {
   EngineFixture Node;
