--- a/packages/decision/tests/AdmissionRanksTest.cpp
+++ b/packages/decision/tests/AdmissionRanksTest.cpp
@@ -120,7 +120,7 @@
       Run.add(Urgent);
       Run.runUntil(70);
       Share[Capped][Cancel] = Urgent.share(10, 60);
-      cr_log_warn("long lookups, cap %.1f, cancel %d: urgent %.4f lookups "
+      cr_log_info("long lookups, cap %.1f, cancel %d: urgent %.4f lookups "
                   "%.2f/s cancelled %.0f wasted %.4f",
                   Mesh.Ranks[2].Cap, Cancel, Share[Capped][Cancel],
                   Lookups.rate(10, 60), Run.Cancels, Run.wasted());
--- a/packages/decision/tests/EngineTest.cpp
+++ b/packages/decision/tests/EngineTest.cpp
@@ -58,6 +58,7 @@
   Info.Service = ServiceName("lots"); // No node is beside this service.
   const RequestId Resend = Node.request(Info);
   Info.FirstAttempt = true;
+  Info.Key = RequestKey::make(Node.Time.wallNow(), Node.Source);
   const RequestId First = Node.request(Info);
   Node.pass(Duration::millis(1100));
   cr_assert(Node.Out.only(Resend)->Verdict == Verdict::MayHaveRun);
@@ -92,6 +93,20 @@
   cr_assert(Node.Engine.hasEnded());
 }
 
+// Guards R4 and R7 together: a leaving node cannot say not-run about a resend,
+// so it sends the resend on instead of answering may-have-run.
+Test(Engine, leavingNodeForwardsResends) {
+  EngineFixture Node;
+  Node.Engine.onDrain();
+  RequestInfo Info = EngineFixture::info("pay");
+  Info.Key = RequestKey::make(Node.Time.wallNow(), Node.Source);
+  const RequestId Resend = Node.request(Info);
+  cr_assert_not(Node.Out.only(Resend).has_value());
+  Info.Key = RequestKey::make(Node.Time.wallNow(), Node.Source);
+  Info.FirstAttempt = true;
+  cr_assert(Node.Out.only(Node.request(Info))->Verdict == Verdict::NotRun);
+}
+
 // Guards R1 at its base: a chain of calls cannot exceed the policy's depth.
 Test(Engine, nestedCallInheritsDeadlineDepthAndKey) {
   EngineFixture Node;
@@ -114,3 +129,17 @@
   const RequestId TooDeep = Node.request(Info);
   cr_assert(Node.Out.only(TooDeep)->Reason == RefusalReason::TooDeep);
 }
+
+// Guards the periodic work: a node that is only woken at nextWakeup() must get
+// its ticks although nothing else happens. With a wakeup relative to the
+// present, the decision thread never called tick() on an idle node.
+Test(Engine, idleNodeIsWokenForItsPeriodicWork) {
+  EngineFixture Node;
+  Node.Engine.onDrain();
+  for (int Wakeup = 0; Wakeup < 1000 && !Node.Engine.hasEnded(); ++Wakeup) {
+    Node.Time.advance(Duration::millis(10));
+    if (Node.Engine.nextWakeup() <= Node.Time.now())
+      Node.Engine.tick();
+  }
+  cr_assert(Node.Engine.hasEnded());
+}
