Tick the engine on a fixed schedule

Cause: nextWakeup() returned the current time plus the tick period. The decision thread asks again after it has waited, so the tick was always in the future and the engine never ticked: no probe and no gossip was sent.

Ruled out: comparing with the wakeup from before the wait, because under a steady flow of events it would be moved on each time.

Change: the wakeup is the last tick plus the period. The rig requires that all nodes know each other, with three of them as entry points.

--- a/packages/decision/camphorpin/src/Engine/NodeEngine.cpp
+++ b/packages/decision/camphorpin/src/Engine/NodeEngine.cpp
@@ -80,6 +80,7 @@
   detail::CallServer Server;
   detail::CallOriginator Originator;
   NodeLifecycle Lifecycle;
+  Instant LastTick;
   Instant DrainStart;
   /// When the accepted work was finished during a drain.
   std::optional<Instant> WorkFinished;
@@ -240,6 +241,7 @@
 
 void NodeEngine::Impl::tick() {
   const Instant Now = Time.now();
+  LastTick = Now;
   Members.tick(Now);
   Guard.tick(Now);
   Server.tick(Now);
@@ -355,7 +357,7 @@
 Instant NodeEngine::nextWakeup() const {
   const Instant Deadline =
       std::min(State->Server.nextDeadline(), State->Originator.nextDeadline());
-  return std::min(Deadline, State->Time.now() + TickPeriod);
+  return std::min(Deadline, State->LastTick + TickPeriod);
 }
 
 std::string_view NodeEngine::state() const { return State->Lifecycle.state(); }
--- a/tests/process/Mesh.cpp
+++ b/tests/process/Mesh.cpp
@@ -17,7 +17,7 @@
 
 const std::string BinDir = CAMPHORPIN_BIN_DIR;
 constexpr int Zones = 3;
-constexpr int SeedPeers = 100;
+constexpr int SeedPeers = 3;
 constexpr int BackendSlots = 16;
 
 /// Gives each program run its own range of loopback addresses, so that
