--- a/packages/decision/camphorpin/src/Claims/HomeSet.cpp
+++ b/packages/decision/camphorpin/src/Claims/HomeSet.cpp
@@ -4,6 +4,7 @@
 #include <cassert>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 
 namespace camphorpin {
 
@@ -11,9 +12,14 @@
 
 constexpr const char *NoMirror = "";
 
-/// The weight of a process for a key; the heaviest home owns the key.
-std::uint64_t weight(const ProcessId &Process, std::uint64_t KeyHash) {
-  return stableHash(KeyHash, Process.stableHash());
+/// The weight of a process for a key; the heaviest home owns the key. This is
+/// the finalizer of MurmurHash3: both inputs are good hashes already, and a
+/// table that is handed over takes one weight for each key and home.
+std::uint64_t weight(std::uint64_t ProcessHash, std::uint64_t KeyHash) {
+  std::uint64_t Value = ProcessHash ^ KeyHash;
+  Value = (Value ^ (Value >> 33U)) * 0xFF51AFD7ED558CCDULL;
+  Value = (Value ^ (Value >> 33U)) * 0xC4CEB9FE1A85EC53ULL;
+  return Value ^ (Value >> 33U);
 }
 
 nlohmann::json printProcess(const ProcessId &Value) {
@@ -42,15 +48,23 @@
 
 // The readers throw on malformed input; HomeSet::parse() catches.
 
+/// A negative number would wrap to an epoch that nothing can follow.
+std::uint64_t readNumber(const nlohmann::json &Value, const char *Name) {
+  const nlohmann::json &Number = Value.at(Name);
+  if (!Number.is_number_unsigned())
+    throw std::invalid_argument(Name);
+  return Number.get<std::uint64_t>();
+}
+
 ProcessId readProcess(const nlohmann::json &Value) {
   const std::optional<HostAddress> Address =
       HostAddress::parse(Value.at("address").get<std::string>());
-  return {Address.value(), Value.at("incarnation").get<std::uint64_t>()};
+  return {Address.value(), readNumber(Value, "incarnation")};
 }
 
 MirrorLink readLink(const nlohmann::json &Value) {
   MirrorLink Link;
-  Link.Since = Value.at("since").get<Epoch>();
+  Link.Since = readNumber(Value, "since");
   if (Value.at("address").get<std::string>() != NoMirror)
     Link.Mirror = readProcess(Value);
   return Link;
@@ -60,9 +74,9 @@
   HomeTenure Tenure;
   Tenure.Process = readProcess(Value);
   Tenure.Zone = ZoneName(Value.at("zone").get<std::string>());
-  Tenure.Since = Value.at("since").get<Epoch>();
+  Tenure.Since = readNumber(Value, "since");
   if (IsFormer)
-    Tenure.Until = Value.at("until").get<Epoch>();
+    Tenure.Until = readNumber(Value, "until");
   for (const nlohmann::json &Link : Value.at("mirrors"))
     Tenure.Mirrors.push_back(readLink(Link));
   return Tenure;
@@ -110,14 +124,15 @@
   HeaviestTenure(std::uint64_t KeyHash, Epoch Value)
       : KeyHash(KeyHash), Value(Value) {}
 
-  void consider(std::span<const HomeTenure> Tenures) {
-    for (const HomeTenure &Tenure : Tenures) {
-      if (!Tenure.covers(Value))
+  void consider(std::span<const HomeTenure> Tenures,
+                std::span<const std::uint64_t> Hashes) {
+    for (std::size_t Index = 0; Index < Tenures.size(); ++Index) {
+      if (!Tenures[Index].covers(Value))
         continue;
-      const std::uint64_t Weight = weight(Tenure.Process, KeyHash);
+      const std::uint64_t Weight = weight(Hashes[Index], KeyHash);
       if (Best != nullptr && Weight <= BestWeight)
         continue;
-      Best = &Tenure;
+      Best = &Tenures[Index];
       BestWeight = Weight;
     }
   }
@@ -139,8 +154,8 @@
     return std::nullopt;
   HomeSet Set;
   try {
-    Set.Number = Root.at("epoch").get<camphorpin::Epoch>();
-    Set.FirstKnown = Root.at("horizon").get<camphorpin::Epoch>();
+    Set.Number = readNumber(Root, "epoch");
+    Set.FirstKnown = readNumber(Root, "horizon");
     for (const nlohmann::json &Home : Root.at("homes"))
       Set.Homes.push_back(readTenure(Home, false));
     for (const nlohmann::json &Former : Root.at("formers"))
@@ -152,6 +167,7 @@
       !areValid(Set.Formers, Set.Number, true) ||
       hasRepeatedProcess(Set.Homes) || Set.FirstKnown == 0)
     return std::nullopt;
+  Set.hashProcesses();
   return Set;
 }
 
@@ -170,7 +186,7 @@
 
 const HomeTenure *HomeSet::homeOf(const RequestKey &Key) const {
   HeaviestTenure Search(Key.stableHash(), Number);
-  Search.consider(Homes);
+  Search.consider(Homes, HomeHashes);
   return Search.best();
 }
 
@@ -178,8 +194,8 @@
                                   const RequestKey &Key) const {
   assert(Past >= FirstKnown && Past <= Number && "the epoch is not known");
   HeaviestTenure Search(Key.stableHash(), Past);
-  Search.consider(Homes);
-  Search.consider(Formers);
+  Search.consider(Homes, HomeHashes);
+  Search.consider(Formers, FormerHashes);
   return Search.best();
 }
 
@@ -242,6 +258,7 @@
               return Left.Process < Right.Process;
             });
   Result.chooseMirrors();
+  Result.hashProcesses();
   return Result;
 }
 
@@ -253,9 +270,19 @@
     Result.FirstKnown = std::max(Result.FirstKnown, Former.Until + 1);
     return true;
   });
+  Result.hashProcesses();
   return Result;
 }
 
+void HomeSet::hashProcesses() {
+  HomeHashes.clear();
+  FormerHashes.clear();
+  for (const HomeTenure &Home : Homes)
+    HomeHashes.push_back(Home.Process.stableHash());
+  for (const HomeTenure &Former : Formers)
+    FormerHashes.push_back(Former.Process.stableHash());
+}
+
 void HomeSet::chooseMirrors() {
   std::map<ProcessId, std::size_t> Load;
   std::vector<HomeTenure *> Unmatched;
--- a/packages/decision/camphorpin/src/Engine/NodeEngine.cpp
+++ b/packages/decision/camphorpin/src/Engine/NodeEngine.cpp
@@ -2,12 +2,15 @@
 
 #include "camphorpin/src/Engine/CallOriginator.h"
 #include "camphorpin/src/Engine/CallServer.h"
+#include "camphorpin/src/Engine/ConfigurationKeeper.h"
 #include "camphorpin/src/Engine/MemberDirectory.h"
+#include "camphorpin/src/Engine/PolicyStore.h"
 #include "camphorpin/src/Engine/Refusal.h"
 
 #include <algorithm>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -25,9 +28,21 @@
 /// the leaving notice reaches its callers first and no call meets a closed
 /// connection.
 constexpr Duration DrainLinger = Duration::seconds(1);
+/// A leaving node takes calls for the keys of its home this long. The change of
+/// the home set takes about 1 s: 0.2 s until it is proposed, then one poll of
+/// the log by every node.
+constexpr Duration HomeServeTime = Duration::seconds(3);
+/// A leaving node sends resends of keys on for this long.
+constexpr Duration ForwardTime = Duration::seconds(10);
 /// A leaving node waits this long for the hand-over of its claims. After that
 /// the new homes ask its mirror, so nothing is lost, but they need more time.
 constexpr Duration HandOverPatience = Duration::seconds(10);
+/// A starting node with policies in its settings waits this long for the log
+/// and for a home set of its service.
+constexpr Duration LogPatience = Duration::seconds(10);
+constexpr std::string_view MeshName = "mesh";
+constexpr std::string_view ServicePrefix = "service/";
+constexpr std::string_view HomesPrefix = "homes/";
 /// Crash reports in one datagram, and nodes that get it.
 constexpr std::size_t MaxReportsPerTick = 32;
 constexpr std::size_t ReportFanout = 3;
@@ -43,15 +58,16 @@
 
 } // namespace
 
-class NodeEngine::Impl {
+class NodeEngine::Impl final : private detail::DocumentListener {
 public:
   Impl(const EngineOptions &Options, Actions &Out, const Clock &Time,
-       Random &Source, const PolicySource &Policies)
+       Random &Source)
       : Options(Options), Out(Out), Time(Time), Source(Source),
-        Policies(Policies), Members(Options, Out, Source),
+        Policies(Options.Policies), Members(Options, Out, Source),
         Guard(Options.Self, CrashOptions()), Answers(Out),
         Server(Options.Service, Out, Answers, Guard, Members, Time),
-        Originator(Out, Answers, Members, Server, Guard) {
+        Originator(Out, Answers, Members, Server, Guard),
+        Configuration(Out, *this, Source, Options.LogRetention) {
     applyPolicies();
   }
 
@@ -73,13 +89,17 @@
   Actions &Out;
   const Clock &Time;
   Random &Source;
-  const PolicySource &Policies;
+  detail::PolicyStore Policies;
   detail::MemberDirectory Members;
   CrashGuard Guard;
   detail::AnswerGate Answers;
   detail::CallServer Server;
   detail::CallOriginator Originator;
+  detail::ConfigurationKeeper Configuration;
+  EntryElection Election;
   NodeLifecycle Lifecycle;
+  std::optional<Instant> Started;
+  Instant LastTick;
   Instant DrainStart;
   /// When the accepted work was finished during a drain.
   std::optional<Instant> WorkFinished;
@@ -90,10 +110,21 @@
   static RequestContext inherited(const NestedCall &Nested,
                                   const RequestInfo &Info,
                                   const OperationPolicy &Policy);
+  /// \returns true if a leaving node still takes a keyed call. Until the home
+  /// set has changed, no other node may run the key.
+  bool isStillHome(const RequestContext &Context) const;
+  /// \returns true if a leaving node sends a request on although it refuses new
+  /// work: a resend of a key, because only the home of the key can say that it
+  /// did not run.
+  bool forwards(const RequestContext &Context) const;
   void dispatch(RequestId Id, RequestContext Context, const RequestInfo &Info);
   RefusalReason reasonToRefuse(const RequestContext &Context,
                                const RequestInfo &Info) const;
   void spreadCrashReports();
+  void tickConfiguration(Instant Now);
+  void electEntry(Instant Now);
+  void documentChanged(const ConfigurationDocument &Document) override;
+  bool mayServe(Instant Now) const;
 };
 
 const OperationPolicy *
@@ -166,10 +197,22 @@
   dispatch(Id, std::move(Context), Info);
 }
 
+bool NodeEngine::Impl::isStillHome(const RequestContext &Context) const {
+  const bool IsLeaving = Lifecycle.isDraining() || Lifecycle.isLeaving();
+  return IsLeaving && !Context.Idempotent &&
+         Time.now() - DrainStart < HomeServeTime;
+}
+
+bool NodeEngine::Impl::forwards(const RequestContext &Context) const {
+  const bool IsLeaving = Lifecycle.isDraining() || Lifecycle.isLeaving();
+  return IsLeaving && !Context.Idempotent && !Context.FirstSend &&
+         Time.now() - DrainStart < ForwardTime;
+}
+
 RefusalReason NodeEngine::Impl::reasonToRefuse(const RequestContext &Context,
                                                const RequestInfo &Info) const {
   // Calls of accepted work go on during a drain.
-  if (!Lifecycle.acceptsWork() && !Info.Parent)
+  if (!Lifecycle.acceptsWork() && !Info.Parent && !forwards(Context))
     return RefusalReason::Draining;
   if (inProgress() > Options.MaxRequests)
     return RefusalReason::NodeBusy;
@@ -203,7 +246,7 @@
     return;
   Answers.setRank(Id, Context.Rank);
   RefusalReason Reason = RefusalReason::None;
-  if (!Lifecycle.acceptsWork())
+  if (!Lifecycle.acceptsWork() && !isStillHome(Context))
     Reason = RefusalReason::Draining;
   else if (inProgress() > Options.MaxRequests)
     Reason = RefusalReason::NodeBusy;
@@ -238,8 +281,74 @@
     Out.sendCrashReports(To, Reports);
 }
 
+void NodeEngine::Impl::documentChanged(const ConfigurationDocument &Document) {
+  const std::string_view Name = Document.Name.view();
+  std::string Faults;
+  if (Name.starts_with(HomesPrefix)) {
+    const std::optional<HomeSet> Set = HomeSet::parse(Document.Content);
+    const ServiceName Service(Name.substr(HomesPrefix.size()));
+    if (!Set || Set->epoch() != Document.Version) {
+      Faults = "not a home set of this version";
+    } else {
+      Originator.adopt(Service, *Set);
+      if (Service == Options.Service)
+        Server.adopt(*Set);
+    }
+  } else if (Name == MeshName || Name.starts_with(ServicePrefix)) {
+    Faults = Policies.apply(Document.Name, Document.Content);
+    applyPolicies();
+  }
+  if (!Faults.empty())
+    Out.logEvent(LogEvent::DocumentRejected,
+                 {{"document", Document.Name.string()}, {"faults", Faults}});
+}
+
+void NodeEngine::Impl::tickConfiguration(Instant Now) {
+  if (!Options.HasLog)
+    return;
+  Configuration.tick(Now);
+  if (const std::optional<Instant> Fresh = Configuration.freshAt())
+    Server.onLogRead(*Fresh);
+  Members.setReading(Configuration.reading(Now));
+  for (const EntryRecord &Entry : Configuration.entries(Now))
+    Members.addEntryPoint(Entry.Address);
+  electEntry(Now);
+}
+
+void NodeEngine::Impl::electEntry(Instant Now) {
+  if (!Configuration.freshAt() || !Lifecycle.acceptsWork())
+    return;
+  const MemberTable &Table = Members.members().table();
+  std::size_t Fresh = 0;
+  for (const EntryRecord &Entry : Configuration.entries(Now)) {
+    const MemberRecord *Record = Table.find(Entry.Address);
+    const bool IsFresh = Record != nullptr && Record->present() &&
+                         Record->Process.Incarnation == Entry.Incarnation;
+    Fresh += IsFresh && Entry.Region == Options.Region ? 1 : 0;
+  }
+  const MemberRecord &Self = Members.members().self();
+  if (Election.shouldWrite(Fresh, Table.present(), Source, Now))
+    Out.appendLog(
+        formatRecord(EntryRecord{Self.Process.Address, Self.Process.Incarnation,
+                                 Self.Zone, Self.Region}));
+}
+
+bool NodeEngine::Impl::mayServe(Instant Now) const {
+  // Without any policy every request would look like a wrong one.
+  const bool HasPolicy = !Policies.mesh().Ranks.empty();
+  const bool HasRead =
+      !Options.HasLog ||
+      (Configuration.freshAt().has_value() && Server.knowsHomes());
+  const bool WaitedEnough = Started && Now - *Started >= LogPatience;
+  return HasPolicy && (HasRead || WaitedEnough) && Members.mayServe(Now);
+}
+
 void NodeEngine::Impl::tick() {
   const Instant Now = Time.now();
+  LastTick = Now;
+  if (!Started)
+    Started = Now;
+  tickConfiguration(Now);
   Members.tick(Now);
   Guard.tick(Now);
   Server.tick(Now);
@@ -265,7 +374,7 @@
 }
 
 void NodeEngine::Impl::advanceLifecycle() {
-  if (Members.mayServe(Time.now()))
+  if (mayServe(Time.now()))
     move(LifecycleEvent::Joined);
   const Instant Now = Time.now();
   if (Lifecycle.isDraining() && inProgress() == 0 &&
@@ -279,9 +388,8 @@
 }
 
 NodeEngine::NodeEngine(const EngineOptions &Options, Actions &Out,
-                       const Clock &Time, Random &Source,
-                       const PolicySource &Policies)
-    : State(std::make_unique<Impl>(Options, Out, Time, Source, Policies)) {}
+                       const Clock &Time, Random &Source)
+    : State(std::make_unique<Impl>(Options, Out, Time, Source)) {}
 
 NodeEngine::~NodeEngine() = default;
 
@@ -340,22 +448,21 @@
     State->Guard.onReport(Report, State->Time.now());
 }
 
-void NodeEngine::onHomeSet(const ServiceName &Service, const HomeSet &Set) {
-  State->Originator.adopt(Service, Set);
-  if (Service == State->Options.Service)
-    State->Server.adopt(Set);
+void NodeEngine::onLogPage(const LogPage &Page) {
+  State->Configuration.onPage(Page, State->Time.now());
+  State->advanceLifecycle();
 }
 
-void NodeEngine::onLogRead(Instant SentAt) { State->Server.onLogRead(SentAt); }
-
-void NodeEngine::onPolicyChange() { State->applyPolicies(); }
+void NodeEngine::onLogReadFailed() {
+  State->Configuration.onReadFailed(State->Time.now());
+}
 
 void NodeEngine::tick() { State->tick(); }
 
 Instant NodeEngine::nextWakeup() const {
   const Instant Deadline =
       std::min(State->Server.nextDeadline(), State->Originator.nextDeadline());
-  return std::min(Deadline, State->Time.now() + TickPeriod);
+  return std::min(Deadline, State->LastTick + TickPeriod);
 }
 
 std::string_view NodeEngine::state() const { return State->Lifecycle.state(); }
