Explain what would become of a request, and fuzz the engine

Purpose: operators ask a node why it would refuse an operation; the engine as a whole is checked against an oracle.

--- a/packages/daemon/camphorpin/src/Daemon/DecisionThread.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/DecisionThread.cpp
@@ -115,6 +115,10 @@
   Engine.onLogReadFailed();
 }
 
+void DecisionThread::handle(ExplainRequested &&Event) {
+  Event.Reply->set_value(Engine.explain(Event.Service, Event.Operation));
+}
+
 void DecisionThread::handle(DrainRequested && /*Event*/) { Engine.onDrain(); }
 
 void DecisionThread::drop(RequestId Id) {
--- a/packages/daemon/camphorpin/src/Daemon/DecisionThread.h
+++ b/packages/daemon/camphorpin/src/Daemon/DecisionThread.h
@@ -80,6 +80,7 @@
   void handle(ClaimArrived &&Event);
   void handle(LogPageRead &&Event);
   void handle(LogReadFailed &&Event);
+  void handle(ExplainRequested &&Event);
   void handle(DrainRequested &&Event);
   void drop(RequestId Id);
   SharedPayload bodyOf(const Answer &Value) const;
--- a/packages/daemon/camphorpin/src/Daemon/NodeDaemon.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/NodeDaemon.cpp
@@ -3,7 +3,9 @@
 #include "camphorpin/src/Daemon/Listener.h"
 
 #include <cerrno>
+#include <chrono>
 #include <cstring>
+#include <future>
 #include <nlohmann/json.hpp>
 #include <random>
 
@@ -12,6 +14,7 @@
 namespace {
 
 constexpr std::size_t MaxRequests = 4096;
+constexpr std::chrono::seconds ExplainTimeout{1};
 
 std::uint64_t randomSeed() {
   std::random_device Device;
@@ -149,6 +152,28 @@
   nlohmann::json Result;
   Result["service"] = Service;
   Result["operation"] = Operation;
+  ExplainRequested Event{ServiceName(Service), OperationName(Operation),
+                         std::make_shared<std::promise<Explanation>>()};
+  std::future<Explanation> Reply = Event.Reply->get_future();
+  const bool Answered =
+      isValidName(Service) && isValidName(Operation) &&
+      Events.offer(std::move(Event)) &&
+      Reply.wait_for(ExplainTimeout) == std::future_status::ready;
+  if (!Answered)
+    return Result.dump();
+  const Explanation Value = Reply.get();
+  Result["known"] = Value.KnownOperation;
+  if (!Value.KnownOperation)
+    return Result.dump();
+  Result["rank"] = Value.Rank.index();
+  Result["idempotent"] = Value.Idempotent;
+  Result["deadlineMs"] = Value.Deadline.wholeMillis();
+  Result["refusal"] = toString(Value.Refusal);
+  Result["members"] = Value.Members;
+  Result["homeEpoch"] = Value.HomeEpoch;
+  Result["lowestAcceptedRank"] = Value.LowestAccepted.index();
+  if (Value.Target)
+    Result["target"] = Value.Target->toString();
   return Result.dump();
 }
 
--- a/packages/daemon/camphorpin/src/Daemon/NodeDaemon.h
+++ b/packages/daemon/camphorpin/src/Daemon/NodeDaemon.h
@@ -41,7 +41,8 @@
   SeededRandom Source;
   EventLog Log;
   Metrics Statistics;
-  EventQueue Events;
+  /// Also takes questions from const functions.
+  mutable EventQueue Events;
   ProcessId Self;
   DatagramThread Datagrams;
   std::unique_ptr<RpcThread> Rpc;
--- a/packages/daemon/camphorpin/src/Daemon/NodeEvent.h
+++ b/packages/daemon/camphorpin/src/Daemon/NodeEvent.h
@@ -4,6 +4,7 @@
 #include "camphorpin/Engine.h"
 #include "camphorpin/Wire.h"
 
+#include <future>
 #include <memory>
 #include <variant>
 
@@ -84,6 +85,14 @@
 /// \brief A read of the platform's log has failed.
 struct LogReadFailed {};
 
+/// \class ExplainRequested
+/// \brief An operator asks what would become of a request.
+struct ExplainRequested {
+  ServiceName Service;
+  OperationName Operation;
+  std::shared_ptr<std::promise<Explanation>> Reply;
+};
+
 /// \class DrainRequested
 /// \brief An operator or a signal starts the graceful drain.
 struct DrainRequested {};
@@ -92,7 +101,7 @@
 using NodeEvent =
     std::variant<RequestArrived, CallArrived, RequestCancelled, BackendDone,
                  CallDone, DatagramArrived, ClaimArrived, LogPageRead,
-                 LogReadFailed, DrainRequested>;
+                 LogReadFailed, ExplainRequested, DrainRequested>;
 
 } // namespace camphorpin
 
--- a/packages/daemon/camphorpin/src/Daemon/RpcChannel.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/RpcChannel.cpp
@@ -51,7 +51,8 @@
               LogEvent::VersionMismatch,
               {{"peer", readProcess(Reply.getIdentity().getProcess())
                             .Address.toString()}});
-          KJ_FAIL_REQUIRE("no common protocol version");
+          kj::throwFatalException(
+              KJ_EXCEPTION(FAILED, "no common protocol version"));
         }
         LastProgress = Environment.now();
       });
--- a/packages/decision/camphorpin/Engine.h
+++ b/packages/decision/camphorpin/Engine.h
@@ -5,6 +5,7 @@
 /// Events go into NodeEngine; actions come out through Actions.
 #include "camphorpin/src/Engine/Actions.h"
 #include "camphorpin/src/Engine/EngineMessages.h"
+#include "camphorpin/src/Engine/Explanation.h"
 #include "camphorpin/src/Engine/LogEvent.h"
 #include "camphorpin/src/Engine/NodeEngine.h"
 #include "camphorpin/src/Engine/NodeLifecycle.h"
--- a/packages/decision/camphorpin/src/Engine/CallOriginator.cpp
+++ b/packages/decision/camphorpin/src/Engine/CallOriginator.cpp
@@ -262,6 +262,11 @@
     giveUp(*Id, RefusalReason::Deadline, Now);
 }
 
+Epoch CallOriginator::homeEpoch(const ServiceName &Service) const {
+  const auto Found = Homes.find(Service);
+  return Found != Homes.end() ? Found->second.epoch() : 0;
+}
+
 Instant CallOriginator::nextDeadline() const {
   const Instant Next = Deadlines.next();
   return Repeats.empty() ? Next : std::min(Next, Repeats.begin()->Time);
--- a/packages/decision/camphorpin/src/Engine/CallOriginator.h
+++ b/packages/decision/camphorpin/src/Engine/CallOriginator.h
@@ -58,6 +58,14 @@
   /// Answers the requests whose deadline has passed and repeats calls.
   void tick(Instant Now);
 
+  /// \returns the epoch of the home set that is known for a service, or 0.
+  Epoch homeEpoch(const ServiceName &Service) const;
+
+  /// \returns the least urgent rank that an operation accepts as far as known.
+  Rank level(const CallTarget &Target, Instant Now) const {
+    return Shedder.level(Target, Now);
+  }
+
   Instant nextDeadline() const;
   std::size_t inProgress() const { return Requests.size(); }
 
--- a/packages/decision/camphorpin/src/Engine/NodeEngine.cpp
+++ b/packages/decision/camphorpin/src/Engine/NodeEngine.cpp
@@ -75,6 +75,8 @@
   void call(RequestId Id, const RequestContext &Context);
   void datagram(HostAddress From, const GossipMessage &Message);
   void tick();
+  void explainRoute(const ServiceName &Service, const OperationName &Operation,
+                    Explanation &Result);
   void applyPolicies();
   void advanceLifecycle();
   bool move(LifecycleEvent Event);
@@ -265,6 +267,29 @@
     Server.renew();
 }
 
+void NodeEngine::Impl::explainRoute(const ServiceName &Service,
+                                    const OperationName &Operation,
+                                    Explanation &Result) {
+  const Instant Now = Time.now();
+  const MemberTable &Table = Members.members().table();
+  for (const HostAddress &Address : Table.membersOf(Service))
+    Result.Members += Table.find(Address)->takesWork() ? 1 : 0;
+  Result.HomeEpoch = Originator.homeEpoch(Service);
+  Result.LowestAccepted = Originator.level({Service, Operation}, Now);
+  if (const std::optional<ProcessId> Target = Members.pick(Service, {}, Now))
+    Result.Target = Target->Address;
+  if (!Lifecycle.acceptsWork())
+    Result.Refusal = RefusalReason::Draining;
+  else if (inProgress() >= Options.MaxRequests)
+    Result.Refusal = RefusalReason::NodeBusy;
+  else if (Result.LowestAccepted.moreUrgentThan(Result.Rank))
+    Result.Refusal = RefusalReason::Shed;
+  else if (Result.Idempotent && !Result.Target)
+    Result.Refusal = RefusalReason::NoBackend;
+  else if (!Result.Idempotent && Result.HomeEpoch == 0)
+    Result.Refusal = RefusalReason::HomeChanging;
+}
+
 void NodeEngine::Impl::applyPolicies() {
   Originator.applyPolicy(Policies.mesh());
   const ServicePolicy *Own = Policies.service(Options.Service);
@@ -465,6 +490,21 @@
   return std::min(Deadline, State->LastTick + TickPeriod);
 }
 
+Explanation NodeEngine::explain(const ServiceName &Service,
+                                const OperationName &Operation) const {
+  Explanation Result;
+  const ServicePolicy *Policy = State->Policies.service(Service);
+  if (Policy == nullptr || Policy->Operations.count(Operation) == 0)
+    return Result;
+  const OperationPolicy &Rules = Policy->Operations.at(Operation);
+  Result.KnownOperation = true;
+  Result.Rank = Rules.Rank;
+  Result.Idempotent = Rules.Idempotent;
+  Result.Deadline = Rules.Deadline;
+  State->explainRoute(Service, Operation, Result);
+  return Result;
+}
+
 std::string_view NodeEngine::state() const { return State->Lifecycle.state(); }
 
 bool NodeEngine::hasEnded() const { return State->Lifecycle.hasEnded(); }
--- a/packages/decision/camphorpin/src/Engine/NodeEngine.h
+++ b/packages/decision/camphorpin/src/Engine/NodeEngine.h
@@ -5,6 +5,7 @@
 #include "camphorpin/src/Engine/Actions.h"
 #include "camphorpin/src/Engine/EngineMessages.h"
 #include "camphorpin/src/Engine/EngineOptions.h"
+#include "camphorpin/src/Engine/Explanation.h"
 #include "camphorpin/src/Engine/LogPage.h"
 #include "camphorpin/src/Engine/NodeLifecycle.h"
 
@@ -78,6 +79,10 @@
   /// \returns the time at which tick() has something to do.
   Instant nextWakeup() const;
 
+  /// \returns what would become of a new request of an operation now.
+  Explanation explain(const ServiceName &Service,
+                      const OperationName &Operation) const;
+
   /// \returns the name of the lifecycle state.
   std::string_view state() const;
 
--- /dev/null
+++ b/packages/decision/tests/EngineFuzzTest.cpp
@@ -0,0 +1,121 @@
+// Fuzzes the engine against a simple oracle: whatever the order of requests,
+// calls, completions, cancellations, drains and time, each request gets exactly
+// one answer, and not-run is never said about a run that took place.
+#include "EngineFixture.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace camphorpin;
+using camphorpin::testing::EngineFixture;
+using camphorpin::testing::RecordedCall;
+
+namespace {
+
+/// \class EngineModel
+/// \brief The engine and what must be true of it.
+class EngineModel {
+public:
+  void step() {
+    switch (*rc::gen::inRange(0, 9)) {
+    case 0:
+    case 1:
+      Ids.push_back(Node.request(EngineFixture::info("status")));
+      break;
+    case 2:
+      sendKeyed();
+      break;
+    case 3:
+      Ids.push_back(Node.deliver(Node.context()));
+      break;
+    case 4:
+      endRun();
+      break;
+    case 5:
+      endCall();
+      break;
+    case 6:
+      if (!Ids.empty())
+        Node.Engine.onCancel(*rc::gen::elementOf(Ids));
+      break;
+    case 7:
+      Node.pass(Duration::millis(*rc::gen::inRange(10, 200)));
+      break;
+    case 8:
+      if (*rc::gen::inRange(0, 20) == 0)
+        Node.Engine.onDrain();
+      break;
+    }
+  }
+
+  /// Ends all runs and lets all deadlines pass.
+  void finish() {
+    for (int Round = 0; Round < 3; ++Round) {
+      for (std::size_t Index = 0; Index < Node.Out.Started.size(); ++Index)
+        Node.Engine.onBackendDone(Node.Out.Started[Index],
+                                  {.Verdict = Verdict::Ran});
+      Node.pass(Duration::millis(1100));
+    }
+  }
+
+  void check() const {
+    for (RequestId Id : Ids)
+      RC_ASSERT(Node.Out.only(Id).has_value());
+    for (RequestId Id : Ran)
+      RC_ASSERT(Node.Out.only(Id)->Verdict != Verdict::NotRun);
+    RC_ASSERT(Node.Engine.inProgress() == 0u);
+  }
+
+private:
+  void sendKeyed() {
+    RequestInfo Info = EngineFixture::info("pay");
+    if (Keys.empty() || *rc::gen::inRange(0, 2) == 0)
+      Keys.push_back(RequestKey::make(Node.Time.wallNow(), Node.Source));
+    Info.Key = *rc::gen::elementOf(Keys);
+    Ids.push_back(Node.request(Info));
+  }
+
+  void endRun() {
+    if (Node.Out.Started.empty())
+      return;
+    const RequestId Id = *rc::gen::elementOf(Node.Out.Started);
+    const Verdict Value =
+        *rc::gen::element(Verdict::Ran, Verdict::NotRun, Verdict::MayHaveRun);
+    // A repeated completion must change nothing, whatever it says.
+    if (Ended.insert(Id).second && Value == Verdict::Ran)
+      Ran.push_back(Id);
+    Node.Engine.onBackendDone(Id, {.Verdict = Value});
+  }
+
+  void endCall() {
+    if (Node.Out.Calls.empty())
+      return;
+    const RecordedCall Call = *rc::gen::elementOf(Node.Out.Calls);
+    Node.Engine.onCallDone(
+        Call.Call, {.Verdict = *rc::gen::element(Verdict::Ran, Verdict::NotRun,
+                                                 Verdict::MayHaveRun),
+                    .Reason = *rc::gen::element(
+                        RefusalReason::None, RefusalReason::Overloaded,
+                        RefusalReason::PeerFailed, RefusalReason::Draining),
+                    .UnusedAttempts = *rc::gen::inRange<std::uint8_t>(0, 5)});
+  }
+
+  EngineFixture Node;
+  std::vector<RequestId> Ids;
+  std::vector<RequestKey> Keys;
+  std::vector<RequestId> Ran;
+  std::set<RequestId> Ended;
+};
+
+} // namespace
+
+Test(EngineFuzz, eachRequestGetsOneTrueAnswer) {
+  cr_assert(rc::check("one true answer", [] {
+    EngineModel Model;
+    const int Steps = *rc::gen::inRange(1, 120);
+    for (int Step = 0; Step < Steps; ++Step)
+      Model.step();
+    Model.finish();
+    Model.check();
+  }));
+}
