--- a/packages/decision/camphorpin/src/Configuration/ConfigurationFold.h
+++ b/packages/decision/camphorpin/src/Configuration/ConfigurationFold.h
@@ -29,8 +29,11 @@
 /// from AsOf on. It knows that no further document exists once it knows as many
 /// documents as a restate counts at its AsOf.
 ///
-/// Bounds: MaxDocuments contents of MaxContentBytes (32 MiB at worst, about
-/// 2 MiB at the target size), and ChangeBuffer::MaxBytes for a late reader.
+/// Bounds: MaxDocuments contents of maxContentBytes(), and
+/// ChangeBuffer::MaxBytes for a late reader. The sum is about 3 MiB at the
+/// target size (7,100 homes of about 250 bytes each, and the policies). The
+/// worst case is far larger; it takes operators who publish as many maximal
+/// documents.
 class ConfigurationFold {
 public:
   /// The target has 621: mesh, and two for each of 310 services.
@@ -68,10 +71,17 @@
   /// \returns true if the state is known to be that of a reader from offset 0.
   bool resolved() const { return Complete && Unconfirmed == 0; }
 
+  /// \returns true if the version of the document is known to be that of a
+  /// reader from offset 0, also if that is "does not exist".
+  bool isKnown(const DocumentName &Name) const;
+
   /// \returns the document in force, or null. The pointer is valid until the
   /// next call that changes the fold.
   const ConfigurationDocument *document(const DocumentName &Name) const;
 
+  /// \returns the version in force, 0 if there is none.
+  std::uint64_t versionOf(const DocumentName &Name) const;
+
   /// \returns the names of all documents in force.
   std::vector<DocumentName> documentNames() const;
 
@@ -104,6 +114,8 @@
     ConfigurationDocument Document;
     /// The document is known to exist at this offset.
     std::uint64_t AsOf = 0;
+    /// The offset after the latest restate.
+    std::uint64_t RestateAfter = 0;
     /// The version is known to be that of a reader from offset 0.
     bool Confirmed = true;
   };
@@ -118,8 +130,6 @@
   void markComplete();
   void noteDigest();
   void replace(DocumentState &State, ConfigurationDocument Document);
-  bool isKnown(const DocumentName &Name) const;
-  std::uint64_t versionOf(const DocumentName &Name) const;
 
   std::map<DocumentName, DocumentState> Documents;
   std::vector<DocumentName> Changed;
