--- /dev/null
+++ b/packages/decision/camphorpin/src/Engine/NodeEngineImpl.cpp
@@ -0,0 +1,335 @@
+#include "camphorpin/src/Engine/NodeEngineImpl.h"
+
+#include "camphorpin/src/Engine/Refusal.h"
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace camphorpin {
+
+using detail::badRequest;
+using detail::NestedCall;
+using detail::refusal;
+
+namespace {
+
+/// A draining node refuses work for this long before its ports close, so that
+/// the leaving notice reaches its callers first and no call meets a closed
+/// connection.
+constexpr Duration DrainLinger = Duration::seconds(1);
+/// A leaving node takes calls for the keys of its home this long. The change of
+/// the home set takes about 1 s: 0.2 s until it is proposed, then one poll of
+/// the log by every node.
+constexpr Duration HomeServeTime = Duration::seconds(3);
+/// A leaving node sends resends of keys on for this long.
+constexpr Duration ForwardTime = Duration::seconds(10);
+/// A leaving node waits this long for the hand-over of its claims. After that
+/// the new homes ask its mirror, so nothing is lost, but they need more time.
+constexpr Duration HandOverPatience = Duration::seconds(10);
+/// A starting node with policies in its settings waits this long for the log
+/// and for a home set of its service.
+constexpr Duration LogPatience = Duration::seconds(10);
+constexpr std::string_view MeshName = "mesh";
+constexpr std::string_view ServicePrefix = "service/";
+constexpr std::string_view HomesPrefix = "homes/";
+/// Crash reports in one datagram, and nodes that get it.
+constexpr std::size_t MaxReportsPerTick = 32;
+constexpr std::size_t ReportFanout = 3;
+
+/// \returns a hash that is the same whichever node computes it.
+std::uint64_t fingerprint(const RequestContext &Context,
+                          std::uint64_t BodyHash) {
+  const std::string Text = Context.Service.string() + "\n" +
+                           Context.Operation.string() + "\n" +
+                           Context.Caller.string();
+  return stableHash(stableHash(Text), BodyHash);
+}
+
+} // namespace
+
+const OperationPolicy *
+NodeEngine::Impl::operation(const RequestInfo &Info) const {
+  const ServicePolicy *Service = Policies.service(Info.Service);
+  if (Service == nullptr)
+    return nullptr;
+  const auto Found = Service->Operations.find(Info.Operation);
+  return Found != Service->Operations.end() ? &Found->second : nullptr;
+}
+
+RequestContext NodeEngine::Impl::fresh(const RequestInfo &Info,
+                                       const OperationPolicy &Policy) {
+  RequestContext Context;
+  Context.Key = Info.Key ? *Info.Key : RequestKey::make(Time.wallNow(), Source);
+  Context.Root = Context.Key;
+  Context.Caller = Info.Caller;
+  // A key that the node itself made was never sent before.
+  Context.FirstSend = Info.FirstAttempt || !Info.Key;
+  Context.Remaining = Policy.Deadline;
+  Context.HopsLeft = Policies.mesh().MaxHops;
+  Context.ExtraAttempts = Policies.mesh().ExtraAttempts;
+  return Context;
+}
+
+RequestContext NodeEngine::Impl::inherited(const NestedCall &Nested,
+                                           const RequestInfo &Info,
+                                           const OperationPolicy &Policy) {
+  RequestContext Context = Nested.Parent;
+  Context.Key = Nested.Key;
+  Context.FirstSend = Nested.FirstSend;
+  Context.Remaining = std::min(Nested.Parent.Remaining, Policy.Deadline);
+  Context.CrashCount = 0;
+  if (!Info.Caller.empty())
+    Context.Caller = Info.Caller;
+  return Context;
+}
+
+void NodeEngine::Impl::request(RequestId Id, const RequestInfo &Info) {
+  if (!Answers.open(Id))
+    return;
+  const OperationPolicy *Policy = operation(Info);
+  if (Policy == nullptr) {
+    Answers.answer(Id, badRequest(RefusalReason::BadRequest));
+    return;
+  }
+  RequestContext Context;
+  if (Info.Parent) {
+    const std::string Target =
+        Info.Service.string() + "/" + Info.Operation.string();
+    const std::optional<NestedCall> Nested =
+        Server.nest(*Info.Parent, Target, Info.Step);
+    if (!Nested) {
+      Answers.answer(Id, badRequest(RefusalReason::BadRequest));
+      return;
+    }
+    Context = inherited(*Nested, Info, *Policy);
+  } else {
+    if (!Policy->Idempotent && !Info.Key) {
+      Answers.answer(Id, badRequest(RefusalReason::KeyRequired));
+      return;
+    }
+    Context = fresh(Info, *Policy);
+  }
+  Context.Service = Info.Service;
+  Context.Operation = Info.Operation;
+  Context.Rank = Policy->Rank;
+  Context.Idempotent = Policy->Idempotent;
+  Answers.setRank(Id, Policy->Rank);
+  dispatch(Id, std::move(Context), Info);
+}
+
+bool NodeEngine::Impl::isStillHome(const RequestContext &Context) const {
+  const bool IsLeaving = Lifecycle.isDraining() || Lifecycle.isLeaving();
+  return IsLeaving && !Context.Idempotent &&
+         Time.now() - DrainStart < HomeServeTime;
+}
+
+bool NodeEngine::Impl::forwards(const RequestContext &Context) const {
+  const bool IsLeaving = Lifecycle.isDraining() || Lifecycle.isLeaving();
+  return IsLeaving && !Context.Idempotent && !Context.FirstSend &&
+         Time.now() - DrainStart < ForwardTime;
+}
+
+RefusalReason NodeEngine::Impl::reasonToRefuse(const RequestContext &Context,
+                                               const RequestInfo &Info) const {
+  // Calls of accepted work go on during a drain.
+  if (!Lifecycle.acceptsWork() && !Info.Parent && !forwards(Context))
+    return RefusalReason::Draining;
+  if (inProgress() > Options.MaxRequests)
+    return RefusalReason::NodeBusy;
+  if (Context.HopsLeft == 0)
+    return RefusalReason::TooDeep;
+  return Context.Remaining <= Duration() ? RefusalReason::Deadline
+                                         : RefusalReason::None;
+}
+
+void NodeEngine::Impl::dispatch(RequestId Id, RequestContext Context,
+                                const RequestInfo &Info) {
+  if (Info.Deadline)
+    Context.Remaining = std::min(Context.Remaining, *Info.Deadline);
+  Context.Fingerprint = fingerprint(Context, Info.BodyHash);
+  const RefusalReason Reason = reasonToRefuse(Context, Info);
+  if (Reason != RefusalReason::None) {
+    if (Info.Parent)
+      Server.nestedDone({.Parent = *Info.Parent,
+                         .Lent = Context.ExtraAttempts,
+                         .Returned = Context.ExtraAttempts});
+    Answers.answer(Id, refusal(Context, Reason));
+    return;
+  }
+  --Context.HopsLeft;
+  const bool MayBeResent = Info.Key.has_value() || Info.Parent.has_value();
+  Originator.start(Id, Context, {Info.Parent, MayBeResent}, Time.now());
+}
+
+void NodeEngine::Impl::call(RequestId Id, const RequestContext &Context) {
+  if (!Answers.open(Id))
+    return;
+  Answers.setRank(Id, Context.Rank);
+  RefusalReason Reason = RefusalReason::None;
+  if (!Lifecycle.acceptsWork() && !isStillHome(Context))
+    Reason = RefusalReason::Draining;
+  else if (inProgress() > Options.MaxRequests)
+    Reason = RefusalReason::NodeBusy;
+  if (Reason != RefusalReason::None) {
+    Answers.answer(Id, refusal(Context, Reason));
+    return;
+  }
+  Server.accept(Id, Context);
+}
+
+void NodeEngine::Impl::datagram(HostAddress From,
+                                const GossipMessage &Message) {
+  const ProcessId Before = Members.members().self().Process;
+  Members.onGossip(From, Message, Time.now());
+  if (Members.members().self().Process != Before)
+    Server.renew();
+}
+
+void NodeEngine::Impl::explainRoute(const ServiceName &Service,
+                                    const OperationName &Operation,
+                                    Explanation &Result) {
+  const Instant Now = Time.now();
+  const MemberTable &Table = Members.members().table();
+  for (const HostAddress &Address : Table.membersOf(Service))
+    Result.Members += Table.find(Address)->takesWork() ? 1 : 0;
+  Result.HomeEpoch = Originator.homeEpoch(Service);
+  Result.LowestAccepted = Originator.level({Service, Operation}, Now);
+  if (const std::optional<ProcessId> Target = Members.pick(Service, {}, Now))
+    Result.Target = Target->Address;
+  if (!Lifecycle.acceptsWork())
+    Result.Refusal = RefusalReason::Draining;
+  else if (inProgress() >= Options.MaxRequests)
+    Result.Refusal = RefusalReason::NodeBusy;
+  else if (Result.LowestAccepted.moreUrgentThan(Result.Rank))
+    Result.Refusal = RefusalReason::Shed;
+  else if (Result.Idempotent && !Result.Target)
+    Result.Refusal = RefusalReason::NoBackend;
+  else if (!Result.Idempotent && Result.HomeEpoch == 0)
+    Result.Refusal = RefusalReason::HomeChanging;
+}
+
+void NodeEngine::Impl::applyPolicies() {
+  Originator.applyPolicy(Policies.mesh());
+  const ServicePolicy *Own = Policies.service(Options.Service);
+  if (Own != nullptr && !Policies.mesh().Ranks.empty())
+    Server.applyPolicy(Policies.mesh(), *Own);
+}
+
+void NodeEngine::Impl::spreadCrashReports() {
+  const std::vector<CrashReport> Reports =
+      Guard.takeReports(MaxReportsPerTick, Time.now());
+  if (Reports.empty())
+    return;
+  for (const HostAddress &To : Members.randomPeers(ReportFanout))
+    Out.sendCrashReports(To, Reports);
+}
+
+void NodeEngine::Impl::documentChanged(const ConfigurationDocument &Document) {
+  const std::string_view Name = Document.Name.view();
+  std::string Faults;
+  if (Name.starts_with(HomesPrefix)) {
+    const std::optional<HomeSet> Set = HomeSet::parse(Document.Content);
+    const ServiceName Service(Name.substr(HomesPrefix.size()));
+    if (!Set || Set->epoch() != Document.Version) {
+      Faults = "not a home set of this version";
+    } else {
+      Originator.adopt(Service, *Set);
+      if (Service == Options.Service)
+        Server.adopt(*Set);
+    }
+  } else if (Name == MeshName || Name.starts_with(ServicePrefix)) {
+    Faults = Policies.apply(Document.Name, Document.Content);
+    applyPolicies();
+  }
+  if (!Faults.empty())
+    Out.logEvent(LogEvent::DocumentRejected,
+                 {{"document", Document.Name.string()}, {"faults", Faults}});
+}
+
+void NodeEngine::Impl::tickConfiguration(Instant Now) {
+  if (!Options.HasLog)
+    return;
+  Configuration.tick(Now);
+  if (const std::optional<Instant> Fresh = Configuration.freshAt())
+    Server.onLogRead(*Fresh);
+  Members.setReading(Configuration.reading(Now));
+  for (const EntryRecord &Entry : Configuration.entries(Now))
+    Members.addEntryPoint(Entry.Address);
+  electEntry(Now);
+}
+
+void NodeEngine::Impl::electEntry(Instant Now) {
+  if (!Configuration.freshAt() || !Lifecycle.acceptsWork())
+    return;
+  const MemberTable &Table = Members.members().table();
+  std::size_t Fresh = 0;
+  for (const EntryRecord &Entry : Configuration.entries(Now)) {
+    const MemberRecord *Record = Table.find(Entry.Address);
+    const bool IsFresh = Record != nullptr && Record->present() &&
+                         Record->Process.Incarnation == Entry.Incarnation;
+    Fresh += IsFresh && Entry.Region == Options.Region ? 1 : 0;
+  }
+  const MemberRecord &Self = Members.members().self();
+  if (Election.shouldWrite(Fresh, Table.present(), Source, Now))
+    Out.appendLog(
+        formatRecord(EntryRecord{Self.Process.Address, Self.Process.Incarnation,
+                                 Self.Zone, Self.Region}));
+}
+
+bool NodeEngine::Impl::mayServe(Instant Now) const {
+  // Without any policy every request would look like a wrong one.
+  const bool HasPolicy = !Policies.mesh().Ranks.empty();
+  const bool HasRead =
+      !Options.HasLog ||
+      (Configuration.freshAt().has_value() && Server.knowsHomes());
+  const bool WaitedEnough = Started && Now - *Started >= LogPatience;
+  return HasPolicy && (HasRead || WaitedEnough) && Members.mayServe(Now);
+}
+
+void NodeEngine::Impl::tick() {
+  const Instant Now = Time.now();
+  LastTick = Now;
+  if (!Started)
+    Started = Now;
+  tickConfiguration(Now);
+  Members.tick(Now);
+  Guard.tick(Now);
+  Server.tick(Now);
+  Originator.tick(Now);
+  spreadCrashReports();
+  advanceLifecycle();
+}
+
+bool NodeEngine::Impl::move(LifecycleEvent Event) {
+  const std::string Before(Lifecycle.state());
+  if (!Lifecycle.handle(Event))
+    return false;
+  Out.logEvent(LogEvent::StateChanged,
+               {{"from", Before}, {"to", std::string(Lifecycle.state())}});
+  return true;
+}
+
+void NodeEngine::Impl::announceExit() {
+  const Instant Now = Time.now();
+  Members.exit(Now);
+  // Sends the urgent notice, because no other tick follows.
+  Members.tick(Now);
+}
+
+void NodeEngine::Impl::advanceLifecycle() {
+  if (mayServe(Time.now()))
+    move(LifecycleEvent::Joined);
+  const Instant Now = Time.now();
+  if (Lifecycle.isDraining() && inProgress() == 0 &&
+      Now - DrainStart >= DrainLinger && move(LifecycleEvent::WorkFinished))
+    WorkFinished = Now;
+  if (!Lifecycle.isLeaving())
+    return;
+  const bool WaitedEnough = Now - *WorkFinished >= HandOverPatience;
+  if ((Server.mayLeave() || WaitedEnough) && move(LifecycleEvent::HandedOver))
+    announceExit();
+}
+
+} // namespace camphorpin
--- /dev/null
+++ b/packages/decision/camphorpin/src/Engine/NodeEngineImpl.h
@@ -0,0 +1,92 @@
+#ifndef CAMPHORPIN_SRC_ENGINE_NODEENGINEIMPL_H
+#define CAMPHORPIN_SRC_ENGINE_NODEENGINEIMPL_H
+
+#include "camphorpin/src/Engine/CallOriginator.h"
+#include "camphorpin/src/Engine/CallServer.h"
+#include "camphorpin/src/Engine/ConfigurationKeeper.h"
+#include "camphorpin/src/Engine/MemberDirectory.h"
+#include "camphorpin/src/Engine/NodeEngine.h"
+#include "camphorpin/src/Engine/PolicyStore.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <optional>
+
+namespace camphorpin {
+
+/// \class NodeEngine::Impl
+/// \brief The modules of a node and what connects them.
+class NodeEngine::Impl final : private detail::DocumentListener {
+public:
+  Impl(const EngineOptions &Options, Actions &Out, const Clock &Time,
+       Random &Source)
+      : Options(Options), Out(Out), Time(Time), Source(Source),
+        Policies(Options.Policies), Members(Options, Out, Source),
+        Guard(Options.Self, CrashOptions()), Answers(Out),
+        Server(Options.Service, Out, Answers, Guard, Members, Time),
+        Originator(Out, Answers, Members, Server, Guard),
+        Configuration(Out, *this, Source, Options.LogRetention) {
+    applyPolicies();
+  }
+
+  void request(RequestId Id, const RequestInfo &Info);
+  void call(RequestId Id, const RequestContext &Context);
+  void datagram(HostAddress From, const GossipMessage &Message);
+  void tick();
+  void explainRoute(const ServiceName &Service, const OperationName &Operation,
+                    Explanation &Result);
+  void applyPolicies();
+  void advanceLifecycle();
+  bool move(LifecycleEvent Event);
+  void announceExit();
+  std::size_t inProgress() const {
+    // A run may still be going on after its call was answered.
+    return std::max(Answers.size(),
+                    Server.inProgress() + Originator.inProgress());
+  }
+
+  EngineOptions Options;
+  Actions &Out;
+  const Clock &Time;
+  Random &Source;
+  detail::PolicyStore Policies;
+  detail::MemberDirectory Members;
+  CrashGuard Guard;
+  detail::AnswerGate Answers;
+  detail::CallServer Server;
+  detail::CallOriginator Originator;
+  detail::ConfigurationKeeper Configuration;
+  EntryElection Election;
+  NodeLifecycle Lifecycle;
+  std::optional<Instant> Started;
+  Instant LastTick;
+  Instant DrainStart;
+  /// When the accepted work was finished during a drain.
+  std::optional<Instant> WorkFinished;
+
+private:
+  const OperationPolicy *operation(const RequestInfo &Info) const;
+  RequestContext fresh(const RequestInfo &Info, const OperationPolicy &Policy);
+  static RequestContext inherited(const detail::NestedCall &Nested,
+                                  const RequestInfo &Info,
+                                  const OperationPolicy &Policy);
+  /// \returns true if a leaving node still takes a keyed call. Until the home
+  /// set has changed, no other node may run the key.
+  bool isStillHome(const RequestContext &Context) const;
+  /// \returns true if a leaving node sends a request on although it refuses new
+  /// work: a resend of a key, because only the home of the key can say that it
+  /// did not run.
+  bool forwards(const RequestContext &Context) const;
+  void dispatch(RequestId Id, RequestContext Context, const RequestInfo &Info);
+  RefusalReason reasonToRefuse(const RequestContext &Context,
+                               const RequestInfo &Info) const;
+  void spreadCrashReports();
+  void tickConfiguration(Instant Now);
+  void electEntry(Instant Now);
+  void documentChanged(const ConfigurationDocument &Document) override;
+  bool mayServe(Instant Now) const;
+};
+
+} // namespace camphorpin
+
+#endif
