Test resends through other nodes and a request that crashes its servers

Purpose: at most once under resends through different nodes, and the bound of two crashes by one request.

Change: AtMostOnceTest sends each payment twice at once and up to three times again while the answers are slow. CrashingRequestTest sends a request again that crashes each backend server which runs it; the pause between its sends gives the news of a crash 2 s to reach all nodes.

--- a/tests/process/Oracle.cpp
+++ b/tests/process/Oracle.cpp
@@ -143,6 +143,15 @@
       }));
 }
 
+std::map<std::string, std::size_t>
+Oracle::runsById(std::string_view Operation, std::string_view IdPrefix) const {
+  std::map<std::string, std::size_t> Counts;
+  for (const Run &Value : Runs)
+    if (Value.Operation == Operation && Value.Id.starts_with(IdPrefix))
+      ++Counts[Value.Id];
+  return Counts;
+}
+
 std::string describe(const std::vector<std::string> &Faults) {
   std::string Text = std::to_string(Faults.size()) + " faults";
   for (std::size_t Index = 0; Index < std::min(Faults.size(), DescribedFaults);
--- a/tests/process/Oracle.h
+++ b/tests/process/Oracle.h
@@ -4,6 +4,7 @@
 #include "Mesh.h"
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -57,6 +58,11 @@
   /// \returns the number of runs of \p Operation.
   std::size_t runsOf(std::string_view Operation) const;
 
+  /// \returns the number of runs of \p Operation for each request whose id
+  /// begins with \p IdPrefix.
+  std::map<std::string, std::size_t> runsById(std::string_view Operation,
+                                              std::string_view IdPrefix) const;
+
   /// \returns the runs in the ledger file at \p Path that began after
   /// \p Micros on the monotonic clock.
   static std::vector<Run> runsAfter(const std::string &Path,
--- a/tests/standins/LoadPlan.cpp
+++ b/tests/standins/LoadPlan.cpp
@@ -20,6 +20,7 @@
   Stream.AnswerBytes = Root.value("answerBytes", Stream.AnswerBytes);
   Stream.Duplicates = Root.value("duplicates", Stream.Duplicates);
   Stream.Resends = Root.value("resends", Stream.Resends);
+  Stream.ResendPauseMs = Root.value("resendPauseMs", Stream.ResendPauseMs);
   Stream.Crash = Root.value("crash", Stream.Crash);
   return Stream;
 }
--- a/tests/standins/LoadPlan.h
+++ b/tests/standins/LoadPlan.h
@@ -29,6 +29,8 @@
   double Duplicates = 0;
   /// How often a request that was not served is sent again with its key.
   int Resends = 0;
+  /// Pause before each of them.
+  int ResendPauseMs = 100;
   /// Marks every request as one that crashes its backend server.
   bool Crash = false;
 
--- a/tests/standins/LoadRun.cpp
+++ b/tests/standins/LoadRun.cpp
@@ -13,7 +13,6 @@
 namespace {
 
 constexpr std::int64_t LateMicros = 50000;
-constexpr std::chrono::milliseconds ResendPause{100};
 
 bool mayResend(LoadOutcome Outcome) {
   return Outcome != LoadOutcome::Served && Outcome != LoadOutcome::Wrong &&
@@ -82,13 +81,13 @@
 }
 
 void LoadRun::perform(Job &Value, Caller &Sender) {
-  const int Resends = Plan.Streams[Value.Record.Stream].Resends;
+  const LoadStream &Stream = Plan.Streams[Value.Record.Stream];
   for (int Sent = 0;; ++Sent) {
     SendRecord Record = Value.Record;
     Record.Attempt += Sent;
     Sender.send(Value.Target + static_cast<std::size_t>(Sent), Record);
-    Record.Final =
-        Record.Duplicate || Sent >= Resends || !mayResend(Record.Outcome);
+    Record.Final = Record.Duplicate || Sent >= Stream.Resends ||
+                   !mayResend(Record.Outcome);
     const bool Ended = Record.Final;
     {
       const std::lock_guard<std::mutex> Lock(Mutex);
@@ -96,7 +95,8 @@
     }
     if (Ended)
       return;
-    std::this_thread::sleep_for(ResendPause);
+    std::this_thread::sleep_for(
+        std::chrono::milliseconds(Stream.ResendPauseMs));
   }
 }
 
