--- a/packages/decision/tests/ConcurrencyLimitTest.cpp
+++ b/packages/decision/tests/ConcurrencyLimitTest.cpp
@@ -103,7 +103,7 @@
     Result[Kind] = 0;
     for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed)
       Result[Kind] += goodput(Of, Kind, Seed) / Seeds;
-    cr_log_warn("%s, %s: %.1f/s in time", Of.Name, Names[Kind], Result[Kind]);
+    cr_log_info("%s, %s: %.1f/s in time", Of.Name, Names[Kind], Result[Kind]);
   }
   return Result;
 }
