Get the configuration through elected log readers

Change: ConfigurationKeeper runs ConfigurationSpread. The reading of the log is put on a datagram when it is sent, and only the acknowledgement of an own probe makes the own reading younger: a stored reading would look younger than it is after a pause of the process. A node that may still find others does not read the log on its own.

--- a/packages/daemon/camphorpin/src/Daemon/DecisionThread.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/DecisionThread.cpp
@@ -107,6 +107,10 @@
   Engine.onClaimMessage(Event.Claim.To, Event.Claim.Message);
 }
 
+void DecisionThread::handle(ConfigurationArrived &&Event) {
+  Engine.onConfiguration(Event.From, Event.Message);
+}
+
 void DecisionThread::handle(LogPageRead &&Event) {
   Engine.onLogPage(Event.Page);
 }
@@ -211,7 +215,12 @@
   if (To.Address == Self.Address)
     Immediate.push_back(ClaimArrived{{To, Message}});
   else
-    Ports.Rpc.post(SendClaim{To, Message});
+    Ports.Rpc.post(SendControl{To.Address, AddressedClaim{To, Message}});
+}
+
+void DecisionThread::sendConfiguration(HostAddress To,
+                                       const ConfigurationMessage &Message) {
+  Ports.Rpc.post(SendControl{To, Message});
 }
 
 void DecisionThread::sendCrashReports(HostAddress To,
--- a/packages/daemon/camphorpin/src/Daemon/DecisionThread.h
+++ b/packages/daemon/camphorpin/src/Daemon/DecisionThread.h
@@ -78,6 +78,7 @@
   void handle(CallDone &&Event);
   void handle(DatagramArrived &&Event);
   void handle(ClaimArrived &&Event);
+  void handle(ConfigurationArrived &&Event);
   void handle(LogPageRead &&Event);
   void handle(LogReadFailed &&Event);
   void handle(ExplainRequested &&Event);
@@ -95,6 +96,8 @@
   void keepAnswer(RequestId Id) override;
   void dropAnswer(RequestId Id) override;
   void sendClaim(const ProcessId &To, const ClaimMessage &Message) override;
+  void sendConfiguration(HostAddress To,
+                         const ConfigurationMessage &Message) override;
   void sendCrashReports(HostAddress To,
                         std::span<const CrashReport> Reports) override;
   void readLog(std::uint64_t From, std::size_t Max) override;
--- a/packages/daemon/camphorpin/src/Daemon/LogThreads.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/LogThreads.cpp
@@ -12,8 +12,8 @@
 constexpr std::size_t MaxWaitingAppends = 64;
 constexpr Duration PopTimeout = Duration::seconds(1);
 
-LogPage toPage(LogBatch &&Batch) {
-  LogPage Page{.FirstRetained = Batch.FirstRetained, .Next = Batch.Next};
+LogReadResult toPage(LogBatch &&Batch) {
+  LogReadResult Page{.FirstRetained = Batch.FirstRetained, .Next = Batch.Next};
   for (LogRecord &Record : Batch.Records)
     Page.Records.push_back({Record.Offset, std::move(Record.Body)});
   return Page;
--- a/packages/daemon/camphorpin/src/Daemon/NodeEvent.h
+++ b/packages/daemon/camphorpin/src/Daemon/NodeEvent.h
@@ -75,10 +75,17 @@
   AddressedClaim Claim;
 };
 
+/// \class ConfigurationArrived
+/// \brief A message about the configuration of another node.
+struct ConfigurationArrived {
+  HostAddress From;
+  ConfigurationMessage Message;
+};
+
 /// \class LogPageRead
 /// \brief A read of the platform's log has ended.
 struct LogPageRead {
-  LogPage Page;
+  LogReadResult Page;
 };
 
 /// \class LogReadFailed
@@ -100,8 +107,8 @@
 /// \brief Everything that the decision thread reacts to.
 using NodeEvent =
     std::variant<RequestArrived, CallArrived, RequestCancelled, BackendDone,
-                 CallDone, DatagramArrived, ClaimArrived, LogPageRead,
-                 LogReadFailed, ExplainRequested, DrainRequested>;
+                 CallDone, DatagramArrived, ClaimArrived, ConfigurationArrived,
+                 LogPageRead, LogReadFailed, ExplainRequested, DrainRequested>;
 
 } // namespace camphorpin
 
--- a/packages/daemon/camphorpin/src/Daemon/PeerLink.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/PeerLink.cpp
@@ -34,15 +34,15 @@
   wantOpen();
 }
 
-void PeerLink::send(SendClaim &&Command) {
+void PeerLink::send(SendControl &&Command) {
   if (usable()) {
     Channel->send(Command);
     return;
   }
   // Its sender repeats it.
-  if (WaitingClaims.size() >= MaxWaitingClaims)
+  if (WaitingControls.size() >= MaxWaitingControls)
     return;
-  WaitingClaims.push_back(std::move(Command));
+  WaitingControls.push_back(std::move(Command));
   wantOpen();
 }
 
@@ -95,14 +95,14 @@
   Opening = false;
   Channel = kj::mv(Fresh);
   Environment.openFinished();
-  const std::deque<SendClaim> Claims = std::exchange(WaitingClaims, {});
+  const std::deque<SendControl> Controls = std::exchange(WaitingControls, {});
   if (!usable()) {
     failWaiting(RefusalReason::PeerFailed);
     return;
   }
   Environment.Log.write(LogEvent::ConnectionOpened,
                         {{"peer", Address.toString()}});
-  for (const SendClaim &Command : Claims)
+  for (const SendControl &Command : Controls)
     Channel->send(Command);
   for (const SendCall &Command : std::exchange(Waiting, {}))
     Channel->send(Command);
--- a/packages/daemon/camphorpin/src/Daemon/PeerLink.h
+++ b/packages/daemon/camphorpin/src/Daemon/PeerLink.h
@@ -22,7 +22,7 @@
   void cancel(CallId Call);
 
   /// Sends a message that may get lost.
-  void send(SendClaim &&Command);
+  void send(SendControl &&Command);
 
   /// Compares the connection with a new one if it has calls outstanding and
   /// made no progress for the connection silence bound.
@@ -33,7 +33,7 @@
 
 private:
   static constexpr std::size_t MaxWaiting = 4096;
-  static constexpr std::size_t MaxWaitingClaims = 256;
+  static constexpr std::size_t MaxWaitingControls = 256;
 
   bool usable() const { return Channel.get() != nullptr && !Channel->ended(); }
   kj::Promise<kj::Own<RpcChannel>> connect();
@@ -48,7 +48,7 @@
   HostAddress Address;
   kj::Own<RpcChannel> Channel;
   std::deque<SendCall> Waiting;
-  std::deque<SendClaim> WaitingClaims;
+  std::deque<SendControl> WaitingControls;
   bool Opening = false;
   bool Comparing = false;
 };
--- a/packages/daemon/camphorpin/src/Daemon/RpcChannel.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/RpcChannel.cpp
@@ -78,12 +78,17 @@
       }));
 }
 
-void RpcChannel::send(const SendClaim &Command) {
+void RpcChannel::send(const SendControl &Command) {
   capnp::Request<wire::Node::ControlParams, wire::Node::ControlResults>
       Request = Peer.controlRequest();
   wire::Control::Builder Message = Request.initMessage();
   writeProcess(Message.initFrom(), Environment.Options.Self);
-  writeClaim(Message.initClaim(), Command.To, Command.Message);
+  if (const AddressedClaim *Claim =
+          std::get_if<AddressedClaim>(&Command.Message))
+    writeClaim(Message.initClaim(), Claim->To, Claim->Message);
+  else
+    writeConfiguration(Message.initConfiguration(),
+                       std::get<ConfigurationMessage>(Command.Message));
   Tasks.add(Request.send().ignoreResult().catch_([](kj::Exception &&) {}));
 }
 
--- a/packages/daemon/camphorpin/src/Daemon/RpcChannel.h
+++ b/packages/daemon/camphorpin/src/Daemon/RpcChannel.h
@@ -27,7 +27,7 @@
   void send(const SendCall &Command);
 
   /// Sends a message that may get lost.
-  void send(const SendClaim &Command);
+  void send(const SendControl &Command);
 
   void cancel(CallId Call);
 
--- a/packages/daemon/camphorpin/src/Daemon/RpcCommand.h
+++ b/packages/daemon/camphorpin/src/Daemon/RpcCommand.h
@@ -31,15 +31,19 @@
   SharedPayload Body;
 };
 
-/// \class SendClaim
-/// \brief Sends a message about claims; it may get lost.
-struct SendClaim {
-  ProcessId To;
-  ClaimMessage Message;
+/// \brief A message between decision modules.
+using ControlMessage = std::variant<AddressedClaim, ConfigurationMessage>;
+
+/// \class SendControl
+/// \brief Sends a message between decision modules; it may get lost.
+struct SendControl {
+  HostAddress Target;
+  ControlMessage Message;
 };
 
 /// \brief What the decision thread asks of the RPC thread.
-using RpcCommand = std::variant<SendCall, CancelCall, DeliverAnswer, SendClaim>;
+using RpcCommand =
+    std::variant<SendCall, CancelCall, DeliverAnswer, SendControl>;
 
 } // namespace camphorpin
 
--- a/packages/daemon/camphorpin/src/Daemon/RpcService.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/RpcService.cpp
@@ -126,6 +126,14 @@
     if (Claim)
       Environment.Events.offer(ClaimArrived{*std::move(Claim)});
   }
+  if (Message.isConfiguration()) {
+    std::optional<ConfigurationMessage> Value =
+        readConfiguration(Message.getConfiguration());
+    Known = Value.has_value();
+    if (Value)
+      Environment.Events.offer(ConfigurationArrived{
+          readProcess(Message.getFrom()).Address, *std::move(Value)});
+  }
   if (Known)
     Reply.setAlive();
   else
--- a/packages/daemon/camphorpin/src/Daemon/RpcThread.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/RpcThread.cpp
@@ -128,8 +128,8 @@
     link(Command.Target).cancel(Command.Call);
   }
 
-  void handle(SendClaim &&Command) {
-    const HostAddress Target = Command.To.Address;
+  void handle(SendControl &&Command) {
+    const HostAddress Target = Command.Target;
     link(Target).send(std::move(Command));
   }
 
--- a/packages/decision/camphorpin/src/Configuration/ConfigurationMessages.h
+++ b/packages/decision/camphorpin/src/Configuration/ConfigurationMessages.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace camphorpin {
@@ -44,6 +45,10 @@
   LogReading Reading;
 };
 
+/// \class SnapshotRequest
+/// \brief Asks a node for the state of its fold.
+struct SnapshotRequest {};
+
 /// \class SnapshotReply
 /// \brief Gives a new node the state of the fold.
 struct SnapshotReply {
@@ -67,6 +72,11 @@
   std::optional<std::uint64_t> Digest;
 };
 
+/// \brief Any message of this module. Each may be lost; its sender asks again.
+using ConfigurationMessage =
+    std::variant<RecordsRequest, RecordsReply, SnapshotRequest, SnapshotReply,
+                 DigestRequest, DigestReply>;
+
 /// \class LogReadResult
 /// \brief What one read of the platform's log gave.
 struct LogReadResult {
--- a/packages/decision/camphorpin/src/Crash/CrashGuard.h
+++ b/packages/decision/camphorpin/src/Crash/CrashGuard.h
@@ -55,6 +55,9 @@
   CrashChoice start(std::uint64_t RunId, std::uint64_t Fingerprint,
                     std::uint8_t CrashCount, Instant Now);
 
+  /// \returns CrashOptions::MaxCrashes.
+  std::uint8_t maxCrashes() const { return Options.MaxCrashes; }
+
   /// \returns the number of crashes to pass on with a call, or to use for a
   /// refusal before it is sent.
   std::uint8_t crashCount(std::uint64_t Fingerprint, Instant Now) const;
--- a/packages/decision/camphorpin/src/Engine/Actions.h
+++ b/packages/decision/camphorpin/src/Engine/Actions.h
@@ -2,6 +2,7 @@
 #define CAMPHORPIN_SRC_ENGINE_ACTIONS_H
 
 #include "camphorpin/Claims.h"
+#include "camphorpin/Configuration.h"
 #include "camphorpin/Crash.h"
 #include "camphorpin/Membership.h"
 #include "camphorpin/src/Engine/EngineMessages.h"
@@ -50,6 +51,10 @@
   /// Sends a message to exactly this incarnation of a node. It may be lost.
   virtual void sendClaim(const ProcessId &To, const ClaimMessage &Message) = 0;
 
+  /// Sends a message about the configuration to another node. It may be lost.
+  virtual void sendConfiguration(HostAddress To,
+                                 const ConfigurationMessage &Message) = 0;
+
   /// Sends news of crashes to another node. It may be lost.
   virtual void sendCrashReports(HostAddress To,
                                 std::span<const CrashReport> Reports) = 0;
--- a/packages/decision/camphorpin/src/Engine/CallOriginator.cpp
+++ b/packages/decision/camphorpin/src/Engine/CallOriginator.cpp
@@ -212,6 +212,10 @@
                             Instant Now) {
   Request &Value = Entry->second;
   Value.Uncertain = Value.Uncertain || mayHaveRun(Result);
+  // Retries follow each other faster than crash reports spread, so a lost
+  // backend server counts against the request itself.
+  if (mayHaveRun(Result) && Result.Reason == RefusalReason::BackendFailed)
+    ++Value.Context.CrashCount;
   if (wantsRetry(Value, Result, Now)) {
     Value.Excluded.push_back(Value.Target);
     if (!needsWait(Value.Context, Result.Reason)) {
@@ -233,6 +237,8 @@
 bool CallOriginator::wantsRetry(Request &Value, const CallResult &Result,
                                 Instant Now) {
   const RequestContext &Context = Value.Context;
+  if (Context.CrashCount >= Guard.maxCrashes())
+    return false;
   // A refusal or failure that a deeper hop saw reaches this node as the answer
   // of the backend server between, so all that arrives here is direct.
   const AttemptFailure Failure{
--- a/packages/decision/camphorpin/src/Engine/CallServer.cpp
+++ b/packages/decision/camphorpin/src/Engine/CallServer.cpp
@@ -194,6 +194,7 @@
     return;
   }
   Value.State = Phase::Running;
+  Value.StartedAt = Now;
   RequestContext Current = Value.Context;
   Current.Age += Now - Value.Arrived;
   Current.Remaining = Value.Deadline - Now;
@@ -240,7 +241,7 @@
   if (Entry == Calls.end() || Entry->second.State != Phase::Running)
     return;
   const Instant Now = Time.now();
-  noteServer(Result);
+  noteServer(Result, Entry->second.StartedAt);
   Guard.end(numberOf(Id), Result.Verdict == Verdict::Ran, Now);
   const Call &Value = Entry->second;
   Admission->finished(numberOf(Id), outcomeOf(Result), Now,
@@ -279,9 +280,13 @@
   }
 }
 
-void CallServer::noteServer(const BackendResult &Result) {
+void CallServer::noteServer(const BackendResult &Result, Instant StartedAt) {
   const Instant Now = Time.now();
-  if (Result.ServerDown && !std::exchange(ServerDown, true)) {
+  // A run that started after the last crash met a server that was up again.
+  const bool IsNewCrash = !ServerDown || StartedAt > CrashedAt;
+  if (Result.ServerDown && IsNewCrash) {
+    ServerDown = true;
+    CrashedAt = Now;
     Out.logEvent(LogEvent::BackendCrashed,
                  {{"running", std::to_string(Admission->running())}});
     Guard.onBackendCrash(Now);
--- a/packages/decision/camphorpin/src/Engine/CallServer.h
+++ b/packages/decision/camphorpin/src/Engine/CallServer.h
@@ -88,6 +88,8 @@
     Instant Arrived;
     Instant Deadline;
     Phase State = Phase::Claiming;
+    /// When the run on the backend server started.
+    Instant StartedAt;
     /// The claim is held and must be finished, failed or released.
     bool Claimed = false;
     /// Overrides the reason of a refusal by admission control.
@@ -119,7 +121,8 @@
   void leaveJoined(const RequestKey &Key, RequestId Id);
   void concludeClaim(CallIterator Entry, const Answer &Value);
   void closeClaim(CallIterator Entry, const BackendResult &Result);
-  void noteServer(const BackendResult &Result);
+  /// \param StartedAt when the run that ended was started.
+  void noteServer(const BackendResult &Result, Instant StartedAt);
   void expire(CallIterator Entry);
   void erase(CallIterator Entry);
 
@@ -141,6 +144,7 @@
   bool Settling = false;
   /// The backend server has crashed and no run has completed since.
   bool ServerDown = false;
+  Instant CrashedAt;
   Instant NextMemberUpdate;
 };
 
--- a/packages/decision/camphorpin/src/Engine/ConfigurationKeeper.h
+++ b/packages/decision/camphorpin/src/Engine/ConfigurationKeeper.h
@@ -3,11 +3,12 @@
 
 #include "camphorpin/Configuration.h"
 #include "camphorpin/src/Engine/Actions.h"
-#include "camphorpin/src/Engine/LogPage.h"
+#include "camphorpin/src/Engine/EngineOptions.h"
 
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace camphorpin::detail {
@@ -22,64 +23,78 @@
 };
 
 /// \class ConfigurationKeeper
-/// \brief Reads the platform's log, folds it and restates documents.
+/// \brief Connects ConfigurationSpread with the other nodes, the platform's log
+/// and the log of the process, and remembers the entry points of the log.
 ///
-/// Every node polls the log. Bounds: ConfigurationFold, RestateScheduler and
-/// MaxEntries nodes to join through.
-class ConfigurationKeeper {
+/// Bounds: ConfigurationSpread and MaxEntries nodes to join through.
+class ConfigurationKeeper final : private ConfigurationActions {
 public:
-  static constexpr Duration PollInterval = Duration::seconds(1);
-  static constexpr std::size_t ReadBatch = 256;
-
-  /// \param Out, Listener and Source must outlive the keeper.
-  ConfigurationKeeper(Actions &Out, DocumentListener &Listener, Random &Source,
-                      Duration LogRetention)
-      : Out(Out), Listener(Listener), Source(Source),
-        Restates(LogRetention, Source), Retention(LogRetention) {}
-
-  /// Starts the next read when it is due.
+  /// \param Out, Listener, Peers and Source must outlive the keeper.
+  ConfigurationKeeper(const EngineOptions &Options, Actions &Out,
+                      DocumentListener &Listener,
+                      const ConfigurationPeers &Peers, Random &Source)
+      : Self(Options.Self), Retention(Options.LogRetention), Out(Out),
+        Listener(Listener), Spread({Options.Self.Address, Options.Zone},
+                                   Options.LogRetention, Peers, Source, *this) {
+  }
+
+  /// Runs the timers of the module.
   void tick(Instant Now);
 
-  void onPage(const LogPage &Page, Instant Now);
+  void onPage(const LogReadResult &Page, Instant Now);
   void onReadFailed(Instant Now);
-
-  /// \returns the latest time of which it is certain that all records appended
-  /// before it are folded.
-  std::optional<Instant> freshAt() const { return FreshAt; }
-
-  /// \returns the reading to put on messages to other nodes.
-  LogReading reading(Instant Now) const;
+  void onMessage(HostAddress From, const ConfigurationMessage &Message,
+                 Instant Now);
+
+  /// See ConfigurationSpread.
+  void onAnnouncement(HostAddress From, const LogReading &Reading,
+                      Instant Now) {
+    Spread.onAnnouncement(From, Reading, Now);
+  }
+  void onReading(HostAddress From, const LogReading &Reading, Instant AskedAt,
+                 Instant Now) {
+    Spread.onReading(From, Reading, AskedAt, Now);
+  }
+  std::optional<Instant> freshAt() const { return Spread.freshAt(); }
+  LogReading reading(Instant Now) const { return Spread.reading(Now); }
 
   /// \returns the nodes that the log names as points of entry.
   std::vector<EntryRecord> entries(Instant Now) const;
 
 private:
   static constexpr std::size_t MaxEntries = 64;
-  static constexpr Duration ReadTimeout = Duration::seconds(30);
-  static constexpr Duration StaleAfter = Duration::seconds(10);
 
   struct Entry {
     EntryRecord Record;
     Instant Seen;
   };
 
-  void fold(const LogPage &Page, Instant Now);
-  void note(const RecordOutcome &Outcome, Instant Now);
-  void publish(Instant Now);
-  void restate(Instant Now);
-
+  void handle(HostAddress From, const RecordsRequest &Message, Instant Now);
+  void handle(HostAddress From, const RecordsReply &Message, Instant Now);
+  void handle(HostAddress From, const SnapshotRequest &Message, Instant Now);
+  void handle(HostAddress From, const SnapshotReply &Message, Instant Now);
+  void handle(HostAddress From, const DigestRequest &Message, Instant Now);
+  void handle(HostAddress From, const DigestReply &Message, Instant Now);
+
+  void readLog(std::uint64_t From, std::size_t Max) override;
+  void appendLog(const std::string &Body) override;
+  void announce(HostAddress To, const LogReading &Reading) override;
+  void requestRecords(HostAddress To, const RecordsRequest &Request) override;
+  void requestSnapshot(HostAddress To) override;
+  void requestDigest(HostAddress To, const DigestRequest &Request) override;
+  void documentChanged(const ConfigurationDocument &Document) override;
+  void recordFolded(std::uint64_t Offset,
+                    const RecordOutcome &Outcome) override;
+  void digestMismatch(HostAddress First, HostAddress Second) override;
+
+  const ProcessId Self;
+  const Duration Retention;
   Actions &Out;
   DocumentListener &Listener;
-  Random &Source;
-  std::optional<ConfigurationFold> Fold;
-  RestateScheduler Restates;
-  const Duration Retention;
+  ConfigurationSpread Spread;
   std::map<HostAddress, Entry> Entries;
-  std::optional<Instant> ReadSince;
-  std::optional<Instant> FreshAt;
-  Instant NextPoll;
+  Instant LastEvent;
   bool Unreachable = false;
-  bool ReadToEnd = false;
 };
 
 } // namespace camphorpin::detail
--- a/packages/decision/camphorpin/src/Engine/LogEvent.cpp
+++ b/packages/decision/camphorpin/src/Engine/LogEvent.cpp
@@ -84,6 +84,11 @@
                  "detail",
                  "A record was not appended to the log, or its answer was "
                  "lost. It is proposed again while it is needed."},
+    LogEventInfo{LogEvent::SnapshotRejected, LogSeverity::Error,
+                 "snapshot-rejected", "peer,other",
+                 "Two nodes gave this starting node different configurations "
+                 "at the same offset of the log. It asks others. Compare the "
+                 "versions that both nodes report."},
     LogEventInfo{LogEvent::BackendCrashed, LogSeverity::Error,
                  "backend-crashed", "running",
                  "The local backend server lost its connections and accepts no "
--- a/packages/decision/camphorpin/src/Engine/LogEvent.h
+++ b/packages/decision/camphorpin/src/Engine/LogEvent.h
@@ -33,6 +33,7 @@
   ChangeConflict = 414,
   RecordInvalid = 415,
   AppendFailed = 416,
+  SnapshotRejected = 417,
   BackendCrashed = 500,
   BackendRecovered = 501,
 };
--- a/packages/decision/camphorpin/src/Engine/MemberDirectory.cpp
+++ b/packages/decision/camphorpin/src/Engine/MemberDirectory.cpp
@@ -32,10 +32,24 @@
 
 } // namespace
 
+std::span<const ConfigurationPeer> PresentMembers::peers() const {
+  if (ListedVersion == Version)
+    return Listed;
+  ListedVersion = Version;
+  Listed.clear();
+  for (const HostAddress &Address : Members.table().addresses()) {
+    const MemberRecord *Record = Members.table().find(Address);
+    if (Record->present())
+      Listed.push_back({Address, Record->Zone});
+  }
+  return Listed;
+}
+
 MemberDirectory::MemberDirectory(const EngineOptions &Options, Actions &Out,
                                  Random &Source)
     : Out(Out), Source(Source),
-      Members(selfRecord(Options), MembershipSettings(), Source, *this) {
+      Members(selfRecord(Options), MembershipSettings(), Source, *this),
+      Present(Members) {
   for (const KnownPeer &Peer : Options.Peers)
     EntryPoints.push_back(Peer.Address);
 }
@@ -127,10 +141,20 @@
 }
 
 void MemberDirectory::sendGossip(HostAddress To, const GossipMessage &Message) {
-  Out.sendDatagram(To, Message);
+  GossipMessage Stamped = Message;
+  if (Observer != nullptr)
+    Stamped.Reading = Observer->currentReading();
+  Out.sendDatagram(To, Stamped);
+}
+
+void MemberDirectory::acknowledged(HostAddress From, const LogReading &Reading,
+                                   Instant AskedAt) {
+  if (Observer != nullptr)
+    Observer->readingAcknowledged(From, Reading, AskedAt);
 }
 
 void MemberDirectory::memberChanged(const MemberRecord &Record) {
+  Present.changed();
   // An address may have changed its service, which makes any route stale.
   for (auto &[Service, Entry] : Routes)
     Entry.Stale = true;
--- a/packages/decision/camphorpin/src/Engine/MemberDirectory.h
+++ b/packages/decision/camphorpin/src/Engine/MemberDirectory.h
@@ -1,12 +1,14 @@
 #ifndef CAMPHORPIN_SRC_ENGINE_MEMBERDIRECTORY_H
 #define CAMPHORPIN_SRC_ENGINE_MEMBERDIRECTORY_H
 
+#include "camphorpin/Configuration.h"
 #include "camphorpin/Membership.h"
 #include "camphorpin/Routing.h"
 #include "camphorpin/src/Engine/Actions.h"
 #include "camphorpin/src/Engine/EngineOptions.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <span>
@@ -14,6 +16,40 @@
 
 namespace camphorpin::detail {
 
+/// \class GossipObserver
+/// \brief Connects the readings of the log that ride on gossip with the
+/// configuration module.
+class GossipObserver {
+public:
+  virtual ~GossipObserver() = default;
+
+  /// \returns the reading of this node at this moment.
+  virtual LogReading currentReading() const = 0;
+
+  /// See MembershipActions::acknowledged().
+  virtual void readingAcknowledged(HostAddress From, const LogReading &Reading,
+                                   Instant AskedAt) = 0;
+};
+
+/// \class PresentMembers
+/// \brief The present members for the configuration module. The list is made
+/// anew only when it is asked for after a change.
+class PresentMembers final : public ConfigurationPeers {
+public:
+  explicit PresentMembers(const Membership &Members) : Members(Members) {}
+
+  void changed() { ++Version; }
+
+  std::uint64_t version() const override { return Version; }
+  std::span<const ConfigurationPeer> peers() const override;
+
+private:
+  const Membership &Members;
+  std::uint64_t Version = 1;
+  mutable std::uint64_t ListedVersion = 0;
+  mutable std::vector<ConfigurationPeer> Listed;
+};
+
 /// \class MemberDirectory
 /// \brief The members of the mesh and the choice among them.
 ///
@@ -29,8 +65,11 @@
   /// Adds a node to join through.
   void addEntryPoint(const HostAddress &Address);
 
-  /// Sets the reading of the log that rides on messages.
-  void setReading(const LogReading &Reading) { Members.setReading(Reading); }
+  /// \param Value must outlive this object. To be called before any event.
+  void observe(GossipObserver &Value) { Observer = &Value; }
+
+  /// \returns the present members, for the choice of log readers.
+  const ConfigurationPeers &present() const { return Present; }
 
   /// \returns true if the node need not wait for others any longer.
   bool mayServe(Instant Now) const;
@@ -65,6 +104,8 @@
   };
 
   void sendGossip(HostAddress To, const GossipMessage &Message) override;
+  void acknowledged(HostAddress From, const LogReading &Reading,
+                    Instant AskedAt) override;
   void memberChanged(const MemberRecord &Record) override;
   void zoneChanged(const ZoneName &Zone, bool Reachable) override;
   void selfRenewed(const ProcessId &Renewed) override;
@@ -73,7 +114,9 @@
 
   Actions &Out;
   Random &Source;
+  GossipObserver *Observer = nullptr;
   Membership Members;
+  PresentMembers Present;
   std::vector<HostAddress> EntryPoints;
   std::map<ServiceName, Route> Routes;
   std::optional<Instant> FirstTick;
--- a/packages/decision/camphorpin/src/Engine/NodeEngine.cpp
+++ b/packages/decision/camphorpin/src/Engine/NodeEngine.cpp
@@ -70,12 +70,18 @@
   State->advanceLifecycle();
 }
 
+void NodeEngine::onConfiguration(HostAddress From,
+                                 const ConfigurationMessage &Message) {
+  State->Configuration.onMessage(From, Message, State->Time.now());
+  State->advanceLifecycle();
+}
+
 void NodeEngine::onCrashReports(std::span<const CrashReport> Reports) {
   for (const CrashReport &Report : Reports)
     State->Guard.onReport(Report, State->Time.now());
 }
 
-void NodeEngine::onLogPage(const LogPage &Page) {
+void NodeEngine::onLogPage(const LogReadResult &Page) {
   State->Configuration.onPage(Page, State->Time.now());
   State->advanceLifecycle();
 }
--- a/packages/decision/camphorpin/src/Engine/NodeEngine.h
+++ b/packages/decision/camphorpin/src/Engine/NodeEngine.h
@@ -2,11 +2,11 @@
 #define CAMPHORPIN_SRC_ENGINE_NODEENGINE_H
 
 #include "camphorpin/Core.h"
+#include "camphorpin/src/Configuration/ConfigurationMessages.h"
 #include "camphorpin/src/Engine/Actions.h"
 #include "camphorpin/src/Engine/EngineMessages.h"
 #include "camphorpin/src/Engine/EngineOptions.h"
 #include "camphorpin/src/Engine/Explanation.h"
-#include "camphorpin/src/Engine/LogPage.h"
 #include "camphorpin/src/Engine/NodeLifecycle.h"
 
 #include <cstddef>
@@ -57,6 +57,9 @@
   /// A datagram of another node arrived.
   void onDatagram(HostAddress From, const GossipMessage &Message);
 
+  /// A message about the configuration has arrived from the node at \p From.
+  void onConfiguration(HostAddress From, const ConfigurationMessage &Message);
+
   /// A message about claims arrived, for exactly the process \p To.
   void onClaimMessage(const ProcessId &To, const ClaimMessage &Message);
 
@@ -64,7 +67,7 @@
   void onCrashReports(std::span<const CrashReport> Reports);
 
   /// A read of the platform's log has ended.
-  void onLogPage(const LogPage &Page);
+  void onLogPage(const LogReadResult &Page);
 
   /// A read of the platform's log has failed.
   void onLogReadFailed();
--- a/packages/decision/camphorpin/src/Engine/NodeEngineImpl.cpp
+++ b/packages/decision/camphorpin/src/Engine/NodeEngineImpl.cpp
@@ -183,6 +183,8 @@
                                 const GossipMessage &Message) {
   const ProcessId Before = Members.members().self().Process;
   Members.onGossip(From, Message, Time.now());
+  if (Options.HasLog && Message.Kind != GossipKind::Ack)
+    Configuration.onAnnouncement(From, Message.Reading, Time.now());
   if (Members.members().self().Process != Before)
     Server.renew();
 }
@@ -248,13 +250,26 @@
                  {{"document", Document.Name.string()}, {"faults", Faults}});
 }
 
+LogReading NodeEngine::Impl::currentReading() const {
+  return Configuration.reading(Time.now());
+}
+
+void NodeEngine::Impl::readingAcknowledged(HostAddress From,
+                                           const LogReading &Reading,
+                                           Instant AskedAt) {
+  if (Options.HasLog)
+    Configuration.onReading(From, Reading, AskedAt, Time.now());
+}
+
 void NodeEngine::Impl::tickConfiguration(Instant Now) {
   if (!Options.HasLog)
     return;
-  Configuration.tick(Now);
+  // A node that may still find others gets the configuration from them, so that
+  // a zone that comes back does not read the whole log once per node.
+  if (Members.mayServe(Now))
+    Configuration.tick(Now);
   if (const std::optional<Instant> Fresh = Configuration.freshAt())
     Server.onLogRead(*Fresh);
-  Members.setReading(Configuration.reading(Now));
   for (const EntryRecord &Entry : Configuration.entries(Now))
     Members.addEntryPoint(Entry.Address);
   electEntry(Now);
--- a/packages/decision/camphorpin/src/Engine/NodeEngineImpl.h
+++ b/packages/decision/camphorpin/src/Engine/NodeEngineImpl.h
@@ -16,7 +16,8 @@
 
 /// \class NodeEngine::Impl
 /// \brief The modules of a node and what connects them.
-class NodeEngine::Impl final : private detail::DocumentListener {
+class NodeEngine::Impl final : private detail::DocumentListener,
+                               private detail::GossipObserver {
 public:
   Impl(const EngineOptions &Options, Actions &Out, const Clock &Time,
        Random &Source)
@@ -25,7 +26,8 @@
         Guard(Options.Self, CrashOptions()), Answers(Out),
         Server(Options.Service, Out, Answers, Guard, Members, Time),
         Originator(Out, Answers, Members, Server, Guard),
-        Configuration(Out, *this, Source, Options.LogRetention) {
+        Configuration(Options, Out, *this, Members.present(), Source) {
+    Members.observe(*this);
     applyPolicies();
   }
 
@@ -84,6 +86,9 @@
   void tickConfiguration(Instant Now);
   void electEntry(Instant Now);
   void documentChanged(const ConfigurationDocument &Document) override;
+  LogReading currentReading() const override;
+  void readingAcknowledged(HostAddress From, const LogReading &Reading,
+                           Instant AskedAt) override;
   bool mayServe(Instant Now) const;
 };
 
--- a/packages/decision/camphorpin/src/Membership/FailureDetector.cpp
+++ b/packages/decision/camphorpin/src/Membership/FailureDetector.cpp
@@ -8,8 +8,9 @@
 std::uint64_t FailureDetector::start(HostAddress Target, Instant Now) {
   const double Stretch = 1.0 + static_cast<double>(Score);
   const std::uint64_t Sequence = NextSequence++;
-  Probes.emplace(Sequence, Probe{Target, Now + Settings.DirectTimeout * Stretch,
-                                 Now + Settings.ProbePeriod * Stretch});
+  Probes.emplace(Sequence,
+                 Probe{Target, Now, Now + Settings.DirectTimeout * Stretch,
+                       Now + Settings.ProbePeriod * Stretch});
   return Sequence;
 }
 
@@ -18,7 +19,7 @@
   const auto Found = Probes.find(Sequence);
   if (Found == Probes.end())
     return std::nullopt;
-  const ProbeOutcome Outcome{Found->second.Target, true};
+  const ProbeOutcome Outcome{Found->second.Target, true, Found->second.AskedAt};
   Probes.erase(Found);
   if (Score > 0)
     --Score;
@@ -43,7 +44,8 @@
       ++Position;
       continue;
     }
-    Failed.push_back({Position->second.Target, false});
+    Failed.push_back(
+        {Position->second.Target, false, Position->second.AskedAt});
     Position = Probes.erase(Position);
     raiseScore();
   }
--- a/packages/decision/camphorpin/src/Membership/FailureDetector.h
+++ b/packages/decision/camphorpin/src/Membership/FailureDetector.h
@@ -16,6 +16,8 @@
 struct ProbeOutcome {
   HostAddress Target;
   bool Answered = false;
+  /// When the probe was sent.
+  Instant AskedAt;
 };
 
 /// \class FailureDetector
@@ -63,6 +65,7 @@
 private:
   struct Probe {
     HostAddress Target;
+    Instant AskedAt;
     Instant SilentAt;
     Instant FailedAt;
     bool Indirect = false;
--- a/packages/decision/camphorpin/src/Membership/Membership.cpp
+++ b/packages/decision/camphorpin/src/Membership/Membership.cpp
@@ -60,7 +60,7 @@
     break;
   }
   case GossipKind::Ack:
-    onAck(Message, Now);
+    onAck(From, Message, Now);
     break;
   case GossipKind::ProbeRequest:
     onProbeRequest(From, Message, Now);
@@ -117,7 +117,6 @@
   GossipMessage Message;
   Message.Kind = Kind;
   Message.Sender = Self.Process;
-  Message.Reading = Reading;
   return Message;
 }
 
@@ -269,11 +268,13 @@
   }
 }
 
-void Membership::onAck(const GossipMessage &Message, Instant Now) {
+void Membership::onAck(HostAddress From, const GossipMessage &Message,
+                       Instant Now) {
   const std::optional<ProbeOutcome> Outcome =
       Detector.acknowledged(Message.Sequence);
   if (!Outcome)
     return;
+  Actions.acknowledged(From, Message.Reading, Outcome->AskedAt);
   const auto Found = Relays.find(Message.Sequence);
   if (Found != Relays.end()) {
     GossipMessage Reply = message(GossipKind::Ack);
--- a/packages/decision/camphorpin/src/Membership/Membership.h
+++ b/packages/decision/camphorpin/src/Membership/Membership.h
@@ -25,9 +25,16 @@
 public:
   virtual ~MembershipActions() = default;
 
-  /// Sends one datagram; it may be lost.
+  /// Sends one datagram; it may be lost. The owner puts its reading of the log
+  /// on it at this moment: a reading that was stored earlier would look younger
+  /// than it is after a pause of the process.
   virtual void sendGossip(HostAddress To, const GossipMessage &Message) = 0;
 
+  /// A probe that this node sent at \p AskedAt was acknowledged by the node at
+  /// \p From, whose reading of the log is \p Reading.
+  virtual void acknowledged(HostAddress From, const LogReading &Reading,
+                            Instant AskedAt) = 0;
+
   /// The record of another member is new or has changed.
   virtual void memberChanged(const MemberRecord &Record) = 0;
 
@@ -57,9 +64,6 @@
   /// Names the services that this node calls; their members are spread first.
   void setCalledServices(std::span<const ServiceName> Services);
 
-  /// Sets the reading of the log that rides on all messages.
-  void setReading(const LogReading &Reading) { this->Reading = Reading; }
-
   /// Handles a datagram. Messages from malformed or foreign senders change
   /// nothing but the table.
   void onGossip(HostAddress From, const GossipMessage &Message, Instant Now);
@@ -100,7 +104,7 @@
   void takeDelta(const MemberRecord &Delta, bool Spread, Instant Now);
   void takeDeltaAboutSelf(const MemberRecord &Delta, Instant Now);
   void takeZoneReports(const GossipMessage &Message, Instant Now);
-  void onAck(const GossipMessage &Message, Instant Now);
+  void onAck(HostAddress From, const GossipMessage &Message, Instant Now);
   void onProbeRequest(HostAddress From, const GossipMessage &Message,
                       Instant Now);
   void announceSelf(std::string_view Event, Instant Now);
@@ -123,7 +127,6 @@
   ZoneMonitor Zones;
   ProbeSchedule Schedule;
   TableSync Sync;
-  LogReading Reading;
   std::unordered_set<ServiceName> CalledServices;
   std::unordered_map<std::uint64_t, Relay> Relays;
   /// Members that this node itself found silent, with the time of the next
--- a/packages/decision/tests/EngineFixture.h
+++ b/packages/decision/tests/EngineFixture.h
@@ -38,6 +38,13 @@
   RequestContext Context;
 };
 
+/// \class RecordedConfiguration
+/// \brief A message about the configuration that the engine sent.
+struct RecordedConfiguration {
+  HostAddress To;
+  ConfigurationMessage Message;
+};
+
 /// \class RecordedActions
 /// \brief Keeps what the engine asked for.
 class RecordedActions : public Actions {
@@ -59,6 +66,10 @@
   void dropAnswer(RequestId Id) override { Kept.erase(Id); }
   void sendClaim(const ProcessId & /*To*/,
                  const ClaimMessage & /*Message*/) override {}
+  void sendConfiguration(HostAddress To,
+                         const ConfigurationMessage &Message) override {
+    Configuration.push_back({To, Message});
+  }
   void sendCrashReports(HostAddress /*To*/,
                         std::span<const CrashReport> /*Reports*/) override {}
   void readLog(std::uint64_t From, std::size_t /*Max*/) override {
@@ -88,6 +99,7 @@
   std::vector<CallId> CancelledCalls;
   std::map<RequestId, std::vector<Answer>> Answers;
   std::set<RequestId> Kept;
+  std::vector<RecordedConfiguration> Configuration;
   std::vector<std::string> Appended;
   std::vector<std::uint64_t> LogReads;
   std::vector<LogEvent> Events;
@@ -97,9 +109,9 @@
 /// \brief One node beside a backend server of "orders", under virtual time.
 class EngineFixture {
 public:
-  EngineFixture()
+  explicit EngineFixture(const EngineOptions &Options = options())
       : Time(Instant::fromMillis(1780000000000)), Source(7),
-        Engine(options(), Out, Time, Source) {
+        Engine(Options, Out, Time, Source) {
     Engine.onStarted();
   }
 
--- a/packages/decision/tests/EngineTest.cpp
+++ b/packages/decision/tests/EngineTest.cpp
@@ -2,6 +2,7 @@
 // or twice, verdicts that are true, and a drain that cuts nothing off.
 #include "EngineFixture.h"
 
+#include <algorithm>
 #include <criterion/criterion.h>
 
 using namespace camphorpin;
@@ -143,3 +144,73 @@
   }
   cr_assert(Node.Engine.hasEnded());
 }
+
+// Guards the bound on crashes by one request: retries follow each other faster
+// than crash reports spread, so the suspicion must travel with the retry.
+Test(Engine, retryAfterLostBackendCarriesTheSuspicion) {
+  EngineFixture Node;
+  for (std::uint16_t Port : {7001, 7002, 7003})
+    Node.addMember("orders", Port);
+  const RequestId Id = Node.request(EngineFixture::info("status"));
+  const CallResult Lost{.Verdict = Verdict::MayHaveRun,
+                        .Reason = RefusalReason::BackendFailed};
+  Node.Engine.onCallDone(Node.Out.Calls.back().Call, Lost);
+  Node.pass(Duration::millis(50));
+  cr_assert_eq(Node.Out.Calls.size(), 2);
+  cr_assert_eq(Node.Out.Calls.back().Context.CrashCount, 1);
+  Node.Engine.onCallDone(Node.Out.Calls.back().Call, Lost);
+  Node.pass(Duration::millis(50));
+  cr_assert_eq(Node.Out.Calls.size(), 2, "a third server was risked");
+  cr_assert(Node.Out.only(Id)->Verdict == Verdict::MayHaveRun);
+}
+
+// Guards against crashes that go unnoticed because no request has run to its
+// end since the one before.
+Test(Engine, everyCrashOfARestartedServerIsNoted) {
+  EngineFixture Node;
+  const BackendResult Down{.Verdict = Verdict::MayHaveRun,
+                           .Reason = RefusalReason::BackendFailed,
+                           .ServerDown = true};
+  for (int Crash = 0; Crash < 2; ++Crash) {
+    RequestContext Context = Node.context();
+    Context.Fingerprint = 4711;
+    const RequestId First = Node.deliver(Context);
+    const RequestId Second = Node.deliver(Node.context());
+    Node.pass(Duration::millis(20));
+    Node.Engine.onBackendDone(First, Down);
+    // The other runs that the same crash ended are no crash of their own.
+    Node.Engine.onBackendDone(Second, Down);
+    Node.pass(Duration::millis(20));
+  }
+  cr_assert_eq(std::count(Node.Out.Events.begin(), Node.Out.Events.end(),
+                          LogEvent::BackendCrashed),
+               2);
+  RequestContext Context = Node.context();
+  Context.Fingerprint = 4711;
+  const RequestId Third = Node.deliver(Context);
+  Node.pass(Duration::millis(20));
+  cr_assert(Node.Out.only(Third)->Reason == RefusalReason::CrashSuspect);
+}
+
+// Guards the platform's log against a fleet that polls it: only the elected
+// readers of an availability zone do. With a poll by every node, all 9 read.
+Test(Engine, onlyElectedReadersPollTheLog) {
+  constexpr std::uint16_t FirstPort = 7000;
+  constexpr std::uint16_t Nodes = 9;
+  std::size_t Readers = 0;
+  for (std::uint16_t Own = 0; Own < Nodes; ++Own) {
+    EngineOptions Options = EngineFixture::options();
+    Options.HasLog = true;
+    Options.Self.Address.Port = static_cast<std::uint16_t>(FirstPort + Own);
+    Options.Peers = {{.Address = {0x7F000001, 7999},
+                      .Zone = ZoneName("z1"),
+                      .Region = RegionName("r1")}};
+    EngineFixture Node(Options);
+    for (std::uint16_t Other = 0; Other < Nodes; ++Other)
+      if (Other != Own)
+        Node.addMember("lots", static_cast<std::uint16_t>(FirstPort + Other));
+    Node.pass(Duration::seconds(15));
+    Readers += Node.Out.LogReads.empty() ? 0 : 1;
+  }
+  cr_assert_eq(Readers, ReaderElection::ReadersPerZone);
+}
--- a/packages/decision/tests/GossipFleet.h
+++ b/packages/decision/tests/GossipFleet.h
@@ -24,6 +24,7 @@
       SentBytes += Message.encodedSize();
       Fleet.post(Protocol.self().Process.Address, To, Message);
     }
+    void acknowledged(HostAddress, const LogReading &, Instant) override {}
     void memberChanged(const MemberRecord &Record) override {
       if (Record.State == MemberState::Dead)
         ++DeathsSeen;
--- a/packages/wire/camphorpin/Wire.h
+++ b/packages/wire/camphorpin/Wire.h
@@ -6,6 +6,7 @@
 /// is checked here, so that no invalid value reaches a decision.
 #include "camphorpin/src/Wire/ClaimCodec.h"
 #include "camphorpin/src/Wire/Codec.h"
+#include "camphorpin/src/Wire/ConfigurationCodec.h"
 #include "camphorpin/src/Wire/GossipCodec.h"
 #include "camphorpin/src/Wire/Payload.h"
 #include "camphorpin/src/Wire/ProtocolVersion.h"
--- /dev/null
+++ b/packages/wire/camphorpin/src/Wire/ConfigurationCodec.h
@@ -0,0 +1,21 @@
+#ifndef CAMPHORPIN_SRC_WIRE_CONFIGURATIONCODEC_H
+#define CAMPHORPIN_SRC_WIRE_CONFIGURATIONCODEC_H
+
+#include "camphorpin/Configuration.h"
+#include "camphorpin/generated/node.capnp.h"
+
+#include <optional>
+
+namespace camphorpin {
+
+void writeConfiguration(wire::Configuration::Builder Target,
+                        const ConfigurationMessage &Message);
+
+/// \returns the message, or nothing if it is of an unknown kind, a name in it
+/// is malformed, or a list is longer than any node sends.
+std::optional<ConfigurationMessage>
+readConfiguration(wire::Configuration::Reader Source);
+
+} // namespace camphorpin
+
+#endif
--- a/packages/wire/tests/WireTest.cpp
+++ b/packages/wire/tests/WireTest.cpp
@@ -144,6 +144,40 @@
   cr_assert(Held);
 }
 
+// Guards the spread of configuration: a new node must get exactly the state
+// that its peer has, and a malformed one must be refused whole.
+Test(Wire, configurationMessagesRoundTrip) {
+  SnapshotReply Sent;
+  Sent.Snapshot = FoldSnapshot{
+      9, 77, {{DocumentName("service/lots"), 3, "{\"a\":1}", {"c1", "c2"}}}};
+  Sent.Ages = {{DocumentName("service/lots"), Duration::millis(1500)}};
+  Sent.Reading = {9, 250};
+  capnp::MallocMessageBuilder Memory;
+  wire::Configuration::Builder Message = Memory.initRoot<wire::Configuration>();
+  writeConfiguration(Message, Sent);
+  const std::optional<ConfigurationMessage> Received =
+      readConfiguration(Message.asReader());
+  cr_assert(Received.has_value());
+  const SnapshotReply &Got = std::get<SnapshotReply>(*Received);
+  cr_assert(Got.Snapshot == Sent.Snapshot && Got.Ages == Sent.Ages);
+  cr_assert_eq(Got.Reading.AgeMs, 250);
+
+  Sent.Snapshot->Documents[0].Name = DocumentName("no name at all");
+  writeConfiguration(Message, Sent);
+  cr_assert_not(readConfiguration(Message.asReader()).has_value());
+
+  writeConfiguration(
+      Message, RecordsReply{RecordRange{8, {{7, std::string("x\0y", 3)}}}, {}});
+  const std::optional<ConfigurationMessage> Records =
+      readConfiguration(Message.asReader());
+  cr_assert(std::get<RecordsReply>(*Records).Range->Records ==
+            (std::vector<CarriedRecord>{{7, std::string("x\0y", 3)}}));
+  writeConfiguration(Message, DigestReply{5, std::nullopt});
+  const std::optional<ConfigurationMessage> Digest =
+      readConfiguration(Message.asReader());
+  cr_assert_not(std::get<DigestReply>(*Digest).Digest.has_value());
+}
+
 // Guards a rollout: neighbouring versions talk, others do not guess.
 Test(Wire, versionsNAndNMinusOneAreServed) {
   cr_assert_eq(commonVersion(NewestProtocolVersion, OldestProtocolVersion),
