Count a lost connection as a crash of the run that it carried

Cause: CrashingRequestTest was red. Three causes were found. The third: the check whether the server refuses connections can come before the old process has closed its port or after a new one has opened it, so a crash went unnoticed.

Ruled out: repeating that check for some milliseconds, because a supervisor may restart the server faster.

Change: a run whose connection is lost before its answer counts as running at a crash by itself; a completed run clears it, as before.

The new engine test fails without the change.

--- a/packages/daemon/camphorpin/src/Daemon/BackendClient.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/BackendClient.cpp
@@ -131,6 +131,7 @@
     const bool Late = Time.now() >= Job.Start + Job.Context.Remaining;
     BackendDone Done = mayHaveRun(Job, Late ? RefusalReason::Deadline
                                             : RefusalReason::BackendFailed);
+    Done.Result.ConnectionLost = !Late;
     Done.Result.ServerDown = refusesConnections(Address);
     return Done;
   }
--- a/packages/decision/camphorpin/src/Crash/CrashGuard.cpp
+++ b/packages/decision/camphorpin/src/Crash/CrashGuard.cpp
@@ -49,10 +49,22 @@
   Entry->second.TransmissionsLeft = Options.Transmissions;
 }
 
-void CrashGuard::onBackendCrash(Instant Now) {
+std::uint64_t CrashGuard::nextCrashId() {
   ++CrashCounter;
-  const std::uint64_t CrashId =
-      std::max<std::uint64_t>(1, stableHash(Self.stableHash(), CrashCounter));
+  return std::max<std::uint64_t>(1,
+                                 stableHash(Self.stableHash(), CrashCounter));
+}
+
+void CrashGuard::onRunLost(std::uint64_t RunId, Instant Now) {
+  const auto Found = Running.find(RunId);
+  if (Found == Running.end())
+    return;
+  addCrash(Found->second.Fingerprint, nextCrashId(), Now);
+  Running.erase(Found);
+}
+
+void CrashGuard::onBackendCrash(Instant Now) {
+  const std::uint64_t CrashId = nextCrashId();
   for (const auto &[RunId, Value] : Running)
     addCrash(Value.Fingerprint, CrashId, Now);
   Running.clear();
--- a/packages/decision/camphorpin/src/Crash/CrashGuard.h
+++ b/packages/decision/camphorpin/src/Crash/CrashGuard.h
@@ -73,6 +73,11 @@
   /// this node is alive. All runs have ended.
   void onBackendCrash(Instant Now);
 
+  /// The connection of one run was lost before its answer. The backend server
+  /// may have crashed and been restarted before anybody noticed, so the run
+  /// counts as running at a crash unless onBackendCrash() has counted it.
+  void onRunLost(std::uint64_t RunId, Instant Now);
+
   void onReport(const CrashReport &Report, Instant Now);
 
   /// \returns up to \p Limit reports to pass on, those first that were passed
@@ -97,6 +102,7 @@
     bool IsSuspect = false;
   };
 
+  std::uint64_t nextCrashId();
   Suspect *insert(std::uint64_t Fingerprint);
   void addCrash(std::uint64_t Fingerprint, std::uint64_t CrashId, Instant When);
   bool expired(const Suspect &Value, Instant Now) const;
--- a/packages/decision/camphorpin/src/Engine/CallServer.cpp
+++ b/packages/decision/camphorpin/src/Engine/CallServer.cpp
@@ -242,6 +242,8 @@
     return;
   const Instant Now = Time.now();
   noteServer(Result, Entry->second.StartedAt);
+  if (Result.ConnectionLost)
+    Guard.onRunLost(numberOf(Id), Now);
   Guard.end(numberOf(Id), Result.Verdict == Verdict::Ran, Now);
   const Call &Value = Entry->second;
   Admission->finished(numberOf(Id), outcomeOf(Result), Now,
--- a/packages/decision/camphorpin/src/Engine/EngineMessages.h
+++ b/packages/decision/camphorpin/src/Engine/EngineMessages.h
@@ -41,6 +41,8 @@
   RefusalReason Reason = RefusalReason::None;
   /// Size of the answer in bytes, for the bound on stored answers.
   std::uint64_t AnswerBytes = 0;
+  /// The connection was lost before the answer.
+  bool ConnectionLost = false;
   /// The run lost its connection and the backend server accepts no new one.
   bool ServerDown = false;
 };
--- a/packages/decision/tests/EngineTest.cpp
+++ b/packages/decision/tests/EngineTest.cpp
@@ -192,6 +192,29 @@
   cr_assert(Node.Out.only(Third)->Reason == RefusalReason::CrashSuspect);
 }
 
+// Guards against a server that is restarted so fast that it never refuses a
+// connection: its crash must still count against the request that it ran.
+Test(Engine, lostConnectionCountsWithoutARefusedOne) {
+  EngineFixture Node;
+  const BackendResult Lost{.Verdict = Verdict::MayHaveRun,
+                           .Reason = RefusalReason::BackendFailed,
+                           .ConnectionLost = true};
+  RequestContext Context = Node.context();
+  Context.Fingerprint = 4711;
+  for (int Crash = 0; Crash < 2; ++Crash) {
+    const RequestId Id = Node.deliver(Context);
+    Node.pass(Duration::millis(20));
+    Node.Engine.onBackendDone(Id, Lost);
+  }
+  const RequestId Third = Node.deliver(Context);
+  Node.pass(Duration::millis(20));
+  cr_assert(Node.Out.only(Third)->Reason == RefusalReason::CrashSuspect);
+  const RequestId Other = Node.deliver(Node.context());
+  Node.pass(Duration::millis(20));
+  cr_assert(std::find(Node.Out.Started.begin(), Node.Out.Started.end(),
+                      Other) != Node.Out.Started.end());
+}
+
 // Guards the platform's log against a fleet that polls it: only the elected
 // readers of an availability zone do. With a poll by every node, all 9 read.
 Test(Engine, onlyElectedReadersPollTheLog) {
