--- a/packages/policy/camphorpin/src/Policy/JsonReader.cpp
+++ b/packages/policy/camphorpin/src/Policy/JsonReader.cpp
@@ -16,7 +16,7 @@
 
 std::string describe(const nlohmann::json *Found) {
   if (Found == nullptr)
-    return "nothing";
+    return "missing";
   std::string Text =
       Found->dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   if (Text.size() > MaxFoundLength)
@@ -97,7 +97,7 @@
     return &*Found;
   if (Required)
     report(PolicyFault::MissingField, Field, nullptr,
-           "a value, it is required");
+           "a value, because the field is required");
   return nullptr;
 }
 
--- a/packages/policy/camphorpin/src/Policy/PolicyError.h
+++ b/packages/policy/camphorpin/src/Policy/PolicyError.h
@@ -34,7 +34,7 @@
   std::string Document;
   /// For example "operations.pay.deadlineMs" or "ranks[1].floor".
   std::string Path;
-  /// The value as JSON, or "nothing".
+  /// The value as JSON, or "missing".
   std::string Found;
   /// What is allowed instead.
   std::string Allowed;
--- a/tests/process/CrashingRequestTest.cpp
+++ b/tests/process/CrashingRequestTest.cpp
@@ -49,21 +49,20 @@
 Test(CrashingRequest, oneRequestCrashesAtMostTwoBackendServers) {
   Scenario Case(3);
   cr_assert(Case.start());
-  {
-    const Restarter Host(Case.mesh());
-    Case.mesh().startLoad({{"seed", 3},
-                           {"durationMs", 3000},
-                           {"streams",
-                            {{{"service", "catalogue"},
-                              {"operation", "find"},
-                              {"rank", "lookup"},
-                              {"rate", 2},
-                              {"crash", true},
-                              {"resends", Resends},
-                              {"resendPauseMs", NewsMillis}}}}});
-    const std::string Faults = Case.finishLoad();
-    cr_assert(Faults.empty(), "%s", Faults.c_str());
-  }
+  // It stays until the end: a server that crashes last is restarted too.
+  const Restarter Host(Case.mesh());
+  Case.mesh().startLoad({{"seed", 3},
+                         {"durationMs", 3000},
+                         {"streams",
+                          {{{"service", "catalogue"},
+                            {"operation", "find"},
+                            {"rank", "lookup"},
+                            {"rate", 2},
+                            {"crash", true},
+                            {"resends", Resends},
+                            {"resendPauseMs", NewsMillis}}}}});
+  const std::string Faults = Case.finishLoad();
+  cr_assert(Faults.empty(), "%s", Faults.c_str());
   const Oracle Judge(Case.mesh());
   const std::map<std::string, std::size_t> Crashes =
       Judge.runsById("catalogue/find", "3000-");
