Keep calls of nodes with the same incarnation apart

Ruled out: answers of the backend server, because their request ids matched.

Change: the name of the node belongs to the identity of a sender. The test fails without it.

--- a/packages/gateway/camphorpin/src/Gateway/PeerServer.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerServer.cpp
@@ -1,6 +1,5 @@
 #include "camphorpin/src/Gateway/PeerServer.h"
 
-#include <boost/asio/post.hpp>
 
 namespace camphorpin {
 
@@ -37,7 +36,9 @@
     } else if (const auto *Ping = std::get_if<PeerPing>(&Frame)) {
       send(PeerPong{Ping->Number});
     } else if (const auto *Hello = std::get_if<PeerHello>(&Frame)) {
-      Sender = Hello->Incarnation;
+      // Nodes may start in the same millisecond, so the name belongs to the
+      // identity of a sender.
+      Sender = stableHash(Hello->Node, Hello->Incarnation);
       send(Server.Owner.hello());
       if (Hello->Configuration > Server.Owner.configurationVersion())
         send(PeerNewsRequest{Server.Owner.configurationVersion()});
--- /dev/null
+++ b/packages/gateway/tests/GatewayFixture.h
@@ -0,0 +1,101 @@
+#ifndef CAMPHORPIN_TESTS_GATEWAYFIXTURE_H
+#define CAMPHORPIN_TESTS_GATEWAYFIXTURE_H
+
+#include "camphorpin/Gateway.h"
+#include "camphorpin/src/Gateway/AsyncHttpServer.h"
+#include "camphorpin/src/Gateway/PeerServer.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace camphorpin::test {
+
+/// \returns a free port of the loopback address.
+inline HostAddress freeAddress() {
+  EventLoop Loop;
+  boost::asio::ip::tcp::acceptor Probe(
+      Loop, detail::endpointOf(*HostAddress::parse("127.0.0.1:0")));
+  HostAddress Result = *HostAddress::parse("127.0.0.1:1");
+  Result.Port = Probe.local_endpoint().port();
+  return Result;
+}
+
+/// A protocol with the product's own header names and no store.
+class PlainProtocol final : public PlatformProtocol {
+public:
+  const HeaderNames &headers() const override { return Names; }
+  std::string_view readyPath() const override { return "/ready"; }
+  std::string newestCall(StoreFeed, std::string_view) const override {
+    return {};
+  }
+  StoreReply newestReply(const HttpResponse &) const override { return {}; }
+  std::string readCall(StoreFeed, std::uint64_t, Duration) const override {
+    return {};
+  }
+  StoreReply readReply(const HttpResponse &) const override { return {}; }
+  std::string appendCall(StoreFeed, const StoreRecord &) const override {
+    return {};
+  }
+  std::optional<FleetConfiguration>
+  configuration(const StoreRecord &) const override {
+    return std::nullopt;
+  }
+  std::optional<FleetConfiguration>
+  configuration(std::string_view) const override {
+    return std::nullopt;
+  }
+  LifecycleCall lifecycleCall(const HttpRequest &) const override { return {}; }
+  HttpReply lifecycleReply(bool) const override { return {}; }
+  BackendProbe probe(const HttpResponse &) const override { return {}; }
+
+private:
+  HeaderNames Names;
+};
+
+/// A backend server whose answers the test writes.
+class FakeBackend final : public HttpRequestHandler {
+public:
+  using Script = std::function<void(const std::shared_ptr<HttpExchange> &)>;
+
+  FakeBackend(EventLoop &Loop, Script Answer)
+      : Address(freeAddress()), Answer(std::move(Answer)), Server(Loop, *this) {
+    Server.listen(Address);
+  }
+
+  void onRequest(const std::shared_ptr<HttpExchange> &Exchange) override {
+    ++Arrivals;
+    Answer(Exchange);
+  }
+
+  HostAddress Address;
+  int Arrivals = 0;
+
+private:
+  Script Answer;
+  AsyncHttpServer Server;
+};
+
+/// \returns a stamped answer to \p Exchange with \p Body.
+inline HttpReply stampedReply(const HttpExchange &Exchange, std::string Body) {
+  HttpReply Reply;
+  Reply.Status = 200;
+  Reply.Head = "HTTP/1.1 200 OK\r\nCamphorpin-Stamp: s\r\nCamphorpin-Request: ";
+  Reply.Head += detail::headerOf(Exchange.request(), "Camphorpin-Request");
+  Reply.Head += "\r\n";
+  Reply.Body = std::move(Body);
+  return Reply;
+}
+
+/// Runs \p Loop until \p Done holds or \p Span is over.
+inline void runUntil(EventLoop &Loop, Duration Span,
+                     const std::function<bool()> &Done) {
+  const auto End = std::chrono::steady_clock::now() + detail::timerSpan(Span);
+  while (!Done() && std::chrono::steady_clock::now() < End)
+    Loop.run_one_for(std::chrono::milliseconds(5));
+}
+
+} // namespace camphorpin::test
+
+#endif
--- /dev/null
+++ b/packages/gateway/tests/PeerServerTest.cpp
@@ -0,0 +1,142 @@
+#include "GatewayFixture.h"
+
+#include "camphorpin/src/Gateway/GateLink.h"
+
+#include <criterion/criterion.h>
+
+using namespace camphorpin;
+using namespace camphorpin::test;
+
+namespace {
+
+class GateOwner final : public PeerServerListener {
+public:
+  PeerHello hello() override { return {"gate", 1, "shop", "a", "", 0, {}}; }
+  std::uint64_t configurationVersion() const override { return 0; }
+  PeerNews news(const PeerNewsRequest &) override { return {}; }
+  void onNews(PeerNews) override {}
+  void onCrashes(const PeerCrashes &) override {}
+};
+
+class CallerOwner final : public GateLinkListener {
+public:
+  explicit CallerOwner(std::string Node) : Node(std::move(Node)) {}
+  // Both callers started in the same millisecond.
+  PeerHello hello() override { return {Node, 7, "web", "a", "", 0, {}}; }
+  void onConfigurationVersion(const std::string &, std::uint64_t) override {}
+  void onNews(PeerNews) override {}
+  void onCrashes(const PeerCrashes &) override {}
+
+private:
+  std::string Node;
+};
+
+/// A gate in front of a backend server that repeats the request's body.
+struct GateWorld {
+  EventLoop Loop;
+  SystemClock Time;
+  PlainProtocol Protocol;
+  EventLog Log{{"error", ""}, Time};
+  std::vector<std::shared_ptr<HttpExchange>> Held;
+  bool Hold = false;
+  FakeBackend Backend{Loop, [this](const std::shared_ptr<HttpExchange> &Item) {
+                        if (Hold)
+                          Held.push_back(Item);
+                        else
+                          answer(Item);
+                      }};
+  GatewaySettings Settings = settings();
+  LocalGate Gate{Loop, Time, Settings, Protocol, Log};
+  GateOwner Owner;
+  PeerServer Server{Loop, Time, Gate, Owner};
+  HostAddress Address = freeAddress();
+
+  GateWorld() {
+    Server.listen(Address);
+    BackendReport Report;
+    Report.Id = "b1";
+    Report.Service = "shop";
+    Report.Address = Backend.Address.toString();
+    Report.Slots = 4;
+    Report.Sequence = 1;
+    Gate.onReport(Report);
+  }
+
+  GatewaySettings settings() const {
+    GatewaySettings Result;
+    Result.Node = "gate";
+    Result.Service = "shop";
+    Result.BackendAddress = Backend.Address;
+    return Result;
+  }
+
+  static void answer(const std::shared_ptr<HttpExchange> &Item) {
+    Item->reply(stampedReply(*Item, Item->request().body()));
+  }
+
+  static PeerCall call(std::uint64_t Id, const std::string &Body,
+                       bool Idempotent) {
+    PeerCall Call;
+    Call.Id = Id;
+    Call.Head = "POST /buy/x HTTP/1.1\r\nHost: shop\r\nCamphorpin-Request: r" +
+                Body + "\r\n";
+    Call.Body = Body;
+    Call.RequestId = "r" + Body;
+    Call.Route = "buy";
+    Call.Service = "shop";
+    Call.Idempotent = Idempotent;
+    Call.TimeLeft = Duration::seconds(3);
+    Call.Objective = Duration::seconds(1);
+    return Call;
+  }
+};
+
+} // namespace
+
+// Guards against answers that reach another node's caller: nodes that start in
+// the same millisecond number their calls alike.
+Test(PeerServer, callsOfNodesWithTheSameIncarnationAreKeptApart) {
+  GateWorld World;
+  CallerOwner First("first");
+  CallerOwner Second("second");
+  GateLink A(World.Loop, World.Time, "gate", World.Address, First);
+  GateLink B(World.Loop, World.Time, "gate", World.Address, Second);
+  World.Hold = true;
+  std::string AnswerA;
+  std::string AnswerB;
+  A.call(GateWorld::call(64, "one", true),
+         [&](PeerAnswer Value) { AnswerA = Value.Body; });
+  B.call(GateWorld::call(64, "two", true),
+         [&](PeerAnswer Value) { AnswerB = Value.Body; });
+  runUntil(World.Loop, Duration::seconds(2),
+           [&] { return World.Held.size() == 2; });
+  for (const std::shared_ptr<HttpExchange> &Item : World.Held)
+    GateWorld::answer(Item);
+  runUntil(World.Loop, Duration::seconds(2),
+           [&] { return !AnswerA.empty() && !AnswerB.empty(); });
+  cr_assert_eq(AnswerA, std::string("one"));
+  cr_assert_eq(AnswerB, std::string("two"));
+}
+
+// Guards non-idempotent work against running twice, and its answer against
+// being lost, when the connection between two nodes is replaced.
+Test(PeerServer, callThatIsSentAgainAfterALostConnectionRunsOnce) {
+  GateWorld World;
+  CallerOwner Owner("caller");
+  auto Old = std::make_unique<GateLink>(World.Loop, World.Time, "gate",
+                                        World.Address, Owner);
+  World.Hold = true;
+  Old->call(GateWorld::call(64, "one", false), [](PeerAnswer) {});
+  runUntil(World.Loop, Duration::seconds(2),
+           [&] { return World.Held.size() == 1; });
+  Old.reset();
+  std::string Answer;
+  GateLink New(World.Loop, World.Time, "gate", World.Address, Owner);
+  New.call(GateWorld::call(64, "one", false),
+           [&](PeerAnswer Value) { Answer = Value.Body; });
+  runUntil(World.Loop, Duration::millis(100), [] { return false; });
+  GateWorld::answer(World.Held.front());
+  runUntil(World.Loop, Duration::seconds(2), [&] { return !Answer.empty(); });
+  cr_assert_eq(Answer, std::string("one"));
+  cr_assert_eq(World.Backend.Arrivals, 1);
+}
