Refuse late requests of a stopping node and use half of the retry budget

New requests are refused as not run after 2.8 s; the gate serves for the first 2 s, so that a rolling restart takes capacity away only briefly.

Half of the budget is used now.

--- a/packages/decision/camphorpin/src/Engine/LogEvent.cpp
+++ b/packages/decision/camphorpin/src/Engine/LogEvent.cpp
@@ -112,6 +112,10 @@
                  "elapsedMs,configuration",
                  "A caller got a refusal or a failure. The node is the last one "
                  "that was asked."},
+    LogEventInfo{LogEvent::RequestTurnedAway, LogSeverity::Info,
+                 "request-turned-away", "request,reason",
+                 "A node that stops or has no configuration refused a request "
+                 "as not run."},
     LogEventInfo{LogEvent::ConfigurationInForce, LogSeverity::Info,
                  "configuration-in-force", "version,origin,routes",
                  "A configuration from the store or from a peer is in force on "
--- a/packages/decision/camphorpin/src/Engine/LogEvent.h
+++ b/packages/decision/camphorpin/src/Engine/LogEvent.h
@@ -40,6 +40,7 @@
   ReportRejected = 503,
   RequestRetried = 600,
   RequestFailed = 601,
+  RequestTurnedAway = 602,
   ConfigurationInForce = 610,
   StoreUnreachable = 611,
   StoreReachable = 612,
--- a/packages/gateway/camphorpin/src/Gateway/EntryCalls.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/EntryCalls.cpp
@@ -54,9 +54,11 @@
 void EntryCalls::onRequest(const std::shared_ptr<HttpExchange> &Exchange) {
   const HttpRequest &Request = Exchange->request();
   if (Version == 0) {
-    HttpReply Reply = detail::plainReply(503, "no configuration yet");
-    Reply.Head += detail::headerLine("Retry-After", "0.3");
-    Exchange->reply(std::move(Reply));
+    turnAway(*Exchange, "no configuration yet", DefaultRetryAfter);
+    return;
+  }
+  if (Refusing) {
+    turnAway(*Exchange, toString(RefusalReason::Draining), *Refusing);
     return;
   }
   const std::shared_ptr<const RouteRule> Route =
@@ -72,6 +74,17 @@
   begin(NextId++, Exchange, Route);
 }
 
+void EntryCalls::turnAway(HttpExchange &Exchange, std::string_view Reason,
+                          Duration RetryAfter) {
+  const std::string_view Id =
+      detail::headerOf(Exchange.request(), Protocol.headers().RequestId);
+  Log.write(LogEvent::RequestTurnedAway,
+            {{"request", std::string(Id)}, {"reason", std::string(Reason)}});
+  HttpReply Reply = detail::plainReply(503, Reason);
+  Reply.Head += detail::headerLine("Retry-After", secondsText(RetryAfter));
+  Exchange.reply(std::move(Reply));
+}
+
 void EntryCalls::begin(std::uint64_t Id,
                        const std::shared_ptr<HttpExchange> &Exchange,
                        const std::shared_ptr<const RouteRule> &Route) {
--- a/packages/gateway/camphorpin/src/Gateway/EntryCalls.h
+++ b/packages/gateway/camphorpin/src/Gateway/EntryCalls.h
@@ -30,6 +30,10 @@
 
   void onRequest(const std::shared_ptr<HttpExchange> &Exchange) override;
 
+  /// Refuses requests that arrive from now on as not run.
+  /// \param RetryAfter when the caller may come back.
+  void refuseNew(Duration RetryAfter) { Refusing = RetryAfter; }
+
   std::size_t active() const { return Calls.size(); }
 
 private:
@@ -54,6 +58,9 @@
     std::unique_ptr<boost::asio::steady_timer> Timer;
   };
 
+  /// Refuses a request that isn't tracked.
+  void turnAway(HttpExchange &Exchange, std::string_view Reason,
+                Duration RetryAfter);
   void begin(std::uint64_t Id, const std::shared_ptr<HttpExchange> &Exchange,
              const std::shared_ptr<const RouteRule> &Route);
   /// \returns false if no gate can be asked.
@@ -83,6 +90,8 @@
   ServiceSplit Split;
   RetryAllowance Budget;
   std::uint64_t Version = 0;
+  /// Set while new requests are refused.
+  std::optional<Duration> Refusing;
   std::uint64_t NextId = 1;
   std::map<std::uint64_t, EntryCall> Calls;
 };
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
@@ -14,7 +14,15 @@
 /// How often one link may be asked for a newer configuration.
 constexpr Duration NewsPause = Duration::millis(100);
 /// While draining, callers still come until the platform has seen twice that
-/// the node is not ready.
+/// the node is not ready. Until then the gate serves as before, so that a rolling
+/// restart takes the backend server's capacity away only briefly.
+constexpr Duration GateServesInDrain = Duration::millis(2000);
+/// From then on new requests are refused: they might not end before the stop
+/// grace does.
+constexpr Duration EntryServesInDrain = Duration::millis(2800);
+/// When a caller that was refused by a stopping node may come back: the time
+/// that a restart takes.
+constexpr Duration RestartSpan = Duration::millis(1500);
 constexpr Duration LingerAfterDrain = Duration::millis(3000);
 constexpr Duration DrainCheckInterval = Duration::millis(100);
 /// Part of the stop grace after which remaining requests are given up.
@@ -260,14 +268,18 @@
   DrainStarted = Time.now();
   Log.write(LogEvent::DrainRequested,
             {{"inProgress", std::to_string(Entry.active())}});
-  publish(/*Departed=*/true);
-  Gate.drain();
   CallServer.drain();
   checkDrained();
 }
 
 void Gateway::checkDrained() {
   const Duration Elapsed = Time.now() - DrainStarted;
+  if (Elapsed >= GateServesInDrain && !Gate.draining()) {
+    publish(/*Departed=*/true);
+    Gate.drain();
+  }
+  if (Elapsed >= EntryServesInDrain)
+    Entry.refuseNew(RestartSpan);
   const bool Done =
       Elapsed >= LingerAfterDrain && Entry.active() == 0 && Gate.active() == 0;
   if (Done || Elapsed >= Settings.StopGrace * DrainPart) {
--- a/packages/gateway/camphorpin/src/Gateway/LocalGate.h
+++ b/packages/gateway/camphorpin/src/Gateway/LocalGate.h
@@ -42,6 +42,7 @@
 
   /// Takes no further calls; those that were taken end as usual.
   void drain();
+  bool draining() const { return Draining; }
 
   /// \returns a number for cancel().
   std::uint64_t submit(PeerCall Call, Reply Done);
--- a/packages/gateway/camphorpin/src/Gateway/RetryAllowance.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/RetryAllowance.cpp
@@ -8,7 +8,7 @@
 
 /// Part of the budget that is used. Nodes restart and forget what they sent,
 /// and arrivals of one window may be counted in the next one.
-constexpr double UsedPart = 0.7;
+constexpr double UsedPart = 0.5;
 
 } // namespace
 
