Bound runs whose calls to other services fail

Ruled out: placing, because all three servers refuse.

Change: each gate lowers the number of active runs of a route when a run fails while requests that began on its host fail, and raises it with successes. Such failures are not repeated elsewhere.

--- a/packages/gateway/camphorpin/src/Gateway/AttemptPolicy.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/AttemptPolicy.cpp
@@ -13,8 +13,11 @@
 constexpr Duration MinTimeForRetry = Duration::millis(30);
 
 /// A failure that another backend server may not have. 504 means that the
-/// deadline has passed.
+/// deadline has passed; with a reason, a service that the run called has
+/// failed.
 bool worthRepeating(const PeerAnswer &Answer) {
+  if (Answer.Reason != RefusalReason::None)
+    return false;
   return Answer.StatusCode == 500 || Answer.StatusCode == 502;
 }
 
--- a/packages/gateway/camphorpin/src/Gateway/EntryCalls.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/EntryCalls.cpp
@@ -40,9 +40,9 @@
 EntryCalls::EntryCalls(EventLoop &Loop, const Clock &Time, Random &Source,
                        const GatewaySettings &Settings,
                        const PlatformProtocol &Protocol, PeerNetwork &Network,
-                       EventLog &Log)
+                       LocalGate &Gate, EventLog &Log)
     : Loop(Loop), Time(Time), Source(Source), Settings(Settings),
-      Protocol(Protocol), Network(Network), Log(Log), Split(Source),
+      Protocol(Protocol), Network(Network), Gate(Gate), Log(Log), Split(Source),
       Budget(Settings.RetryBudget) {}
 
 void EntryCalls::apply(const FleetConfiguration &Configuration) {
--- a/packages/gateway/camphorpin/src/Gateway/EntryCalls.h
+++ b/packages/gateway/camphorpin/src/Gateway/EntryCalls.h
@@ -23,7 +23,7 @@
 public:
   EntryCalls(EventLoop &Loop, const Clock &Time, Random &Source,
              const GatewaySettings &Settings, const PlatformProtocol &Protocol,
-             PeerNetwork &Network, EventLog &Log);
+             PeerNetwork &Network, LocalGate &Gate, EventLog &Log);
 
   /// Puts a configuration in force for requests that arrive from now on.
   void apply(const FleetConfiguration &Configuration);
@@ -85,6 +85,7 @@
   const GatewaySettings &Settings;
   const PlatformProtocol &Protocol;
   PeerNetwork &Network;
+  LocalGate &Gate;
   EventLog &Log;
   RouteTable Routes;
   ServiceSplit Split;
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
@@ -14,8 +14,8 @@
 /// How often one link may be asked for a newer configuration.
 constexpr Duration NewsPause = Duration::millis(100);
 /// While draining, callers still come until the platform has seen twice that
-/// the node is not ready. Until then the gate serves as before, so that a rolling
-/// restart takes the backend server's capacity away only briefly.
+/// the node is not ready. Until then the gate serves as before, so that a
+/// rolling restart takes the backend server's capacity away only briefly.
 constexpr Duration GateServesInDrain = Duration::millis(2000);
 /// From then on new requests are refused: they might not end before the stop
 /// grace does.
@@ -85,7 +85,7 @@
       Incarnation(static_cast<std::uint64_t>(Time.wallNow().wholeMillis())),
       Gate(Loop, Time, Settings, Protocol, Log),
       Network(Loop, Time, Source, Settings, Gate, *this),
-      Entry(Loop, Time, Source, Settings, Protocol, Network, Log),
+      Entry(Loop, Time, Source, Settings, Protocol, Network, Gate, Log),
       Peers(Loop, Time, Gate, *this),
       Ready(std::make_unique<ReadyHandler>(*this)),
       Reports(std::make_unique<ReportHandler>(*this)), CallServer(Loop, Entry),
--- a/packages/gateway/camphorpin/src/Gateway/LocalGate.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/LocalGate.cpp
@@ -14,6 +14,9 @@
 /// arrive.
 constexpr Duration DeadlineSlack = Duration::millis(50);
 constexpr Duration ShortRetryAfter = Duration::millis(200);
+/// When a run that was refused because its dependencies fail may come back. The
+/// bound of a route regains its level within a few run times.
+constexpr Duration LimitedRetryAfter = Duration::millis(600);
 
 bool promisesNotRun(unsigned Status) {
   return Status == 503 || Status == 429 || Status == 408 || Status == 421;
@@ -120,6 +123,11 @@
            ShortRetryAfter);
     return RunId;
   }
+  Item.Limited = Limiter.admit(Ticket.Route, Ticket.Rank);
+  if (!Item.Limited) {
+    refuse(RunId, RefusalReason::Shed, LimitedRetryAfter);
+    return RunId;
+  }
   const GateDecision Decision = Queue.offer(Ticket, Now);
   if (Decision.Choice == GateChoice::Start)
     start(RunId);
@@ -153,6 +161,7 @@
 void LocalGate::start(std::uint64_t RunId) {
   Run &Item = Runs.at(RunId);
   Item.Started = true;
+  Item.StartTime = Time.now();
   Item.Backend = Ledger.current().Id;
   Item.Connection = Pool.acquire();
   ExchangeCall Call;
@@ -195,6 +204,21 @@
   finish(RunId, std::move(Answer), Completed);
 }
 
+RunEnd LocalGate::endOf(const Run &Item, const PeerAnswer &Answer) const {
+  if (!Item.Started)
+    return RunEnd::Unknown;
+  const bool TimedOut =
+      Answer.StatusCode == 504 || Answer.Reason == RefusalReason::Deadline;
+  if (TimedOut)
+    return RunEnd::DependencyFailed;
+  if (Answer.Outcome != CallOutcome::Answered)
+    return RunEnd::Unknown;
+  if (Answer.StatusCode == 500)
+    return LastOutboundFailure >= Item.StartTime ? RunEnd::DependencyFailed
+                                                 : RunEnd::Unknown;
+  return RunEnd::Succeeded;
+}
+
 PeerAnswer LocalGate::classify(const Run &Item, ExchangeResult &Result) {
   PeerAnswer Answer;
   switch (Result.End) {
@@ -256,6 +280,13 @@
   if (Found == Runs.end())
     return;
   Queue.finish(RunId, Time.now(), Completed);
+  const RunEnd End = endOf(Found->second, Answer);
+  if (Found->second.Limited)
+    Limiter.end(Found->second.Call.Route, End, Time.now());
+  // Another backend server would need the same calls.
+  if (End == RunEnd::DependencyFailed &&
+      Answer.Outcome == CallOutcome::Answered)
+    Answer.Reason = RefusalReason::Shed;
   Answer.Id = Found->second.Call.Id;
   Answer.Backend = Found->second.Backend;
   const Reply Done = std::move(Found->second.Done);
@@ -296,6 +327,7 @@
   Run &Item = Found->second;
   Item.Done = nullptr;
   if (!Item.Started) {
+    Limiter.end(Item.Call.Route, RunEnd::Unknown, Time.now());
     Queue.remove(RunId);
     Runs.erase(Found);
     return;
@@ -304,6 +336,7 @@
     return;
   Item.Connection->close();
   Queue.finish(RunId, Time.now(), /*Completed=*/false);
+  Limiter.end(Item.Call.Route, RunEnd::Unknown, Time.now());
   Runs.erase(Found);
   startWaiting();
 }
--- a/packages/gateway/camphorpin/src/Gateway/LocalGate.h
+++ b/packages/gateway/camphorpin/src/Gateway/LocalGate.h
@@ -8,6 +8,7 @@
 #include "camphorpin/src/Gateway/HttpPool.h"
 #include "camphorpin/src/Gateway/PeerMessages.h"
 #include "camphorpin/src/Gateway/PlatformProtocol.h"
+#include "camphorpin/src/Gateway/RouteLimiter.h"
 
 #include <functional>
 #include <map>
@@ -51,6 +52,10 @@
   /// non-idempotent one that has started runs to its end.
   void cancel(std::uint64_t RunId);
 
+  /// A request that began on this host has failed. It may have been a call of
+  /// a run of the backend server.
+  void onOutboundFailure() { LastOutboundFailure = Time.now(); }
+
   GateStatus status() const;
   const BackendReport &backend() const { return Ledger.current(); }
 
@@ -68,6 +73,9 @@
     std::shared_ptr<HttpConnection> Connection;
     std::unique_ptr<boost::asio::steady_timer> Timer;
     bool Started = false;
+    /// Counted by the limiter.
+    bool Limited = false;
+    Instant StartTime;
   };
 
   bool available() const;
@@ -77,6 +85,7 @@
   void onResult(std::uint64_t RunId, ExchangeResult Result);
   PeerAnswer classify(const Run &Item, ExchangeResult &Result);
   PeerAnswer classifyWhole(const HttpResponse &Response);
+  RunEnd endOf(const Run &Item, const PeerAnswer &Answer) const;
   void onRunDeadline(std::uint64_t RunId);
   void finish(std::uint64_t RunId, PeerAnswer Answer, bool Completed);
   void refuse(std::uint64_t RunId, RefusalReason Reason, Duration RetryAfter);
@@ -92,6 +101,8 @@
   EventLog &Log;
   BackendLedger Ledger;
   GateQueue Queue;
+  RouteLimiter Limiter;
+  Instant LastOutboundFailure;
   HttpPool Pool;
   std::function<void()> StatusChanged;
   std::string HealthPath = "/health";
--- a/packages/gateway/camphorpin/src/Gateway/PeerServer.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerServer.cpp
@@ -1,6 +1,5 @@
 #include "camphorpin/src/Gateway/PeerServer.h"
 
-
 namespace camphorpin {
 
 namespace {
--- /dev/null
+++ b/packages/gateway/camphorpin/src/Gateway/RouteLimiter.cpp
@@ -0,0 +1,57 @@
+#include "camphorpin/src/Gateway/RouteLimiter.h"
+
+#include <algorithm>
+
+namespace camphorpin {
+
+namespace {
+
+/// Factor of the bound at a failed dependency.
+constexpr double DecreaseFactor = 0.92;
+/// Failures closer together than this have the same cause and count once.
+constexpr Duration DecreaseInterval = Duration::millis(25);
+/// Runs that are always allowed, so that a recovery is noticed.
+constexpr double MinBound = 2;
+/// Increase of the bound over as many successes as the bound allows runs.
+constexpr double Increase = 0.6;
+/// A bound this far above what is active has no effect and is dropped.
+constexpr double SlackFactor = 3;
+constexpr double SlackRuns = 8;
+
+} // namespace
+
+bool RouteLimiter::admit(const std::string &Route, std::uint8_t Rank) {
+  State &Item = Routes[Route];
+  Item.Rank = Rank;
+  if (Item.Bound > 0 && Item.Active + 1 > Item.Bound)
+    return false;
+  ++Item.Active;
+  return true;
+}
+
+void RouteLimiter::end(const std::string &Route, RunEnd End, Instant Now) {
+  State &Item = Routes[Route];
+  const double Active = Item.Active;
+  if (Item.Active > 0)
+    --Item.Active;
+  if (End == RunEnd::DependencyFailed) {
+    if (Now - Item.LastDecrease < DecreaseInterval)
+      return;
+    Item.LastDecrease = Now;
+    const double Base = Item.Bound > 0 ? std::min(Item.Bound, Active) : Active;
+    Item.Bound = std::max(MinBound, Base * DecreaseFactor);
+    return;
+  }
+  if (End == RunEnd::Succeeded && Item.Bound > 0) {
+    Item.Bound += Increase / (1.0 + Item.Rank) / Item.Bound;
+    if (Item.Bound > Active * SlackFactor + SlackRuns)
+      Item.Bound = 0;
+  }
+}
+
+double RouteLimiter::bound(const std::string &Route) const {
+  const auto Found = Routes.find(Route);
+  return Found == Routes.end() ? 0 : Found->second.Bound;
+}
+
+} // namespace camphorpin
