Test the gateway's decisions, connections and codec

Each test names the failure it guards against. The load model of RouteLimiterTest plays 120 requests a second against a service that carries 80: the bound must give 1.3 times the goodput of no bound and 0.7 of what fits.

--- /dev/null
+++ b/packages/gateway/tests/GateDecisionsTest.cpp
@@ -0,0 +1,183 @@
+#include "camphorpin/src/Gateway/AttemptPolicy.h"
+#include "camphorpin/src/Gateway/GateQueue.h"
+#include "camphorpin/src/Gateway/PeerSelector.h"
+#include "camphorpin/src/Gateway/RetryAllowance.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace camphorpin;
+
+namespace {
+
+GateTicket ticket(std::uint64_t Id, std::uint8_t Rank) {
+  GateTicket Result;
+  Result.Id = Id;
+  Result.Route = "r";
+  Result.Rank = Rank;
+  Result.Objective = Duration::seconds(1);
+  Result.Deadline = Instant::fromMillis(100000);
+  return Result;
+}
+
+AttemptFacts facts(bool Idempotent) {
+  AttemptFacts Result;
+  Result.Idempotent = Idempotent;
+  Result.MaxAttempts = 2;
+  Result.BackendSends = 1;
+  Result.TimeLeft = Duration::seconds(1);
+  Result.Objective = Duration::seconds(1);
+  return Result;
+}
+
+PeerAnswer answer(CallOutcome Outcome, std::uint16_t Status = 0) {
+  PeerAnswer Result;
+  Result.Outcome = Outcome;
+  Result.StatusCode = Status;
+  return Result;
+}
+
+} // namespace
+
+// Guards the backend server against more requests than it has slots, which some
+// servers never answer.
+Test(GateQueue, neverStartsMoreThanTheSlots) {
+  cr_assert(rc::check([](const std::vector<std::uint8_t> &Steps) {
+    GateQueue Queue;
+    Queue.setSlots(3);
+    std::vector<std::uint64_t> Running;
+    std::uint64_t NextId = 1;
+    Instant Now = Instant::fromMillis(1000);
+    for (const std::uint8_t Step : Steps) {
+      Now = Now + Duration::millis(Step % 7);
+      if (Step % 3 == 0 && !Running.empty()) {
+        Queue.finish(Running.back(), Now, true);
+        Running.pop_back();
+        while (const std::optional<GateTicket> Next = Queue.takeNext(Now))
+          Running.push_back(Next->Id);
+      } else {
+        const std::uint64_t Id = NextId++;
+        const GateTicket Ticket = ticket(Id, Step % 4);
+        if (Queue.offer(Ticket, Now).Choice == GateChoice::Start)
+          Running.push_back(Id);
+      }
+      RC_ASSERT(Running.size() == Queue.running());
+      RC_ASSERT(Queue.running() <= 3U);
+    }
+  }));
+}
+
+// Guards urgent work against waiting behind less urgent work.
+Test(GateQueue, startsTheMostUrgentRankFirst) {
+  GateQueue Queue;
+  Queue.setSlots(1);
+  const Instant Now = Instant::fromMillis(1000);
+  Queue.offer(ticket(1, 2), Now);
+  Queue.offer(ticket(2, 2), Now);
+  Queue.offer(ticket(3, 0), Now);
+  Queue.finish(1, Now + Duration::millis(10), true);
+  cr_assert_eq(Queue.takeNext(Now)->Id, 3);
+}
+
+// Guards against holding a request that can no longer be served in time: its
+// caller should come back while it can still use the answer.
+Test(GateQueue, refusesAtOnceWhatWouldWaitTooLong) {
+  GateQueue Queue;
+  Queue.setSlots(1);
+  Instant Now = Instant::fromMillis(1000);
+  Queue.offer(ticket(1, 1), Now);
+  Now = Now + Duration::millis(400);
+  Queue.finish(1, Now, true);
+  Queue.offer(ticket(2, 1), Now);
+  const GateDecision Decision = Queue.offer(ticket(3, 1), Now);
+  cr_assert_eq(Decision.Choice, GateChoice::Refuse);
+  cr_assert_geq(Decision.RetryAfter, Duration::millis(400));
+}
+
+// Guards against requests that wait for ever behind a server that hangs.
+Test(GateQueue, waitingRequestsExpire) {
+  GateQueue Queue;
+  Queue.setSlots(1);
+  const Instant Now = Instant::fromMillis(1000);
+  Queue.offer(ticket(1, 1), Now);
+  cr_assert_eq(Queue.offer(ticket(2, 1), Now).Choice, GateChoice::Queue);
+  cr_assert(Queue.takeExpired(Now + Duration::millis(299)).empty());
+  cr_assert_eq(Queue.takeExpired(Now + Duration::millis(301)).size(), 1);
+  cr_assert_eq(Queue.queued(), 0);
+}
+
+// Guards non-idempotent work against a second run.
+Test(AttemptPolicy, nonIdempotentWorkThatMayHaveRunIsNotSentAgain) {
+  cr_assert_eq(AttemptPolicy::next(facts(false), answer(CallOutcome::Failed)),
+               NextStep::FailMayHaveRun);
+  cr_assert_eq(
+      AttemptPolicy::next(facts(false), answer(CallOutcome::Answered, 500)),
+      NextStep::Deliver);
+  cr_assert_eq(AttemptPolicy::next(facts(false), answer(CallOutcome::Shed)),
+               NextStep::Retry);
+}
+
+// Guards the operator's bound on sends, and against repeats of runs whose
+// dependencies failed.
+Test(AttemptPolicy, idempotentWorkIsRepeatedWithinItsBound) {
+  cr_assert_eq(AttemptPolicy::next(facts(true), answer(CallOutcome::Failed)),
+               NextStep::Retry);
+  AttemptFacts Exhausted = facts(true);
+  Exhausted.BackendSends = 2;
+  cr_assert_eq(AttemptPolicy::next(Exhausted, answer(CallOutcome::Failed)),
+               NextStep::FailMayHaveRun);
+  PeerAnswer Dependency = answer(CallOutcome::Answered, 500);
+  Dependency.Reason = RefusalReason::Shed;
+  cr_assert_eq(AttemptPolicy::next(facts(true), Dependency), NextStep::Deliver);
+}
+
+// Guards the fleet's retry budget: the sum over all nodes keeps to it although
+// they don't talk about it.
+Test(RetryAllowance, nodesTogetherKeepToTheBudget) {
+  constexpr int Nodes = 13;
+  RetryBudgetSettings Settings;
+  Settings.Ratio = 0.2;
+  Settings.Slack = 49;
+  std::vector<RetryAllowance> Fleet(Nodes, RetryAllowance(Settings));
+  int Requests = 0;
+  int Retries = 0;
+  for (int Millis = 0; Millis < 10000; Millis += 10) {
+    RetryAllowance &Node = Fleet[static_cast<std::size_t>(Millis / 10 % Nodes)];
+    const Instant Now = Instant::fromMillis(50000 + Millis);
+    Node.onRequest("s", Now);
+    ++Requests;
+    while (Node.tryRetry("s", Nodes, Now))
+      ++Retries;
+  }
+  cr_assert_leq(Retries, 0.2 * Requests + 49);
+  cr_assert_gt(Retries, 0.05 * Requests);
+}
+
+// Guards against requests for a gate that said it takes none.
+Test(PeerSelector, unavailableAndTriedGatesAreLeftOut) {
+  SeededRandom Source(20261204);
+  PeerSelector Selector(Source);
+  std::vector<PeerCandidate> Candidates(3);
+  Candidates[0].StatusKnown = true;
+  Candidates[1].Tried = true;
+  Candidates[2].Usable = false;
+  cr_assert_not(Selector.choose(Candidates).has_value());
+  Candidates[0].Status.Available = true;
+  cr_assert_eq(*Selector.choose(Candidates), 0);
+}
+
+// Guards slow servers against an equal share of the load.
+Test(PeerSelector, fullGateIsLeftForOneInAnotherZone) {
+  SeededRandom Source(20261204);
+  PeerSelector Selector(Source);
+  std::vector<PeerCandidate> Candidates(2);
+  for (PeerCandidate &Item : Candidates) {
+    Item.StatusKnown = true;
+    Item.Status = {true, false, 0, 0, 10, Duration(), Duration::millis(100)};
+  }
+  Candidates[0].SameZone = true;
+  cr_assert_eq(*Selector.choose(Candidates), 0);
+  Candidates[0].Status.Running = 10;
+  Candidates[0].Status.Queued = 10;
+  cr_assert_eq(*Selector.choose(Candidates), 1);
+}
--- /dev/null
+++ b/packages/gateway/tests/HttpSessionTest.cpp
@@ -0,0 +1,165 @@
+#include "GatewayFixture.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace camphorpin;
+using namespace camphorpin::test;
+
+namespace {
+
+/// A caller that writes raw bytes and collects what comes back.
+class RawCaller {
+public:
+  RawCaller(EventLoop &Loop, const HostAddress &Address)
+      : Loop(Loop), Socket(Loop) {
+    Socket.connect(detail::endpointOf(Address));
+    read();
+  }
+  ~RawCaller() { *Alive = false; }
+
+  void send(std::string_view Bytes) {
+    boost::asio::write(Socket, boost::asio::buffer(Bytes));
+  }
+  void leave() { Socket.close(); }
+
+  std::string Received;
+  bool Ended = false;
+
+private:
+  void read() {
+    Socket.async_read_some(
+        boost::asio::buffer(Chunk),
+        [this, Guard = Alive](const boost::system::error_code &Error,
+                              std::size_t Bytes) {
+          if (!*Guard)
+            return;
+          if (Error) {
+            Ended = true;
+            return;
+          }
+          Received.append(Chunk.data(), Bytes);
+          read();
+        });
+  }
+
+  EventLoop &Loop;
+  TcpSocket Socket;
+  std::array<char, 4096> Chunk{};
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+};
+
+/// A server that keeps the requests for the test to answer.
+struct HeldServer final : HttpRequestHandler {
+  EventLoop Loop;
+  HostAddress Address = freeAddress();
+  AsyncHttpServer Server{Loop, *this};
+  std::vector<std::shared_ptr<HttpExchange>> Held;
+
+  HeldServer() { Server.listen(Address); }
+  void onRequest(const std::shared_ptr<HttpExchange> &Exchange) override {
+    Held.push_back(Exchange);
+  }
+  void waitFor(std::size_t Count) {
+    runUntil(Loop, Duration::seconds(2), [&] { return Held.size() >= Count; });
+  }
+};
+
+std::string get(const std::string &Id) {
+  return "GET /" + Id + " HTTP/1.1\r\nHost: h\r\nCamphorpin-Request: " + Id +
+         "\r\n\r\n";
+}
+
+} // namespace
+
+// Guards pipelined callers against answers of other requests.
+Test(HttpSession, pipelinedAnswersKeepTheOrderOfTheRequests) {
+  HeldServer World;
+  RawCaller Caller(World.Loop, World.Address);
+  Caller.send(get("1") + get("2") + get("3"));
+  World.waitFor(3);
+  for (const std::size_t Index : {2, 0, 1})
+    World.Held[Index]->reply(
+        stampedReply(*World.Held[Index], "b" + std::to_string(Index)));
+  runUntil(World.Loop, Duration::seconds(2),
+           [&] { return Caller.Received.find("b2") != std::string::npos; });
+  const std::size_t First = Caller.Received.find("b0");
+  const std::size_t Second = Caller.Received.find("b1");
+  const std::size_t Third = Caller.Received.find("b2");
+  cr_assert(First < Second && Second < Third && Third != std::string::npos);
+}
+
+// Guards against work that goes on for a caller that has left.
+Test(HttpSession, callerThatLeavesIsNoticedWhileItsRequestRuns) {
+  HeldServer World;
+  RawCaller Caller(World.Loop, World.Address);
+  Caller.send(get("1"));
+  World.waitFor(1);
+  bool Abandoned = false;
+  World.Held.front()->onAbandoned([&] { Abandoned = true; });
+  Caller.leave();
+  runUntil(World.Loop, Duration::seconds(2), [&] { return Abandoned; });
+  cr_assert(Abandoned);
+}
+
+// Guards requests behind a closing answer: a draining node closes a connection
+// only when every request it has read is answered.
+Test(HttpSession, drainingClosesBehindTheLastAnswer) {
+  HeldServer World;
+  RawCaller Caller(World.Loop, World.Address);
+  Caller.send(get("1") + get("2"));
+  World.waitFor(2);
+  World.Server.drain();
+  for (const std::shared_ptr<HttpExchange> &Item : World.Held)
+    Item->reply(stampedReply(*Item, "whole"));
+  runUntil(World.Loop, Duration::seconds(2), [&] { return Caller.Ended; });
+  const std::size_t Close = Caller.Received.find("Connection: close");
+  cr_assert_neq(Close, std::string::npos);
+  cr_assert_gt(Close, Caller.Received.find("whole"));
+  cr_assert_neq(Caller.Received.find("whole", Close), std::string::npos);
+}
+
+// Guards the parser against input that arrives in any pieces, chunked or not.
+Test(HttpSession, requestsInAnyPiecesAreTheSame) {
+  HeldServer World;
+  const std::string Request =
+      "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n";
+  for (std::size_t Cut = 1; Cut < Request.size(); Cut += 3) {
+    World.Held.clear();
+    RawCaller Caller(World.Loop, World.Address);
+    Caller.send(Request.substr(0, Cut));
+    runUntil(World.Loop, Duration::millis(8), [] { return false; });
+    Caller.send(Request.substr(Cut));
+    World.waitFor(1);
+    cr_assert_eq(World.Held.size(), 1);
+    cr_assert_eq(World.Held.front()->request().body(),
+                 std::string("hello world"));
+  }
+}
+
+// Guards the node against hostile input: it answers or closes, and goes on.
+Test(HttpSession, hostileBytesEndOnlyTheirConnection) {
+  HeldServer World;
+  RequestLimits Limits;
+  Limits.HeaderBytes = 512;
+  Limits.BodyBytes = 1024;
+  World.Server.setLimits(Limits);
+  for (const std::string &Bytes :
+       {std::string("\x00\xff\x13garbage\r\n\r\n", 14),
+        "GET / HTTP/1.1\r\nX: " + std::string(2000, 'x') + "\r\n\r\n",
+        std::string("POST / HTTP/1.1\r\nContent-Length: 99999\r\n\r\n")}) {
+    RawCaller Caller(World.Loop, World.Address);
+    Caller.send(Bytes);
+    runUntil(World.Loop, Duration::seconds(2), [&] { return Caller.Ended; });
+    cr_assert(Caller.Ended);
+    cr_assert(Caller.Received.empty() ||
+              Caller.Received.starts_with("HTTP/1.1 4"));
+  }
+  RawCaller Caller(World.Loop, World.Address);
+  Caller.send(get("1"));
+  World.waitFor(1);
+  cr_assert_eq(World.Held.size(), 1);
+}
--- /dev/null
+++ b/packages/gateway/tests/LocalGateTest.cpp
@@ -0,0 +1,170 @@
+#include "GatewayFixture.h"
+
+#include <boost/asio/write.hpp>
+#include <criterion/criterion.h>
+
+using namespace camphorpin;
+using namespace camphorpin::test;
+
+namespace {
+
+/// A backend server that writes raw bytes for each request it reads.
+class RawBackend {
+public:
+  RawBackend(EventLoop &Loop, std::vector<std::string> Answers)
+      : Address(freeAddress()), Answers(std::move(Answers)),
+        Acceptor(Loop, detail::endpointOf(Address)) {
+    accept();
+  }
+
+  HostAddress Address;
+  int Requests = 0;
+  int Connections = 0;
+
+private:
+  struct Connection {
+    explicit Connection(TcpSocket Socket) : Socket(std::move(Socket)) {}
+    TcpSocket Socket;
+    std::array<char, 4096> Chunk{};
+  };
+
+  void accept() {
+    Acceptor.async_accept(
+        [this](const boost::system::error_code &Error, TcpSocket Socket) {
+          if (Error)
+            return;
+          ++Connections;
+          read(std::make_shared<Connection>(std::move(Socket)));
+          accept();
+        });
+  }
+
+  void read(const std::shared_ptr<Connection> &Item) {
+    Item->Socket.async_read_some(
+        boost::asio::buffer(Item->Chunk),
+        [this, Item](const boost::system::error_code &Error, std::size_t) {
+          if (Error)
+            return;
+          const std::string &Answer =
+              Answers[static_cast<std::size_t>(Requests) % Answers.size()];
+          ++Requests;
+          if (Answer == "close") {
+            Item->Socket.close();
+            return;
+          }
+          boost::asio::write(Item->Socket, boost::asio::buffer(Answer));
+          read(Item);
+        });
+  }
+
+  std::vector<std::string> Answers;
+  boost::asio::ip::tcp::acceptor Acceptor;
+};
+
+struct GateWorld {
+  EventLoop Loop;
+  SystemClock Time;
+  PlainProtocol Protocol;
+  EventLog Log{{"error", ""}, Time};
+  RawBackend Backend;
+  GatewaySettings Settings;
+  LocalGate Gate;
+
+  explicit GateWorld(std::vector<std::string> Answers)
+      : Backend(Loop, std::move(Answers)), Settings(settings(Backend.Address)),
+        Gate(Loop, Time, Settings, Protocol, Log) {
+    BackendReport Report;
+    Report.Id = "b1";
+    Report.Service = "shop";
+    Report.Address = Backend.Address.toString();
+    Report.Slots = 4;
+    Report.Sequence = 1;
+    Gate.onReport(Report);
+  }
+
+  static GatewaySettings settings(const HostAddress &Backend) {
+    GatewaySettings Result;
+    Result.Service = "shop";
+    Result.BackendAddress = Backend;
+    return Result;
+  }
+
+  PeerAnswer run(const std::string &Id) {
+    PeerCall Call;
+    Call.Head = "GET /x HTTP/1.1\r\nHost: h\r\n";
+    Call.RequestId = Id;
+    Call.Route = "r";
+    Call.Service = "shop";
+    Call.Idempotent = true;
+    Call.TimeLeft = Duration::millis(400);
+    Call.Objective = Duration::seconds(1);
+    std::optional<PeerAnswer> Result;
+    Gate.submit(Call, [&](PeerAnswer Answer) { Result = std::move(Answer); });
+    runUntil(Loop, Duration::seconds(2), [&] { return Result.has_value(); });
+    cr_assert(Result.has_value());
+    return *Result;
+  }
+};
+
+std::string whole(const std::string &Id, const std::string &Body,
+                  const std::string &Extra = "Camphorpin-Stamp: s\r\n") {
+  return "HTTP/1.1 200 OK\r\nCamphorpin-Request: " + Id + "\r\n" + Extra +
+         "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
+} // namespace
+
+// Guards callers against the late second answer to an earlier request.
+Test(LocalGate, answerOfAnotherRequestIsSkipped) {
+  GateWorld World({whole("1", "one"), whole("1", "again") + whole("2", "two")});
+  cr_assert_eq(World.run("1").Body, std::string("one"));
+  cr_assert_eq(World.run("2").Body, std::string("two"));
+}
+
+// Guards callers against a connection on which surplus bytes lie.
+Test(LocalGate, connectionWithSurplusBytesIsNotUsedAgain) {
+  GateWorld World({whole("1", "one") + "surplus", whole("2", "two")});
+  cr_assert_eq(World.run("1").Body, std::string("one"));
+  cr_assert_eq(World.run("2").Body, std::string("two"));
+  cr_assert_eq(World.Backend.Connections, 2);
+}
+
+// Guards the promise "not run": only the backend server's own statement counts.
+Test(LocalGate, statusThatPromisesNotRunNeedsTheServersStatement) {
+  GateWorld Silent({"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"});
+  cr_assert_eq(Silent.run("1").verdict(), Verdict::MayHaveRun);
+  GateWorld Stating({"HTTP/1.1 503 Busy\r\nCamphorpin-Shed: 1\r\n"
+                     "Content-Length: 0\r\n\r\n"});
+  cr_assert_eq(Stating.run("1").verdict(), Verdict::NotRun);
+}
+
+// Guards callers against torn, unmarked and foreign bodies.
+Test(LocalGate, answersThatAreNotWholeAreFailures) {
+  const std::vector<std::string> Broken = {
+      whole("1", "one", ""),
+      whole("1", "one", "Camphorpin-Stamp: s\r\nContent-Encoding: gzip\r\n"),
+      "no http at all\r\n\r\n", "close"};
+  for (const std::string &Bytes : Broken) {
+    GateWorld World({Bytes});
+    const PeerAnswer Answer = World.run("1");
+    cr_assert_eq(Answer.Outcome, CallOutcome::Failed);
+    cr_assert(Answer.Body.empty());
+  }
+}
+
+// Guards against a caller that waits for ever: a server may never answer.
+Test(LocalGate, runWithoutAnswerEndsAtItsDeadline) {
+  GateWorld World({""});
+  const PeerAnswer Answer = World.run("1");
+  cr_assert_eq(Answer.Outcome, CallOutcome::Failed);
+  cr_assert_eq(Answer.Reason, RefusalReason::Deadline);
+}
+
+// Guards work against a server that has taken over the address.
+Test(LocalGate, otherServerAtTheAddressTakesNoFurtherRequests) {
+  GateWorld World({"HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n"});
+  cr_assert_eq(World.run("1").verdict(), Verdict::NotRun);
+  cr_assert_not(World.Gate.status().Available);
+  cr_assert_eq(World.run("2").Outcome, CallOutcome::Refused);
+  cr_assert_eq(World.Backend.Requests, 1);
+}
--- /dev/null
+++ b/packages/gateway/tests/PeerCodecTest.cpp
@@ -0,0 +1,62 @@
+#include "camphorpin/src/Gateway/PeerCodec.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace camphorpin;
+using camphorpin::detail::DecodedFrame;
+using camphorpin::detail::decodeFrame;
+using camphorpin::detail::DecodeState;
+using camphorpin::detail::encodeFrame;
+
+namespace {
+
+PeerCall sampleCall(const std::string &Body) {
+  PeerCall Call;
+  Call.Id = 77;
+  Call.Head = "GET / HTTP/1.1\r\n";
+  Call.Body = Body;
+  Call.RequestId = "id";
+  Call.Route = "r";
+  Call.Service = "s";
+  Call.Idempotent = true;
+  Call.Rank = 2;
+  Call.TimeLeft = Duration::millis(1234);
+  Call.Objective = Duration::millis(99);
+  return Call;
+}
+
+} // namespace
+
+// Guards bodies against being changed or cut on the way between nodes.
+Test(PeerCodec, callsSurviveAnyBodyAndAnySplit) {
+  cr_assert(rc::check([](const std::string &Body) {
+    std::string Stream;
+    encodeFrame(sampleCall(Body), Stream);
+    const DecodedFrame Whole = decodeFrame(Stream);
+    RC_ASSERT(Whole.State == DecodeState::Frame);
+    RC_ASSERT(Whole.Bytes == Stream.size());
+    const PeerCall &Call = std::get<PeerCall>(Whole.Frame);
+    RC_ASSERT(Call.Body == Body);
+    RC_ASSERT(Call.TimeLeft == Duration::millis(1234));
+    const std::size_t Cut = *rc::gen::inRange<std::size_t>(0, Stream.size());
+    RC_ASSERT(decodeFrame(std::string_view(Stream).substr(0, Cut)).State ==
+              DecodeState::Incomplete);
+  }));
+}
+
+// Guards a node against a hostile or faulty peer: any bytes decode, wait for
+// more, or are rejected.
+Test(PeerCodec, hostileBytesAreRejected) {
+  cr_assert(rc::check([](const std::vector<std::uint8_t> &Noise) {
+    std::string Stream;
+    encodeFrame(sampleCall("body"), Stream);
+    for (std::size_t Index = 0; Index + 1 < Noise.size(); Index += 2)
+      Stream[Noise[Index] % Stream.size()] =
+          static_cast<char>(Noise[Index + 1]);
+    const DecodedFrame Result = decodeFrame(Stream);
+    RC_ASSERT(Result.Bytes <= Stream.size());
+  }));
+  const std::string Huge("\0\0\0\0\xff\xff\xff\x7f", 8);
+  cr_assert_eq(decodeFrame(Huge).State, DecodeState::Malformed);
+}
--- /dev/null
+++ b/packages/gateway/tests/RouteLimiterTest.cpp
@@ -0,0 +1,141 @@
+#include "camphorpin/src/Gateway/RouteLimiter.h"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+#include <deque>
+#include <random>
+
+using namespace camphorpin;
+
+namespace {
+
+/// What callers got in the modelled load.
+struct Served {
+  int Whole = 0;
+  int Failed = 0;
+  int Refused = 0;
+};
+
+/// A route whose runs need ten calls, one after the other, of a service with a
+/// fixed rate. Callers send a failed request once more.
+class ChainModel {
+public:
+  ChainModel(bool Limited, int RequestsPerSecond, int CallsPerSecond)
+      : Limited(Limited), Requests(RequestsPerSecond), Calls(CallsPerSecond) {}
+
+  Served play(int Seconds) {
+    for (int Millis = 0; Millis < Seconds * 1000; Millis += TickMillis)
+      tick(Millis);
+    return Result;
+  }
+
+private:
+  static constexpr int TickMillis = 10;
+  static constexpr int CallsPerRun = 10;
+  static constexpr int TicksPerCall = 5;
+  struct Run {
+    int CallsLeft = CallsPerRun;
+    int WaitTicks = TicksPerCall;
+    bool Repeat = false;
+  };
+
+  void tick(int Millis) {
+    Now = Instant::fromMillis(1000 + Millis);
+    Arriving += Requests * TickMillis / 1000.0;
+    Room = std::min(Room + Calls * TickMillis / 1000.0, Calls / 10.0);
+    for (; Arriving >= 1; Arriving -= 1)
+      arrive(false);
+    for (; Returning >= 1; --Returning)
+      arrive(true);
+    advance();
+  }
+
+  void arrive(bool Repeat) {
+    if (Limited && !Limiter.admit("r", 1)) {
+      ++Result.Refused;
+      return;
+    }
+    Run Started;
+    Started.Repeat = Repeat;
+    Active.push_back(Started);
+  }
+
+  void advance() {
+    // The service doesn't know how far the run behind a call has come.
+    std::shuffle(Active.begin(), Active.end(), Order);
+    std::deque<Run> Left;
+    for (Run &Item : Active) {
+      if (--Item.WaitTicks > 0) {
+        Left.push_back(Item);
+        continue;
+      }
+      Item.WaitTicks = TicksPerCall;
+      if (Room < 1) {
+        end(Item, RunEnd::DependencyFailed);
+      } else {
+        Room -= 1;
+        if (--Item.CallsLeft > 0)
+          Left.push_back(Item);
+        else
+          end(Item, RunEnd::Succeeded);
+      }
+    }
+    Active.swap(Left);
+  }
+
+  void end(const Run &Item, RunEnd End) {
+    if (Limited)
+      Limiter.end("r", End, Now);
+    if (End == RunEnd::Succeeded)
+      ++Result.Whole;
+    else
+      ++Result.Failed;
+    if (End != RunEnd::Succeeded && !Item.Repeat)
+      ++Returning;
+  }
+
+  bool Limited;
+  int Requests;
+  int Calls;
+  RouteLimiter Limiter;
+  Served Result;
+  std::deque<Run> Active;
+  std::mt19937 Order{20261204};
+  Instant Now;
+  double Arriving = 0;
+  double Room = 0;
+  int Returning = 0;
+};
+
+} // namespace
+
+// Guards callers against an overload deep in the graph: without the bound, most
+// runs fail after they have used calls that others needed. The service can
+// carry the calls of 80 runs a second; 120 requests a second arrive.
+Test(RouteLimiter, keepsGoodputWhenADependencyIsOverloaded) {
+  const Served Naive = ChainModel(false, 120, 800).play(30);
+  const Served Bounded = ChainModel(true, 120, 800).play(30);
+  cr_assert_gt(Bounded.Whole, 1.3 * Naive.Whole, "%d whole, naive %d",
+               Bounded.Whole, Naive.Whole);
+  cr_assert_gt(Bounded.Whole, 0.7 * 80 * 30, "%d whole of %d that fit",
+               Bounded.Whole, 80 * 30);
+}
+
+// Guards against a bound that stays after the overload has gone.
+Test(RouteLimiter, boundsNothingWhenTheDependencyHasRoom) {
+  const Served Bounded = ChainModel(true, 60, 800).play(30);
+  cr_assert_eq(Bounded.Refused, 0);
+  cr_assert_eq(Bounded.Failed, 0);
+}
+
+// Guards against the loss of a route: a few runs are always allowed.
+Test(RouteLimiter, alwaysLetsSomeRunsThrough) {
+  RouteLimiter Limiter;
+  for (int Count = 0; Count < 500; ++Count) {
+    Limiter.admit("r", 3);
+    Limiter.end("r", RunEnd::DependencyFailed,
+                Instant::fromMillis(1000 + Count * 50));
+  }
+  cr_assert(Limiter.admit("r", 3));
+  cr_assert(Limiter.admit("r", 3));
+}
