Refuse requests that were running at two crashes of backend servers

The crash guard of the decision library judges runs at the gate. A lost connection counts as a crash only if the backend server then refuses connections, so that lost answers make no request suspect. The nodes tell each other which requests were running.

--- a/packages/gateway/camphorpin/src/Gateway/EntryCalls.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/EntryCalls.cpp
@@ -14,6 +14,8 @@
 /// The final answer is given a little before the operator's timeout, so that it
 /// arrives in time.
 constexpr Duration AnswerMargin = Duration::millis(10);
+/// When a request that crashes backend servers may come back.
+constexpr Duration SuspectRetryAfter = Duration::seconds(5);
 constexpr Duration DefaultRetryAfter = Duration::millis(250);
 /// Random part of Retry-After, so that refused callers don't return together.
 constexpr double RetryAfterSpread = 0.5;
@@ -27,6 +29,16 @@
   return Duration::millis(Millis);
 }
 
+/// \returns what a request has in common with its repeats by the caller.
+std::uint64_t fingerprintOf(const HttpRequest &Request,
+                            std::string_view CallerService,
+                            std::string_view Body) {
+  std::uint64_t Result = stableHash(std::string_view(Request.target()));
+  Result = stableHash(detail::headerOf(Request, "Host"), Result);
+  Result = stableHash(CallerService, Result);
+  return stableHash(Body, Result);
+}
+
 /// \returns \p Span in seconds with a fraction, as in Retry-After.
 std::string secondsText(Duration Span) {
   std::array<char, 32> Text{};
@@ -105,6 +117,7 @@
                Route->Timeout - AnswerMargin);
   Item.Deadline = Item.Arrived + Left;
   Item.Body = Exchange->takeBody();
+  Item.Fingerprint = fingerprintOf(Request, Settings.Service, Item.Body);
   Item.Timer = std::make_unique<boost::asio::steady_timer>(
       Loop, detail::timerSpan(Left));
   Item.Timer->async_wait([this, Id](const boost::system::error_code &Error) {
@@ -113,6 +126,11 @@
   });
   Exchange->onAbandoned([this, Id] { onAbandoned(Id); });
   Budget.onRequest(Item.Service, Item.Arrived);
+  if (Gate.crashSuspect(Item.Fingerprint)) {
+    Item.RetryAfter = SuspectRetryAfter;
+    refuse(Id, Item, RefusalReason::CrashSuspect);
+    return;
+  }
   if (!attempt(Id, Item))
     refuse(Id, Item, RefusalReason::NoBackend);
 }
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
@@ -111,6 +111,10 @@
   if (!Error.empty())
     return Error;
   Gate.onStatusChange([this] { Peers.announce(); });
+  Gate.onCrash([this](const PeerCrashes &Crashes) {
+    Peers.broadcast(Crashes);
+    Network.broadcast(Crashes);
+  });
   Log.write(LogEvent::NodeStarted,
             {{"address", Settings.PeerAddress.toString()},
              {"service", Settings.Service},
@@ -188,7 +192,9 @@
     adopt(std::move(*Next), "peer");
 }
 
-void Gateway::onCrashes(const PeerCrashes &) {}
+void Gateway::onCrashes(const PeerCrashes &Crashes) {
+  Gate.learnCrashes(Crashes);
+}
 
 void Gateway::onRecords(StoreFeed Feed,
                         const std::vector<StoreRecord> &Records) {
--- a/packages/gateway/camphorpin/src/Gateway/LocalGate.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/LocalGate.cpp
@@ -18,6 +18,12 @@
 /// bound of a route regains its level within a few run times.
 constexpr Duration LimitedRetryAfter = Duration::millis(600);
 
+/// When a request that crashes backend servers may come back.
+constexpr Duration SuspectRetryAfter = Duration::seconds(5);
+/// Crash reports are sent to all peers at once and not passed on.
+constexpr CrashOptions GuardOptions = {.Transmissions = 1};
+constexpr std::size_t MaxReports = 256;
+
 bool promisesNotRun(unsigned Status) {
   return Status == 503 || Status == 429 || Status == 408 || Status == 421;
 }
@@ -29,6 +35,9 @@
                      const PlatformProtocol &Protocol, EventLog &Log)
     : Loop(Loop), Time(Time), Settings(Settings), Protocol(Protocol), Log(Log),
       Ledger(Settings.BackendAddress.toString(), Settings.Service),
+      Guard(ProcessId{Settings.PeerAddress,
+                      static_cast<std::uint64_t>(Time.wallNow().wholeMillis())},
+            GuardOptions),
       Pool(Loop, Settings.BackendAddress), QueueTimer(Loop) {}
 
 bool LocalGate::available() const {
@@ -160,6 +169,14 @@
 
 void LocalGate::start(std::uint64_t RunId) {
   Run &Item = Runs.at(RunId);
+  const CrashChoice Choice = Guard.start(RunId, Item.Call.Fingerprint,
+                                         Item.Call.CrashCount, Time.now());
+  if (Choice != CrashChoice::Start) {
+    refuse(RunId, RefusalReason::CrashSuspect,
+           Choice == CrashChoice::Isolate ? ShortRetryAfter
+                                          : SuspectRetryAfter);
+    return;
+  }
   Item.Started = true;
   Item.StartTime = Time.now();
   Item.Backend = Ledger.current().Id;
@@ -201,9 +218,54 @@
   if (Result.End == ExchangeEnd::Whole)
     Pool.release(Item.Connection);
   const bool Completed = Answer.Outcome == CallOutcome::Answered;
+  if (Result.End == ExchangeEnd::Lost)
+    checkForCrash(RunId);
   finish(RunId, std::move(Answer), Completed);
 }
 
+void LocalGate::checkForCrash(std::uint64_t LostRun) {
+  LostRuns.push_back(LostRun);
+  if (CrashCheckRunning)
+    return;
+  CrashCheckRunning = true;
+  // A server that has only lost an answer still accepts connections.
+  const auto Socket = std::make_shared<TcpSocket>(Loop);
+  Socket->async_connect(detail::endpointOf(Settings.BackendAddress),
+                        [this, Socket](const boost::system::error_code &Error) {
+                          CrashCheckRunning = false;
+                          onCrashCheck(Error ==
+                                       boost::asio::error::connection_refused);
+                        });
+}
+
+void LocalGate::onCrashCheck(bool Refused) {
+  const Instant Now = Time.now();
+  const std::size_t Lost = LostRuns.size();
+  for (const std::uint64_t RunId : LostRuns) {
+    if (Refused)
+      Guard.onRunLost(RunId, Now);
+    else
+      Guard.end(RunId, /*Completed=*/false, Now);
+  }
+  LostRuns.clear();
+  if (!Refused)
+    return;
+  UnreachableUntil = Now + UnreachablePause;
+  Log.write(LogEvent::BackendCrashed, {{"running", std::to_string(Lost)}});
+  PeerCrashes Crashes;
+  for (const CrashReport &Report : Guard.takeReports(MaxReports, Now))
+    Crashes.Notices.push_back({Report.Fingerprint, Report.CrashId});
+  if (CrashFound && !Crashes.Notices.empty())
+    CrashFound(Crashes);
+}
+
+void LocalGate::learnCrashes(const PeerCrashes &Crashes) {
+  const Instant Now = Time.now();
+  for (const CrashNotice &Notice : Crashes.Notices)
+    Guard.onReport({Notice.Fingerprint, Notice.Crash, Duration()}, Now);
+  (void)Guard.takeReports(MaxReports, Now);
+}
+
 RunEnd LocalGate::endOf(const Run &Item, const PeerAnswer &Answer) const {
   if (!Item.Started)
     return RunEnd::Unknown;
@@ -280,6 +342,10 @@
   if (Found == Runs.end())
     return;
   Queue.finish(RunId, Time.now(), Completed);
+  const bool Lost =
+      std::find(LostRuns.begin(), LostRuns.end(), RunId) != LostRuns.end();
+  if (!Lost)
+    Guard.end(RunId, Completed, Time.now());
   const RunEnd End = endOf(Found->second, Answer);
   if (Found->second.Limited)
     Limiter.end(Found->second.Call.Route, End, Time.now());
@@ -335,6 +401,7 @@
   if (!Item.Call.Idempotent)
     return;
   Item.Connection->close();
+  Guard.end(RunId, /*Completed=*/false, Time.now());
   Queue.finish(RunId, Time.now(), /*Completed=*/false);
   Limiter.end(Item.Call.Route, RunEnd::Unknown, Time.now());
   Runs.erase(Found);
@@ -364,6 +431,7 @@
 
 void LocalGate::tick() {
   Pool.prune();
+  Guard.tick(Time.now());
   if (Ledger.current().Id.empty())
     probe();
   startWaiting();
--- a/packages/gateway/camphorpin/src/Gateway/LocalGate.h
+++ b/packages/gateway/camphorpin/src/Gateway/LocalGate.h
@@ -1,6 +1,7 @@
 #ifndef CAMPHORPIN_SRC_GATEWAY_LOCALGATE_H
 #define CAMPHORPIN_SRC_GATEWAY_LOCALGATE_H
 
+#include "camphorpin/src/Crash/CrashGuard.h"
 #include "camphorpin/src/Daemon/EventLog.h"
 #include "camphorpin/src/Gateway/BackendLedger.h"
 #include "camphorpin/src/Gateway/GateQueue.h"
@@ -14,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace camphorpin {
 
@@ -35,6 +37,19 @@
     StatusChanged = std::move(Listener);
   }
 
+  /// \param Listener receives the requests that were running at a crash.
+  void onCrash(std::function<void(const PeerCrashes &)> Listener) {
+    CrashFound = std::move(Listener);
+  }
+
+  /// News of a crash at another node.
+  void learnCrashes(const PeerCrashes &Crashes);
+
+  /// \returns true if the request has crashed too many backend servers.
+  bool crashSuspect(std::uint64_t Fingerprint) const {
+    return Guard.refuses(Fingerprint, Time.now());
+  }
+
   /// Asks the backend server who it is.
   void probe();
   void onReport(const BackendReport &Report);
@@ -91,6 +106,8 @@
   void refuse(std::uint64_t RunId, RefusalReason Reason, Duration RetryAfter);
   void refuseWaiting(RefusalReason Reason);
   void afterLedgerChange(bool Changed);
+  void checkForCrash(std::uint64_t LostRun);
+  void onCrashCheck(bool Refused);
   void armQueueTimer();
   void expireWaiting();
 
@@ -102,9 +119,14 @@
   BackendLedger Ledger;
   GateQueue Queue;
   RouteLimiter Limiter;
+  CrashGuard Guard;
+  /// Runs whose connection was lost since the last check for a crash.
+  std::vector<std::uint64_t> LostRuns;
+  bool CrashCheckRunning = false;
   Instant LastOutboundFailure;
   HttpPool Pool;
   std::function<void()> StatusChanged;
+  std::function<void(const PeerCrashes &)> CrashFound;
   std::string HealthPath = "/health";
   std::map<std::uint64_t, Run> Runs;
   std::uint64_t NextRun = 1;
--- a/packages/gateway/camphorpin/src/Gateway/PeerNetwork.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerNetwork.cpp
@@ -96,6 +96,11 @@
     Found->second->cancel(Id);
 }
 
+void PeerNetwork::broadcast(const PeerFrame &Frame) {
+  for (const auto &[Node, Link] : Links)
+    Link->send(Frame);
+}
+
 void PeerNetwork::requestNews(std::uint64_t Version) {
   std::vector<GateLink *> Open;
   for (const auto &[Node, Link] : Links)
--- a/packages/gateway/camphorpin/src/Gateway/PeerNetwork.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerNetwork.h
@@ -37,6 +37,9 @@
   void call(const std::string &Node, PeerCall Call, LocalGate::Reply Done);
   void cancel(const std::string &Node, std::uint64_t Id);
 
+  /// Sends \p Frame to all nodes to which this node has a connection.
+  void broadcast(const PeerFrame &Frame);
+
   /// Asks a connected peer for news.
   void requestNews(std::uint64_t Version);
   void requestNews(const std::string &Node, std::uint64_t Version);
--- a/packages/gateway/tests/LocalGateTest.cpp
+++ b/packages/gateway/tests/LocalGateTest.cpp
@@ -18,8 +18,12 @@
   }
 
   HostAddress Address;
+  /// Takes no further connection; the next request ends its connection.
+  void stopListening() { Dying = true; }
+
   int Requests = 0;
   int Connections = 0;
+  bool Dying = false;
 
 private:
   struct Connection {
@@ -49,6 +53,8 @@
               Answers[static_cast<std::size_t>(Requests) % Answers.size()];
           ++Requests;
           if (Answer == "close") {
+            if (Dying)
+              Acceptor.close();
             Item->Socket.close();
             return;
           }
@@ -89,8 +95,9 @@
     return Result;
   }
 
-  PeerAnswer run(const std::string &Id) {
+  PeerAnswer run(const std::string &Id, std::uint64_t Fingerprint = 1) {
     PeerCall Call;
+    Call.Fingerprint = Fingerprint;
     Call.Head = "GET /x HTTP/1.1\r\nHost: h\r\n";
     Call.RequestId = Id;
     Call.Route = "r";
@@ -168,3 +175,26 @@
   cr_assert_eq(World.run("2").Outcome, CallOutcome::Refused);
   cr_assert_eq(World.Backend.Requests, 1);
 }
+
+// Guards the fleet against a request that crashes every server that runs it,
+// and other requests against being taken for one.
+Test(LocalGate, requestsThatRanAtTwoCrashesAreRefused) {
+  GateWorld World({"close"});
+  const std::uint64_t Guilty = 4711;
+  const std::uint64_t Innocent = 4712;
+  World.run("lost", Innocent);
+  runUntil(World.Loop, Duration::millis(50), [] { return false; });
+  cr_assert_not(World.Gate.crashSuspect(Innocent));
+  PeerCrashes Told;
+  World.Gate.onCrash([&](const PeerCrashes &Crashes) { Told = Crashes; });
+  World.Backend.stopListening();
+  World.run("crash", Guilty);
+  runUntil(World.Loop, Duration::seconds(1),
+           [&] { return !Told.Notices.empty(); });
+  cr_assert_eq(Told.Notices.size(), 1);
+  cr_assert_eq(Told.Notices.front().Fingerprint, Guilty);
+  cr_assert_not(World.Gate.crashSuspect(Guilty));
+  World.Gate.learnCrashes({{{Guilty, 99}}});
+  cr_assert(World.Gate.crashSuspect(Guilty));
+  cr_assert_not(World.Gate.crashSuspect(Innocent));
+}
