--- a/packages/gateway/camphorpin/src/Gateway/GateLink.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/GateLink.cpp
@@ -122,6 +122,8 @@
     Status = *Value;
   else if (auto *News = std::get_if<PeerNews>(&Frame))
     Owner.onNews(std::move(*News));
+  else if (const auto *Request = std::get_if<PeerNewsRequest>(&Frame))
+    send(Owner.news(*Request));
   else if (const auto *Crashes = std::get_if<PeerCrashes>(&Frame))
     Owner.onCrashes(*Crashes);
 }
--- a/packages/gateway/camphorpin/src/Gateway/GateLink.h
+++ b/packages/gateway/camphorpin/src/Gateway/GateLink.h
@@ -21,6 +21,7 @@
   virtual PeerHello hello() = 0;
   virtual void onConfigurationVersion(const std::string &Node,
                                       std::uint64_t Version) = 0;
+  virtual PeerNews news(const PeerNewsRequest &Request) = 0;
   virtual void onNews(PeerNews News) = 0;
   virtual void onCrashes(const PeerCrashes &Crashes) = 0;
 };
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
@@ -253,6 +253,7 @@
   if (StoreAway && Now - LastNewsRequest >= NewsInterval) {
     LastNewsRequest = Now;
     Network.requestNews(Configuration.Version);
+    Peers.requestNews(Source);
   }
 }
 
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.h
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.h
@@ -28,6 +28,9 @@
   /// Runs until the node has been stopped by SIGTERM.
   void run();
 
+  /// Ends run() at once, as if the process were killed. Any thread may call it.
+  void abort() { Loop.stop(); }
+
 private:
   class ReadyHandler;
   class ReportHandler;
--- a/packages/gateway/camphorpin/src/Gateway/PeerServer.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerServer.cpp
@@ -193,6 +193,15 @@
       Item->send(Frame);
 }
 
+void PeerServer::requestNews(Random &Source) {
+  if (Sessions.empty())
+    return;
+  auto Chosen = Sessions.begin();
+  std::advance(Chosen,
+               static_cast<std::ptrdiff_t>(Source.below(Sessions.size())));
+  (*Chosen)->send(PeerNewsRequest{Owner.configurationVersion()});
+}
+
 void PeerServer::announce() { broadcast(Gate.status()); }
 
 void PeerServer::tick() {
--- a/packages/gateway/camphorpin/src/Gateway/PeerServer.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerServer.h
@@ -43,6 +43,9 @@
   void announce();
   void broadcast(const PeerFrame &Frame);
 
+  /// Asks one of the connected peers for news.
+  void requestNews(Random &Source);
+
   /// Periodic work, at least once a second.
   void tick();
 
--- a/packages/gateway/tests/PeerServerTest.cpp
+++ b/packages/gateway/tests/PeerServerTest.cpp
@@ -24,6 +24,7 @@
   // Both callers started in the same millisecond.
   PeerHello hello() override { return {Node, 7, "web", "a", "", 0, {}}; }
   void onConfigurationVersion(const std::string &, std::uint64_t) override {}
+  PeerNews news(const PeerNewsRequest &) override { return {}; }
   void onNews(PeerNews) override {}
   void onCrashes(const PeerCrashes &) override {}
 
