--- a/packages/gateway/camphorpin/src/Gateway/PeerSelector.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerSelector.cpp
@@ -8,7 +8,7 @@
 
 /// Handicap of another availability zone: its round trip and the price of the
 /// bytes that cross.
-constexpr double OtherZoneFactor = 1.25;
+constexpr double OtherZoneFactor = 1.7;
 constexpr double OtherZoneMillis = 4.0;
 /// Random part of the estimate, so that nodes with the same view spread.
 constexpr double Jitter = 0.1;
