Let bounds of routes rest at the same part of failed runs

Change: a bound grows in proportion; a late run counts as a failed dependency where runs make calls at all.

--- a/packages/gateway/camphorpin/src/Gateway/EntryCalls.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/EntryCalls.cpp
@@ -125,6 +125,7 @@
       onDeadline(Id);
   });
   Exchange->onAbandoned([this, Id] { onAbandoned(Id); });
+  Gate.onOutboundRequest();
   Budget.onRequest(Item.Service, Item.Arrived);
   if (Gate.crashSuspect(Item.Fingerprint)) {
     Item.RetryAfter = SuspectRetryAfter;
--- a/packages/gateway/camphorpin/src/Gateway/LocalGate.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/LocalGate.cpp
@@ -18,6 +18,12 @@
 /// bound of a route regains its level within a few run times.
 constexpr Duration LimitedRetryAfter = Duration::millis(600);
 
+/// Requests that begin on the host for each run, from which the runs are taken
+/// to make calls. Where they make none, a late run has waited for this server
+/// only, and the queue deals with that.
+constexpr double CallsPerRun = 0.8;
+/// Factor by which the counts of requests and runs fade at each tick.
+constexpr double CountDecay = 0.8;
 /// When a request that crashes backend servers may come back.
 constexpr Duration SuspectRetryAfter = Duration::seconds(5);
 /// Crash reports are sent to all peers at once and not passed on.
@@ -178,6 +184,7 @@
     return;
   }
   Item.Started = true;
+  RecentRuns += 1;
   Item.StartTime = Time.now();
   Item.Backend = Ledger.current().Id;
   Item.Connection = Pool.acquire();
@@ -272,7 +279,7 @@
   const bool TimedOut =
       Answer.StatusCode == 504 || Answer.Reason == RefusalReason::Deadline;
   if (TimedOut)
-    return RunEnd::DependencyFailed;
+    return runsMakeCalls() ? RunEnd::DependencyFailed : RunEnd::Unknown;
   if (Answer.Outcome != CallOutcome::Answered)
     return RunEnd::Unknown;
   if (Answer.StatusCode == 500)
@@ -429,7 +436,13 @@
     armQueueTimer();
 }
 
+bool LocalGate::runsMakeCalls() const {
+  return RecentOutbound >= CallsPerRun * RecentRuns;
+}
+
 void LocalGate::tick() {
+  RecentRuns *= CountDecay;
+  RecentOutbound *= CountDecay;
   Pool.prune();
   Guard.tick(Time.now());
   if (Ledger.current().Id.empty())
--- a/packages/gateway/camphorpin/src/Gateway/LocalGate.h
+++ b/packages/gateway/camphorpin/src/Gateway/LocalGate.h
@@ -67,6 +67,9 @@
   /// non-idempotent one that has started runs to its end.
   void cancel(std::uint64_t RunId);
 
+  /// A request begins on this host. It may be a call of a run.
+  void onOutboundRequest() { RecentOutbound += 1; }
+
   /// A request that began on this host has failed. It may have been a call of
   /// a run of the backend server.
   void onOutboundFailure() { LastOutboundFailure = Time.now(); }
@@ -100,6 +103,7 @@
   void onResult(std::uint64_t RunId, ExchangeResult Result);
   PeerAnswer classify(const Run &Item, ExchangeResult &Result);
   PeerAnswer classifyWhole(const HttpResponse &Response);
+  bool runsMakeCalls() const;
   RunEnd endOf(const Run &Item, const PeerAnswer &Answer) const;
   void onRunDeadline(std::uint64_t RunId);
   void finish(std::uint64_t RunId, PeerAnswer Answer, bool Completed);
@@ -124,6 +128,9 @@
   std::vector<std::uint64_t> LostRuns;
   bool CrashCheckRunning = false;
   Instant LastOutboundFailure;
+  /// Fading counts of the requests that begin on the host and of the runs.
+  double RecentOutbound = 0;
+  double RecentRuns = 0;
   HttpPool Pool;
   std::function<void()> StatusChanged;
   std::function<void(const PeerCrashes &)> CrashFound;
--- a/packages/gateway/camphorpin/src/Gateway/RouteLimiter.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/RouteLimiter.cpp
@@ -12,8 +12,12 @@
 constexpr Duration DecreaseInterval = Duration::millis(25);
 /// Runs that are always allowed, so that a recovery is noticed.
 constexpr double MinBound = 2;
-/// Increase of the bound over as many successes as the bound allows runs.
-constexpr double Increase = 0.6;
+/// Relative increase of the bound at a success, for rank 0. Together with the
+/// decrease it sets the part of failed runs at which the bound rests, the same
+/// for routes of any size.
+constexpr double Increase = 0.004;
+/// How much less a route regains for each rank that it is less urgent.
+constexpr double RankHandicap = 0.3;
 /// A bound this far above what is active has no effect and is dropped.
 constexpr double SlackFactor = 3;
 constexpr double SlackRuns = 8;
@@ -43,7 +47,7 @@
     return;
   }
   if (End == RunEnd::Succeeded && Item.Bound > 0) {
-    Item.Bound += Increase / (1.0 + Item.Rank) / Item.Bound;
+    Item.Bound *= 1 + Increase / (1 + RankHandicap * Item.Rank);
     if (Item.Bound > Active * SlackFactor + SlackRuns)
       Item.Bound = 0;
   }
