Leave a silent or unreachable gate sooner, log failed runs, serve metrics

A call waited up to 700 ms for a connection to a host that was cut off, longer than the 600 ms that the most urgent route has; and idempotent calls on a silent connection waited for its replacement.

Change: a call that is still unsent after 120 ms is refused and another gate is asked; silence is noticed after 450 ms, and idempotent calls then leave at once. Each failed run has a log line at the gate, and each node serves /metrics.

--- a/packages/camphorpind/main.cpp
+++ b/packages/camphorpind/main.cpp
@@ -5,12 +5,15 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <fcntl.h>
 #include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
 #include <sstream>
 #include <string>
+#include <sys/stat.h>
 #include <thread>
+#include <unistd.h>
 #include <variant>
 #include <vector>
 
@@ -63,6 +66,16 @@
   std::_Exit(EXIT_SUCCESS);
 }
 
+/// A full pipe on the standard output costs log lines, never requests.
+void neverBlockOnOutput() {
+  struct stat Kind {};
+  if (::fstat(STDOUT_FILENO, &Kind) != 0 || !S_ISFIFO(Kind.st_mode))
+    return;
+  const int Flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+  if (Flags >= 0)
+    (void)::fcntl(STDOUT_FILENO, F_SETFL, Flags | O_NONBLOCK);
+}
+
 /// Runs a node of a hosted platform.
 int runGateway(const std::string &Text) {
   const std::variant<camphorpin::GatewaySettings, std::vector<SettingsError>>
@@ -73,6 +86,7 @@
     return EXIT_SUCCESS;
   const auto &Options = std::get<camphorpin::GatewaySettings>(Result);
   std::signal(SIGPIPE, SIG_IGN);
+  neverBlockOnOutput();
   const camphorpin::HostedProtocol Protocol(Options.StoreAddress.toString());
   camphorpin::Gateway Node(Options, Protocol);
   const std::string Error = Node.start();
--- a/packages/daemon/camphorpin/src/Daemon/EventLog.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/EventLog.cpp
@@ -44,8 +44,9 @@
 
 } // namespace
 
-EventLog::EventLog(const LoggingSettings &Settings, const Clock &Time)
-    : Time(Time) {
+EventLog::EventLog(const LoggingSettings &Settings, const Clock &Time,
+                   std::uint32_t Limit)
+    : Time(Time), Limit(Limit) {
   const log4cxx::LoggerPtr Logger = log4cxx::Logger::getLogger(LoggerName);
   const log4cxx::LayoutPtr Layout =
       std::make_shared<log4cxx::PatternLayout>(Pattern);
@@ -92,7 +93,7 @@
     Entry.Second = Second;
     Entry.Written = 0;
   }
-  if (Entry.Written >= MaxPerSecond) {
+  if (Entry.Written >= Limit) {
     ++Entry.LeftOut;
     return false;
   }
--- a/packages/daemon/camphorpin/src/Daemon/EventLog.h
+++ b/packages/daemon/camphorpin/src/Daemon/EventLog.h
@@ -28,7 +28,9 @@
   static constexpr std::uint32_t MaxPerSecond = 20;
 
   /// \param Time must outlive the log.
-  EventLog(const LoggingSettings &Settings, const Clock &Time);
+  /// \param Limit lines of one event in a second.
+  EventLog(const LoggingSettings &Settings, const Clock &Time,
+           std::uint32_t Limit = MaxPerSecond);
 
   void write(LogEvent Event, const LogFields &Fields);
 
@@ -47,6 +49,7 @@
   bool admit(LogEvent Event, std::uint32_t &LeftOut);
 
   const Clock &Time;
+  std::uint32_t Limit;
   std::mutex Mutex;
   std::map<LogEvent, Rate> Rates;
 };
--- a/packages/decision/camphorpin/src/Engine/LogEvent.cpp
+++ b/packages/decision/camphorpin/src/Engine/LogEvent.cpp
@@ -107,15 +107,22 @@
     LogEventInfo{LogEvent::RequestRetried, LogSeverity::Info, "request-retried",
                  "request,node,backend,reason,status,sends",
                  "A request is sent to another backend server."},
-    LogEventInfo{LogEvent::RequestFailed, LogSeverity::Info, "request-failed",
-                 "request,route,service,status,reason,node,sends,refusals,"
-                 "elapsedMs,configuration",
-                 "A caller got a refusal or a failure. The node is the last one "
-                 "that was asked."},
+    LogEventInfo{
+        LogEvent::RequestFailed, LogSeverity::Info, "request-failed",
+        "request,route,service,status,reason,node,sends,refusals,"
+        "elapsedMs,configuration",
+        "A caller got a refusal or a failure. The node is the last one "
+        "that was asked."},
     LogEventInfo{LogEvent::RequestTurnedAway, LogSeverity::Info,
                  "request-turned-away", "request,reason",
                  "A node that stops or has no configuration refused a request "
                  "as not run."},
+    LogEventInfo{LogEvent::RunFailed, LogSeverity::Info, "run-failed",
+                 "request,route,backend,reason,status,verdict,runMs,running,"
+                 "queued,limit,bound",
+                 "The gate beside a backend server refused a request, or its "
+                 "run gave no success. The counts are those of the gate; bound "
+                 "is the route's bound on active runs, 0 for none."},
     LogEventInfo{LogEvent::ConfigurationInForce, LogSeverity::Info,
                  "configuration-in-force", "version,origin,routes",
                  "A configuration from the store or from a peer is in force on "
--- a/packages/decision/camphorpin/src/Engine/LogEvent.h
+++ b/packages/decision/camphorpin/src/Engine/LogEvent.h
@@ -41,6 +41,7 @@
   RequestRetried = 600,
   RequestFailed = 601,
   RequestTurnedAway = 602,
+  RunFailed = 603,
   ConfigurationInForce = 610,
   StoreUnreachable = 611,
   StoreReachable = 612,
--- a/packages/gateway/camphorpin/src/Gateway/EntryCalls.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/EntryCalls.cpp
@@ -17,6 +17,8 @@
 /// When a request that crashes backend servers may come back.
 constexpr Duration SuspectRetryAfter = Duration::seconds(5);
 constexpr Duration DefaultRetryAfter = Duration::millis(250);
+/// Ranks above this one share a series.
+constexpr std::uint8_t MaxRankLabel = 7;
 /// Random part of Retry-After, so that refused callers don't return together.
 constexpr double RetryAfterSpread = 0.5;
 
@@ -52,10 +54,10 @@
 EntryCalls::EntryCalls(EventLoop &Loop, const Clock &Time, Random &Source,
                        const GatewaySettings &Settings,
                        const PlatformProtocol &Protocol, PeerNetwork &Network,
-                       LocalGate &Gate, EventLog &Log)
+                       LocalGate &Gate, EventLog &Log, Metrics &Values)
     : Loop(Loop), Time(Time), Source(Source), Settings(Settings),
-      Protocol(Protocol), Network(Network), Gate(Gate), Log(Log), Split(Source),
-      Budget(Settings.RetryBudget) {}
+      Protocol(Protocol), Network(Network), Gate(Gate), Log(Log),
+      Values(Values), Split(Source), Budget(Settings.RetryBudget) {}
 
 void EntryCalls::apply(const FleetConfiguration &Configuration) {
   Routes.assign(Configuration.Routes);
@@ -238,6 +240,9 @@
                          PeerAnswer &&Answer) {
   if (Answer.StatusCode >= 500)
     logEnd(Item, Answer.StatusCode, RefusalReason::BackendFailed);
+  record(Item, Verdict::Ran,
+         Answer.StatusCode >= 500 ? RefusalReason::BackendFailed
+                                  : RefusalReason::None);
   HttpReply Reply;
   Reply.Status = Answer.StatusCode;
   Reply.Head = std::move(Answer.Head);
@@ -258,6 +263,7 @@
     return;
   }
   logEnd(Item, 503, Reason);
+  record(Item, Verdict::NotRun, Reason);
   HttpReply Reply = detail::plainReply(503, toString(Reason));
   const Duration Base =
       Item.RetryAfter == Duration() ? DefaultRetryAfter : Item.RetryAfter;
@@ -275,9 +281,21 @@
     return;
   }
   logEnd(Item, Status, Reason);
+  record(Item, Verdict::MayHaveRun, Reason);
   finish(Id, detail::plainReply(Status, toString(Reason)));
 }
 
+void EntryCalls::record(const EntryCall &Item, Verdict Outcome,
+                        RefusalReason Reason) {
+  RequestSample Sample;
+  Sample.Caller = CallerName(Item.Route->Name);
+  Sample.Rank = Rank(std::min<std::uint8_t>(Item.Route->Rank, MaxRankLabel));
+  Sample.Verdict = Outcome;
+  Sample.Reason = Reason;
+  Sample.Elapsed = Time.now() - Item.Arrived;
+  Values.record(Sample);
+}
+
 void EntryCalls::finish(std::uint64_t Id, HttpReply Reply) {
   const auto Found = Calls.find(Id);
   const std::shared_ptr<HttpExchange> Exchange =
--- a/packages/gateway/camphorpin/src/Gateway/EntryCalls.h
+++ b/packages/gateway/camphorpin/src/Gateway/EntryCalls.h
@@ -1,6 +1,7 @@
 #ifndef CAMPHORPIN_SRC_GATEWAY_ENTRYCALLS_H
 #define CAMPHORPIN_SRC_GATEWAY_ENTRYCALLS_H
 
+#include "camphorpin/src/Daemon/Metrics.h"
 #include "camphorpin/src/Gateway/AsyncHttpServer.h"
 #include "camphorpin/src/Gateway/AttemptPolicy.h"
 #include "camphorpin/src/Gateway/LocalGate.h"
@@ -23,7 +24,8 @@
 public:
   EntryCalls(EventLoop &Loop, const Clock &Time, Random &Source,
              const GatewaySettings &Settings, const PlatformProtocol &Protocol,
-             PeerNetwork &Network, LocalGate &Gate, EventLog &Log);
+             PeerNetwork &Network, LocalGate &Gate, EventLog &Log,
+             Metrics &Values);
 
   /// Puts a configuration in force for requests that arrive from now on.
   void apply(const FleetConfiguration &Configuration);
@@ -77,6 +79,7 @@
   void finish(std::uint64_t Id, HttpReply Reply);
   void onDeadline(std::uint64_t Id);
   void onAbandoned(std::uint64_t Id);
+  void record(const EntryCall &Item, Verdict Outcome, RefusalReason Reason);
   void logEnd(const EntryCall &Item, unsigned Status, RefusalReason Reason);
 
   EventLoop &Loop;
@@ -87,6 +90,7 @@
   PeerNetwork &Network;
   LocalGate &Gate;
   EventLog &Log;
+  Metrics &Values;
   RouteTable Routes;
   ServiceSplit Split;
   RetryAllowance Budget;
--- a/packages/gateway/camphorpin/src/Gateway/GateLink.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/GateLink.cpp
@@ -7,13 +7,16 @@
 namespace {
 
 /// How often a link with outstanding calls is checked.
-constexpr Duration CheckInterval = Duration::millis(150);
+constexpr Duration CheckInterval = Duration::millis(75);
 /// Silence after which the peer is asked whether it lives. It is several round
 /// trips in one region.
-constexpr Duration PingAfter = Duration::millis(300);
+constexpr Duration PingAfter = Duration::millis(150);
 /// How long the answer to a ping may take before the connection is replaced. A
 /// peer on a slowed host still answers in this time.
-constexpr Duration PongWithin = Duration::millis(500);
+constexpr Duration PongWithin = Duration::millis(300);
+/// How long a call waits for a connection before another gate is asked. The
+/// most urgent requests have only a few hundred milliseconds in all.
+constexpr Duration UnsentWithin = Duration::millis(120);
 /// How long connecting and the peer's hello may take.
 constexpr Duration ConnectWithin = Duration::millis(700);
 constexpr Duration FirstPause = Duration::millis(100);
@@ -39,6 +42,7 @@
 
 void GateLink::connect() {
   State = LinkState::Connecting;
+  ConnectStarted = Time.now();
   const std::uint64_t Number = ++Attempt;
   const auto Socket = std::make_shared<TcpSocket>(Loop);
   Socket->async_connect(
@@ -51,7 +55,7 @@
         else
           onConnected(std::move(*Socket));
       });
-  armTimer(ConnectWithin);
+  armTimer(CheckInterval);
 }
 
 void GateLink::onConnected(TcpSocket Socket) {
@@ -68,6 +72,7 @@
     Channel->close();
   Channel.reset();
   State = LinkState::Waiting;
+  ConnectingSlowly = false;
   Status.Available = false;
   ++Failures;
   failCalls(/*PeerEnded=*/false);
@@ -98,6 +103,7 @@
   const bool PeerEnded = Incarnation != 0 && Hello.Incarnation != Incarnation;
   Incarnation = Hello.Incarnation;
   State = LinkState::Open;
+  ConnectingSlowly = false;
   Failures = 0;
   Status = Hello.Status;
   StatusKnown = true;
@@ -146,7 +152,8 @@
 void GateLink::call(PeerCall Call, Reply Done) {
   const std::uint64_t Id = Call.Id;
   Pending &Item = Calls[Id];
-  Item.Deadline = Time.now() + Call.TimeLeft;
+  Item.Submitted = Time.now();
+  Item.Deadline = Item.Submitted + Call.TimeLeft;
   Item.Call = std::move(Call);
   Item.Done = std::move(Done);
   if (State == LinkState::Open) {
@@ -229,20 +236,61 @@
     connect();
     return;
   case LinkState::Connecting:
-    onConnectFailed();
+    onConnectingTimer();
     return;
   case LinkState::Open:
-    break;
+    onOpenTimer();
+    return;
+  }
+}
+
+void GateLink::onConnectingTimer() {
+  const Duration Elapsed = Time.now() - ConnectStarted;
+  if (Elapsed >= ConnectWithin) {
+    onConnectFailed();
+    return;
   }
+  ConnectingSlowly = Elapsed >= UnsentWithin;
+  armTimer(CheckInterval);
+  refuseUnsent(UnsentWithin);
+}
+
+void GateLink::refuseUnsent(Duration MinAge) {
+  std::vector<std::uint64_t> Late;
+  for (const auto &[Id, Item] : Calls)
+    if (Item.SentTo == 0 && Time.now() - Item.Submitted >= MinAge)
+      Late.push_back(Id);
+  for (const std::uint64_t Id : Late) {
+    const auto Found = Calls.find(Id);
+    if (Found == Calls.end())
+      continue;
+    PeerAnswer Answer;
+    Answer.Id = Id;
+    Answer.Outcome = CallOutcome::Refused;
+    Answer.Reason = RefusalReason::PeerFailed;
+    Answer.RetryAfter = FirstPause;
+    const Reply Done = std::move(Found->second.Done);
+    Calls.erase(Found);
+    Done(std::move(Answer));
+  }
+}
+
+void GateLink::replaceSilent() {
+  PingOutstanding = false;
+  Channel->close();
+  Channel.reset();
+  connect();
+  // Idempotent calls go to another gate at once; the others wait for the new
+  // connection, over which the peer tells what became of them.
+  failCalls(/*PeerEnded=*/false);
+}
+
+void GateLink::onOpenTimer() {
   if (Calls.empty())
     return;
   const Instant Now = Time.now();
   if (PingOutstanding && Now - Pinged >= PongWithin) {
-    // The connection is silent. A new one shows whether the peer lives.
-    PingOutstanding = false;
-    Channel->close();
-    Channel.reset();
-    connect();
+    replaceSilent();
     return;
   }
   if (!PingOutstanding && Now - LastHeard >= PingAfter) {
--- a/packages/gateway/camphorpin/src/Gateway/GateLink.h
+++ b/packages/gateway/camphorpin/src/Gateway/GateLink.h
@@ -44,7 +44,9 @@
   const HostAddress &address() const { return Address; }
 
   /// \returns false while connections to the peer fail.
-  bool usable() const { return State != LinkState::Waiting; }
+  bool usable() const {
+    return State != LinkState::Waiting && !ConnectingSlowly;
+  }
   bool connected() const { return State == LinkState::Open; }
   /// \returns what the peer said last about its gate.
   const GateStatus &status() const { return Status; }
@@ -65,6 +67,7 @@
     PeerCall Call;
     Reply Done;
     Instant Deadline;
+    Instant Submitted;
     /// It was written to the peer with this incarnation; 0 if never written.
     std::uint64_t SentTo = 0;
   };
@@ -79,6 +82,10 @@
   void writeCall(Pending &Item);
   void onConnectFailed();
   void failCalls(bool PeerEnded);
+  void refuseUnsent(Duration MinAge);
+  void onConnectingTimer();
+  void onOpenTimer();
+  void replaceSilent();
   void armTimer(Duration Span);
   void onTimer();
 
@@ -99,6 +106,8 @@
   Instant LastHeard;
   Instant Pinged;
   bool PingOutstanding = false;
+  Instant ConnectStarted;
+  bool ConnectingSlowly = false;
   unsigned Failures = 0;
   std::uint64_t Attempt = 0;
 };
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Lines of one event in a second. A refusal or failure has a line of its own
+/// up to a rate at which a node's share of the fleet's load fails as a whole.
+constexpr std::uint32_t LinesPerSecond = 200;
 constexpr Duration TickInterval = Duration::millis(500);
 /// How often a node without the store asks a peer for news.
 constexpr Duration NewsInterval = Duration::millis(400);
@@ -78,18 +81,67 @@
   Gateway &Owner;
 };
 
+/// Serves counters, histograms and what the node believes.
+class Gateway::MetricsHandler final : public HttpRequestHandler {
+public:
+  explicit MetricsHandler(Gateway &Owner) : Owner(Owner) {}
+
+  void onRequest(const std::shared_ptr<HttpExchange> &Exchange) override {
+    if (Exchange->request().target() != "/metrics") {
+      Exchange->reply(detail::plainReply(404, "unknown path"));
+      return;
+    }
+    HttpReply Reply = detail::plainReply(200, "");
+    Reply.Body = Owner.Values.toText(Owner.gauges());
+    Exchange->reply(std::move(Reply));
+  }
+
+private:
+  Gateway &Owner;
+};
+
+std::vector<Gauge> Gateway::gauges() const {
+  const GateStatus Status = Gate.status();
+  const auto Number = [](auto Value) { return static_cast<double>(Value); };
+  return {
+      {"camphorpin_configuration_version", "Version in force.",
+       Number(Configuration.Version)},
+      {"camphorpin_store_reachable", "1 if both feeds can be read.",
+       ConfigurationReader.reachable() && MemberReader.reachable() ? 1.0 : 0.0},
+      {"camphorpin_nodes", "Nodes that are known and have not departed.",
+       Number(Network.nodes())},
+      {"camphorpin_connected_peers", "Gates to which a connection is open.",
+       Number(Network.connected())},
+      {"camphorpin_backend_available",
+       "1 if the backend server takes requests.", Status.Available ? 1.0 : 0.0},
+      {"camphorpin_gate_running", "Requests that run on the backend server.",
+       Number(Status.Running)},
+      {"camphorpin_gate_queued", "Requests that wait for a slot.",
+       Number(Status.Queued)},
+      {"camphorpin_gate_slots", "Slots of the backend server.",
+       Number(Status.Limit)},
+      {"camphorpin_gate_service_ms", "Smoothed service time.",
+       Status.ServiceTime.toMillis()},
+      {"camphorpin_entry_active", "Requests of callers without an answer.",
+       Number(Entry.active())},
+      {"camphorpin_draining", "1 while the node stops.", Draining ? 1.0 : 0.0}};
+}
+
 Gateway::Gateway(const GatewaySettings &Options,
                  const PlatformProtocol &Protocol)
     : Settings(Options), Protocol(Protocol), Loop(1),
-      Source(std::random_device()()), Log(Settings.Logging, Time),
+      Source(std::random_device()()),
+      Log(Settings.Logging, Time, LinesPerSecond),
       Incarnation(static_cast<std::uint64_t>(Time.wallNow().wholeMillis())),
       Gate(Loop, Time, Settings, Protocol, Log),
       Network(Loop, Time, Source, Settings, Gate, *this),
-      Entry(Loop, Time, Source, Settings, Protocol, Network, Gate, Log),
+      Entry(Loop, Time, Source, Settings, Protocol, Network, Gate, Log, Values),
       Peers(Loop, Time, Gate, *this),
       Ready(std::make_unique<ReadyHandler>(*this)),
-      Reports(std::make_unique<ReportHandler>(*this)), CallServer(Loop, Entry),
-      ReadyServer(Loop, *Ready), ReportServer(Loop, *Reports),
+      Reports(std::make_unique<ReportHandler>(*this)),
+      MetricsPage(std::make_unique<MetricsHandler>(*this)),
+      CallServer(Loop, Entry), ReadyServer(Loop, *Ready),
+      ReportServer(Loop, *Reports), MetricsServer(Loop, *MetricsPage),
       ConfigurationReader(Loop, Source, Settings.StoreAddress, Protocol,
                           StoreFeed::Configuration, *this),
       MemberReader(Loop, Source, Settings.StoreAddress, Protocol,
@@ -108,6 +160,8 @@
     Error = ReadyServer.listen(Settings.ReadyAddress);
   if (Error.empty())
     Error = ReportServer.listen(Settings.ReportAddress);
+  if (Error.empty() && Settings.MetricsAddress)
+    Error = MetricsServer.listen(*Settings.MetricsAddress);
   if (!Error.empty())
     return Error;
   Gate.onStatusChange([this] { Peers.announce(); });
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.h
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.h
@@ -34,6 +34,7 @@
 private:
   class ReadyHandler;
   class ReportHandler;
+  class MetricsHandler;
 
   PeerHello hello() override;
   void onConfigurationVersion(const std::string &Node,
@@ -54,6 +55,7 @@
   void drain();
   void checkDrained();
   bool ready() const;
+  std::vector<Gauge> gauges() const;
 
   GatewaySettings Settings;
   const PlatformProtocol &Protocol;
@@ -61,6 +63,7 @@
   SystemClock Time;
   SeededRandom Source;
   EventLog Log;
+  Metrics Values;
   std::uint64_t Incarnation;
   LocalGate Gate;
   PeerNetwork Network;
@@ -68,9 +71,11 @@
   PeerServer Peers;
   std::unique_ptr<ReadyHandler> Ready;
   std::unique_ptr<ReportHandler> Reports;
+  std::unique_ptr<MetricsHandler> MetricsPage;
   AsyncHttpServer CallServer;
   AsyncHttpServer ReadyServer;
   AsyncHttpServer ReportServer;
+  AsyncHttpServer MetricsServer;
   StoreReader ConfigurationReader;
   StoreReader MemberReader;
   StoreWriter MemberWriter;
--- a/packages/gateway/camphorpin/src/Gateway/LocalGate.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/LocalGate.cpp
@@ -360,6 +360,7 @@
   if (End == RunEnd::DependencyFailed &&
       Answer.Outcome == CallOutcome::Answered)
     Answer.Reason = RefusalReason::Shed;
+  logFailure(Found->second, Answer);
   Answer.Id = Found->second.Call.Id;
   Answer.Backend = Found->second.Backend;
   const Reply Done = std::move(Found->second.Done);
@@ -370,6 +371,26 @@
     Done(std::move(Answer));
 }
 
+void LocalGate::logFailure(const Run &Item, const PeerAnswer &Answer) {
+  if (Answer.Outcome == CallOutcome::Answered && Answer.StatusCode < 500)
+    return;
+  const Duration Elapsed =
+      Item.Started ? Time.now() - Item.StartTime : Duration();
+  Log.write(LogEvent::RunFailed,
+            {{"request", Item.Call.RequestId},
+             {"route", Item.Call.Route},
+             {"backend", Item.Backend},
+             {"reason", std::string(toString(Answer.Reason))},
+             {"status", std::to_string(Answer.StatusCode)},
+             {"verdict", std::string(toString(Answer.verdict()))},
+             {"runMs", std::to_string(Elapsed.wholeMillis())},
+             {"running", std::to_string(Queue.running())},
+             {"queued", std::to_string(Queue.queued())},
+             {"limit", std::to_string(Queue.limit())},
+             {"bound", std::to_string(
+                           static_cast<int>(Limiter.bound(Item.Call.Route)))}});
+}
+
 void LocalGate::refuse(std::uint64_t RunId, RefusalReason Reason,
                        Duration RetryAfter) {
   PeerAnswer Answer;
--- a/packages/gateway/camphorpin/src/Gateway/LocalGate.h
+++ b/packages/gateway/camphorpin/src/Gateway/LocalGate.h
@@ -104,6 +104,7 @@
   PeerAnswer classify(const Run &Item, ExchangeResult &Result);
   PeerAnswer classifyWhole(const HttpResponse &Response);
   bool runsMakeCalls() const;
+  void logFailure(const Run &Item, const PeerAnswer &Answer);
   RunEnd endOf(const Run &Item, const PeerAnswer &Answer) const;
   void onRunDeadline(std::uint64_t RunId);
   void finish(std::uint64_t RunId, PeerAnswer Answer, bool Completed);
--- a/packages/gateway/camphorpin/src/Gateway/PeerNetwork.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerNetwork.cpp
@@ -96,6 +96,13 @@
     Found->second->cancel(Id);
 }
 
+std::size_t PeerNetwork::connected() const {
+  return static_cast<std::size_t>(
+      std::count_if(Links.begin(), Links.end(), [](const auto &Entry) {
+        return Entry.second->connected();
+      }));
+}
+
 void PeerNetwork::broadcast(const PeerFrame &Frame) {
   for (const auto &[Node, Link] : Links)
     Link->send(Frame);
--- a/packages/gateway/camphorpin/src/Gateway/PeerNetwork.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerNetwork.h
@@ -49,6 +49,9 @@
     return std::max<std::size_t>(1, Directory.present());
   }
 
+  /// \returns the number of gates to which a connection is open.
+  std::size_t connected() const;
+
 private:
   GateLink &link(const NodeRecord &Record);
   PeerCandidate candidate(const NodeRecord &Record);
--- a/packages/gateway/tests/PeerServerTest.cpp
+++ b/packages/gateway/tests/PeerServerTest.cpp
@@ -2,6 +2,7 @@
 
 #include "camphorpin/src/Gateway/GateLink.h"
 
+#include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
 
 using namespace camphorpin;
@@ -92,6 +93,68 @@
   }
 };
 
+/// Forwards connections; those that are open can be made silent for good.
+class SilentForwarder {
+public:
+  SilentForwarder(EventLoop &Loop, const HostAddress &Target)
+      : Address(freeAddress()), Loop(Loop), Target(Target),
+        Acceptor(Loop, detail::endpointOf(Address)) {
+    accept();
+  }
+
+  void silenceOpenConnections() {
+    for (const std::shared_ptr<Pipe> &Item : Pipes)
+      Item->Silent = true;
+  }
+
+  HostAddress Address;
+
+private:
+  struct Pipe {
+    Pipe(TcpSocket In, EventLoop &Loop) : In(std::move(In)), Out(Loop) {}
+    TcpSocket In;
+    TcpSocket Out;
+    std::array<char, 4096> Forth{};
+    std::array<char, 4096> Back{};
+    bool Silent = false;
+  };
+
+  void accept() {
+    Acceptor.async_accept(
+        [this](const boost::system::error_code &Error, TcpSocket Socket) {
+          if (Error)
+            return;
+          const auto Item = std::make_shared<Pipe>(std::move(Socket), Loop);
+          Item->Out.connect(detail::endpointOf(Target));
+          Pipes.push_back(Item);
+          copy(Item, Item->In, Item->Out, Item->Forth);
+          copy(Item, Item->Out, Item->In, Item->Back);
+          accept();
+        });
+  }
+
+  void copy(const std::shared_ptr<Pipe> &Item, TcpSocket &From, TcpSocket &To,
+            std::array<char, 4096> &Chunk) {
+    From.async_read_some(
+        boost::asio::buffer(Chunk),
+        [this, Item, &From, &To, &Chunk](const boost::system::error_code &Error,
+                                         std::size_t Bytes) {
+          if (Error)
+            return;
+          boost::system::error_code Ignored;
+          if (!Item->Silent)
+            boost::asio::write(To, boost::asio::buffer(Chunk.data(), Bytes),
+                               Ignored);
+          copy(Item, From, To, Chunk);
+        });
+  }
+
+  EventLoop &Loop;
+  HostAddress Target;
+  boost::asio::ip::tcp::acceptor Acceptor;
+  std::vector<std::shared_ptr<Pipe>> Pipes;
+};
+
 } // namespace
 
 // Guards against answers that reach another node's caller: nodes that start in
@@ -141,3 +204,51 @@
   cr_assert_eq(Answer, std::string("one"));
   cr_assert_eq(World.Backend.Arrivals, 1);
 }
+
+// Guards urgent requests against waiting for a host that is cut off: another
+// gate must be asked while there is time.
+Test(GateLink, callForASilentHostIsRefusedSoon) {
+  EventLoop Loop;
+  SystemClock Time;
+  CallerOwner Owner("caller");
+  const HostAddress Address = freeAddress();
+  // Connections are accepted and never answered.
+  boost::asio::ip::tcp::acceptor Silent(Loop, detail::endpointOf(Address));
+  GateLink Link(Loop, Time, "gate", Address, Owner);
+  std::optional<PeerAnswer> Answer;
+  Link.call(GateWorld::call(64, "one", false),
+            [&](PeerAnswer Value) { Answer = std::move(Value); });
+  runUntil(Loop, Duration::millis(400), [&] { return Answer.has_value(); });
+  cr_assert(Answer.has_value());
+  cr_assert_eq(Answer->verdict(), Verdict::NotRun);
+  cr_assert_not(Link.usable());
+}
+
+// Guards callers against a connection that goes silent: idempotent work is
+// given up soon, non-idempotent work is asked about over a new connection.
+Test(GateLink, silentConnectionIsReplaced) {
+  GateWorld World;
+  CallerOwner Owner("caller");
+  SilentForwarder Path(World.Loop, World.Address);
+  GateLink Link(World.Loop, World.Time, "gate", Path.Address, Owner);
+  World.Hold = true;
+  std::optional<PeerAnswer> Safe;
+  std::optional<PeerAnswer> Unsafe;
+  Link.call(GateWorld::call(64, "one", true),
+            [&](PeerAnswer Value) { Safe = std::move(Value); });
+  Link.call(GateWorld::call(65, "two", false),
+            [&](PeerAnswer Value) { Unsafe = std::move(Value); });
+  runUntil(World.Loop, Duration::seconds(2),
+           [&] { return World.Held.size() == 2; });
+  Path.silenceOpenConnections();
+  runUntil(World.Loop, Duration::seconds(1), [&] { return Safe.has_value(); });
+  cr_assert(Safe.has_value());
+  cr_assert_eq(Safe->verdict(), Verdict::MayHaveRun);
+  cr_assert_not(Unsafe.has_value());
+  for (const std::shared_ptr<HttpExchange> &Item : World.Held)
+    GateWorld::answer(Item);
+  runUntil(World.Loop, Duration::seconds(2),
+           [&] { return Unsafe.has_value(); });
+  cr_assert(Unsafe.has_value());
+  cr_assert_eq(Unsafe->Body, std::string("two"));
+}
