--- a/packages/camphorpind/main.cpp
+++ b/packages/camphorpind/main.cpp
@@ -17,9 +17,7 @@
 #include <variant>
 #include <vector>
 
-DEFINE_string(settings, "",
-              "path of the settings file (docs/settings.md); by default the "
-              "value of the environment variable CAMPHORPIN_BOOT");
+DEFINE_string(settings, "", "path of the settings file (docs/settings.md)");
 DEFINE_bool(check_settings, false,
             "check the settings, print all errors and exit");
 
@@ -105,9 +103,6 @@
   gflags::SetUsageMessage("runs one camphorpin node\n"
                           "  camphorpind --settings FILE [--check-settings]");
   gflags::ParseCommandLineFlags(&Count, &Arguments, true);
-  const char *Variable = std::getenv("CAMPHORPIN_BOOT");
-  if (FLAGS_settings.empty() && Variable != nullptr)
-    FLAGS_settings = Variable;
   std::ifstream File(FLAGS_settings);
   if (!File)
     return printErrors({{"", "cannot be read"}});
--- a/packages/gateway/camphorpin/src/Gateway/AsyncHttpServer.h
+++ b/packages/gateway/camphorpin/src/Gateway/AsyncHttpServer.h
@@ -14,7 +14,7 @@
 
 namespace detail {
 class HttpSession;
-}
+} // namespace detail
 
 /// \class HttpExchange
 /// \brief One request on a server connection, and the place of its answer.
--- a/packages/gateway/camphorpin/src/Gateway/LocalGate.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/LocalGate.cpp
@@ -72,7 +72,7 @@
                " HTTP/1.1\r\nHost: " + Settings.BackendAddress.toString() +
                "\r\n\r\n";
   Connection->exchange(
-      std::move(Call), [this, Connection](ExchangeResult Result) {
+      std::move(Call), [this, Connection](const ExchangeResult &Result) {
         ProbeRunning = false;
         if (Result.End != ExchangeEnd::Whole)
           return;
--- a/packages/gateway/camphorpin/src/Gateway/StoreReader.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/StoreReader.cpp
@@ -50,9 +50,10 @@
   Current = Pool.acquire();
   ExchangeCall Call;
   Call.Bytes = std::move(Bytes);
-  Current->exchange(std::move(Call), [this, Newest](ExchangeResult Result) {
-    onResult(std::move(Result), Newest);
-  });
+  Current->exchange(std::move(Call),
+                    [this, Newest](const ExchangeResult &Result) {
+                      onResult(Result, Newest);
+                    });
   Timer.expires_after(detail::timerSpan(Within));
   Timer.async_wait([this](const boost::system::error_code &Error) {
     if (Error || Stopped)
@@ -62,7 +63,7 @@
   });
 }
 
-void StoreReader::onResult(ExchangeResult Result, bool Newest) {
+void StoreReader::onResult(const ExchangeResult &Result, bool Newest) {
   if (Stopped)
     return;
   Timer.cancel();
--- a/packages/gateway/camphorpin/src/Gateway/StoreReader.h
+++ b/packages/gateway/camphorpin/src/Gateway/StoreReader.h
@@ -41,7 +41,7 @@
   void readNewest();
   void readNext();
   void call(std::string Bytes, Duration Within, bool Newest);
-  void onResult(ExchangeResult Result, bool Newest);
+  void onResult(const ExchangeResult &Result, bool Newest);
   void onFault(StoreFault Fault);
   void setReachable(bool Value);
   void retryLater();
--- a/packages/gateway/camphorpin/src/Gateway/StoreWriter.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/StoreWriter.cpp
@@ -31,13 +31,14 @@
   ExchangeCall Call;
   Call.Bytes = Protocol.appendCall(Feed, *Wanted);
   const std::uint64_t Sent = Generation;
-  Current->exchange(std::move(Call), [this, Sent](ExchangeResult Result) {
-    Timer.cancel();
-    if (Result.End == ExchangeEnd::Whole &&
-        Result.Response.result_int() == 200 && Sent == Generation)
-      Wanted.reset();
-    onResult(Result);
-  });
+  Current->exchange(
+      std::move(Call), [this, Sent](const ExchangeResult &Result) {
+        Timer.cancel();
+        if (Result.End == ExchangeEnd::Whole &&
+            Result.Response.result_int() == 200 && Sent == Generation)
+          Wanted.reset();
+        onResult(Result);
+      });
   Timer.expires_after(detail::timerSpan(AnswerWithin));
   Timer.async_wait([this](const boost::system::error_code &Error) {
     if (Error)
--- a/packages/gateway/tests/PeerServerTest.cpp
+++ b/packages/gateway/tests/PeerServerTest.cpp
@@ -169,9 +169,9 @@
   std::string AnswerA;
   std::string AnswerB;
   A.call(GateWorld::call(64, "one", true),
-         [&](PeerAnswer Value) { AnswerA = Value.Body; });
+         [&](const PeerAnswer &Value) { AnswerA = Value.Body; });
   B.call(GateWorld::call(64, "two", true),
-         [&](PeerAnswer Value) { AnswerB = Value.Body; });
+         [&](const PeerAnswer &Value) { AnswerB = Value.Body; });
   runUntil(World.Loop, Duration::seconds(2),
            [&] { return World.Held.size() == 2; });
   for (const std::shared_ptr<HttpExchange> &Item : World.Held)
@@ -190,14 +190,14 @@
   auto Old = std::make_unique<GateLink>(World.Loop, World.Time, "gate",
                                         World.Address, Owner);
   World.Hold = true;
-  Old->call(GateWorld::call(64, "one", false), [](PeerAnswer) {});
+  Old->call(GateWorld::call(64, "one", false), [](const PeerAnswer &) {});
   runUntil(World.Loop, Duration::seconds(2),
            [&] { return World.Held.size() == 1; });
   Old.reset();
   std::string Answer;
   GateLink New(World.Loop, World.Time, "gate", World.Address, Owner);
   New.call(GateWorld::call(64, "one", false),
-           [&](PeerAnswer Value) { Answer = Value.Body; });
+           [&](const PeerAnswer &Value) { Answer = Value.Body; });
   runUntil(World.Loop, Duration::millis(100), [] { return false; });
   GateWorld::answer(World.Held.front());
   runUntil(World.Loop, Duration::seconds(2), [&] { return !Answer.empty(); });
--- a/packages/gateway/tests/RoutingDecisionsTest.cpp
+++ b/packages/gateway/tests/RoutingDecisionsTest.cpp
@@ -40,6 +40,7 @@
   RouteRule Route = route("r", "h", "/");
   Route.Shares = {{"a", 90}, {"b", 10}};
   std::vector<std::string> Chosen;
+  Chosen.reserve(1000);
   for (int Count = 0; Count < 1000; ++Count)
     Chosen.push_back(Split.next(Route));
   for (std::size_t Start = 0; Start + 100 <= Chosen.size(); Start += 7) {
