Take the retry budget and the stop grace from the platform's bounds

Cause: the node used its defaults (ratio 0.1, slack 10) on deployments that allow 0.2 and 49. Half of 0.1 kept the budget, 0.7 of 0.1 did not, because the calls of repeated runs count as well; so a quarter of the real budget is used.

--- a/packages/camphorpind/main.cpp
+++ b/packages/camphorpind/main.cpp
@@ -82,7 +82,9 @@
     return printErrors(std::get<std::vector<SettingsError>>(Result));
   if (FLAGS_check_settings)
     return EXIT_SUCCESS;
-  const auto &Options = std::get<camphorpin::GatewaySettings>(Result);
+  camphorpin::GatewaySettings Options =
+      std::get<camphorpin::GatewaySettings>(Result);
+  camphorpin::platform::applyBounds(Options);
   std::signal(SIGPIPE, SIG_IGN);
   neverBlockOnOutput();
   const camphorpin::HostedProtocol Protocol(Options.StoreAddress.toString());
--- a/packages/gateway/camphorpin/src/Gateway/GatewaySettings.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/GatewaySettings.cpp
@@ -38,6 +38,18 @@
   Budget.Window = readMillis(Fields, "windowMs", Budget.Window);
 }
 
+void readBounds(JsonFields &Root, GatewaySettings &Target) {
+  const nlohmann::json *Bounds = Root.list("platformBounds");
+  if (Bounds == nullptr)
+    return;
+  for (const nlohmann::json &Item : *Bounds) {
+    if (Item.is_string())
+      Target.PlatformBounds.push_back(Item.get<std::string>());
+    else
+      Root.report("platformBounds", "must hold texts");
+  }
+}
+
 void readGateway(const nlohmann::json &Value, GatewaySettings &Target,
                  std::vector<SettingsError> &Errors) {
   JsonFields Root(Value, "gateway", Errors);
@@ -56,6 +68,7 @@
   Target.MetricsAddress = Root.address("metricsAddress", false);
   Target.StopGrace = readMillis(Root, "stopGraceMs", Target.StopGrace);
   readBudget(Root, Target, Errors);
+  readBounds(Root, Target);
 }
 
 } // namespace
--- a/packages/gateway/camphorpin/src/Gateway/GatewaySettings.h
+++ b/packages/gateway/camphorpin/src/Gateway/GatewaySettings.h
@@ -34,6 +34,8 @@
   /// Time between SIGTERM and SIGKILL.
   Duration StopGrace = Duration::seconds(6);
   LoggingSettings Logging;
+  /// What the platform allows, in its own words ("name=value").
+  std::vector<std::string> PlatformBounds;
 };
 
 /// \returns true if \p Json has the settings of a gateway and not those of a
--- a/packages/gateway/camphorpin/src/Gateway/RetryAllowance.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/RetryAllowance.cpp
@@ -6,9 +6,10 @@
 
 namespace {
 
-/// Part of the budget that is used. Nodes restart and forget what they sent,
-/// and arrivals of one window may be counted in the next one.
-constexpr double UsedPart = 0.5;
+/// Part of the budget that is used. The calls of a repeated run count as
+/// repeats at the called services, up to three times as many as the node's own
+/// repeats.
+constexpr double UsedPart = 0.25;
 
 } // namespace
 
