Split the crash watch from the gate and remove repeated code

Accepting sockets, the node's own replies and free test ports stood twice; the gate also held the check that tells a crash from a lost answer.

--- a/packages/gateway/camphorpin/src/Gateway/AsyncHttpServer.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/AsyncHttpServer.cpp
@@ -15,19 +15,10 @@
 }
 
 std::string AsyncHttpServer::listen(const HostAddress &Address) {
-  boost::system::error_code Error;
-  const boost::asio::ip::tcp::endpoint Endpoint = detail::endpointOf(Address);
-  Acceptor.open(Endpoint.protocol(), Error);
-  if (!Error)
-    Acceptor.set_option(boost::asio::socket_base::reuse_address(true), Error);
-  if (!Error)
-    Acceptor.bind(Endpoint, Error);
-  if (!Error)
-    Acceptor.listen(boost::asio::socket_base::max_listen_connections, Error);
-  if (Error)
-    return Address.toString() + ": " + Error.message();
-  accept();
-  return {};
+  const std::string Error = detail::openAcceptor(Acceptor, Address);
+  if (Error.empty())
+    accept();
+  return Error;
 }
 
 void AsyncHttpServer::accept() {
--- a/packages/gateway/camphorpin/src/Gateway/EventLoop.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/EventLoop.cpp
@@ -35,6 +35,20 @@
   setOption(Socket, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
 }
 
+std::string openAcceptor(boost::asio::ip::tcp::acceptor &Acceptor,
+                         const HostAddress &Address) {
+  boost::system::error_code Error;
+  const boost::asio::ip::tcp::endpoint Endpoint = endpointOf(Address);
+  Acceptor.open(Endpoint.protocol(), Error);
+  if (!Error)
+    Acceptor.set_option(boost::asio::socket_base::reuse_address(true), Error);
+  if (!Error)
+    Acceptor.bind(Endpoint, Error);
+  if (!Error)
+    Acceptor.listen(boost::asio::socket_base::max_listen_connections, Error);
+  return Error ? Address.toString() + ": " + Error.message() : std::string();
+}
+
 std::chrono::microseconds timerSpan(Duration Span) {
   return std::chrono::microseconds(std::max<std::int64_t>(0, Span.ticks()));
 }
--- a/packages/gateway/camphorpin/src/Gateway/EventLoop.h
+++ b/packages/gateway/camphorpin/src/Gateway/EventLoop.h
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <string>
 #include <string_view>
 
 namespace camphorpin {
@@ -25,6 +26,11 @@
 /// these options.
 void tuneSocket(TcpSocket &Socket, Duration Silence);
 
+/// Binds \p Acceptor to \p Address and listens.
+/// \returns an empty text, or the address and why it can't be used.
+std::string openAcceptor(boost::asio::ip::tcp::acceptor &Acceptor,
+                         const HostAddress &Address);
+
 /// \returns a timer duration for \p Span, not negative.
 std::chrono::microseconds timerSpan(Duration Span);
 
--- a/packages/gateway/camphorpin/src/Gateway/HttpMessages.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/HttpMessages.cpp
@@ -39,6 +39,17 @@
   }
 }
 
+/// \returns a reply that the node itself makes.
+HttpReply ownReply(unsigned Status, std::string_view Type, std::string Body) {
+  HttpReply Result;
+  Result.Status = Status;
+  Result.Head = "HTTP/1.1 " + std::to_string(Status) + " ";
+  Result.Head.append(http::obsolete_reason(http::int_to_status(Status)));
+  Result.Head.append("\r\nContent-Type: ").append(Type).append("\r\n");
+  Result.Body = std::move(Body);
+  return Result;
+}
+
 } // namespace
 
 std::string headerLine(std::string_view Name, std::string_view Value) {
@@ -76,24 +87,11 @@
 }
 
 HttpReply plainReply(unsigned Status, std::string_view Text) {
-  HttpReply Result;
-  Result.Status = Status;
-  Result.Head = "HTTP/1.1 " + std::to_string(Status) + " ";
-  Result.Head.append(http::obsolete_reason(http::int_to_status(Status)));
-  Result.Head.append("\r\nContent-Type: text/plain\r\n");
-  Result.Body = std::string(Text);
-  Result.Body += "\n";
-  return Result;
+  return ownReply(Status, "text/plain", std::string(Text) + "\n");
 }
 
 HttpReply jsonReply(unsigned Status, std::string Json) {
-  HttpReply Result;
-  Result.Status = Status;
-  Result.Head = "HTTP/1.1 " + std::to_string(Status) + " ";
-  Result.Head.append(http::obsolete_reason(http::int_to_status(Status)));
-  Result.Head.append("\r\nContent-Type: application/json\r\n");
-  Result.Body = std::move(Json);
-  return Result;
+  return ownReply(Status, "application/json", std::move(Json));
 }
 
 } // namespace camphorpin::detail
--- a/packages/gateway/camphorpin/src/Gateway/LocalGate.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/LocalGate.cpp
@@ -26,9 +26,6 @@
 constexpr double CountDecay = 0.8;
 /// When a request that crashes backend servers may come back.
 constexpr Duration SuspectRetryAfter = Duration::seconds(5);
-/// Crash reports are sent to all peers at once and not passed on.
-constexpr CrashOptions GuardOptions = {.Transmissions = 1};
-constexpr std::size_t MaxReports = 256;
 
 bool promisesNotRun(unsigned Status) {
   return Status == 503 || Status == 429 || Status == 408 || Status == 421;
@@ -41,10 +38,16 @@
                      const PlatformProtocol &Protocol, EventLog &Log)
     : Loop(Loop), Time(Time), Settings(Settings), Protocol(Protocol), Log(Log),
       Ledger(Settings.BackendAddress.toString(), Settings.Service),
-      Guard(ProcessId{Settings.PeerAddress,
-                      static_cast<std::uint64_t>(Time.wallNow().wholeMillis())},
-            GuardOptions),
-      Pool(Loop, Settings.BackendAddress), QueueTimer(Loop) {}
+      Crashed(
+          Loop, Time,
+          ProcessId{Settings.PeerAddress,
+                    static_cast<std::uint64_t>(Time.wallNow().wholeMillis())},
+          Settings.BackendAddress),
+      Pool(Loop, Settings.BackendAddress), QueueTimer(Loop) {
+  Crashed.onCrash([this](std::size_t LostRuns, const PeerCrashes &Crashes) {
+    onBackendCrash(LostRuns, Crashes);
+  });
+}
 
 bool LocalGate::available() const {
   return Ledger.accepting() && !Draining && Time.now() >= UnreachableUntil;
@@ -175,8 +178,7 @@
 
 void LocalGate::start(std::uint64_t RunId) {
   Run &Item = Runs.at(RunId);
-  const CrashChoice Choice = Guard.start(RunId, Item.Call.Fingerprint,
-                                         Item.Call.CrashCount, Time.now());
+  const CrashChoice Choice = Crashed.start(RunId, Item.Call);
   if (Choice != CrashChoice::Start) {
     refuse(RunId, RefusalReason::CrashSuspect,
            Choice == CrashChoice::Isolate ? ShortRetryAfter
@@ -210,6 +212,7 @@
   if (Found == Runs.end())
     return;
   Found->second.Connection->close();
+  Crashed.end(RunId, /*Completed=*/false);
   PeerAnswer Answer;
   Answer.Outcome = CallOutcome::Failed;
   Answer.Reason = RefusalReason::Deadline;
@@ -226,53 +229,20 @@
     Pool.release(Item.Connection);
   const bool Completed = Answer.Outcome == CallOutcome::Answered;
   if (Result.End == ExchangeEnd::Lost)
-    checkForCrash(RunId);
+    Crashed.onRunLost(RunId);
+  else
+    Crashed.end(RunId, Completed);
   finish(RunId, std::move(Answer), Completed);
 }
 
-void LocalGate::checkForCrash(std::uint64_t LostRun) {
-  LostRuns.push_back(LostRun);
-  if (CrashCheckRunning)
-    return;
-  CrashCheckRunning = true;
-  // A server that has only lost an answer still accepts connections.
-  const auto Socket = std::make_shared<TcpSocket>(Loop);
-  Socket->async_connect(detail::endpointOf(Settings.BackendAddress),
-                        [this, Socket](const boost::system::error_code &Error) {
-                          CrashCheckRunning = false;
-                          onCrashCheck(Error ==
-                                       boost::asio::error::connection_refused);
-                        });
-}
-
-void LocalGate::onCrashCheck(bool Refused) {
-  const Instant Now = Time.now();
-  const std::size_t Lost = LostRuns.size();
-  for (const std::uint64_t RunId : LostRuns) {
-    if (Refused)
-      Guard.onRunLost(RunId, Now);
-    else
-      Guard.end(RunId, /*Completed=*/false, Now);
-  }
-  LostRuns.clear();
-  if (!Refused)
-    return;
-  UnreachableUntil = Now + UnreachablePause;
-  Log.write(LogEvent::BackendCrashed, {{"running", std::to_string(Lost)}});
-  PeerCrashes Crashes;
-  for (const CrashReport &Report : Guard.takeReports(MaxReports, Now))
-    Crashes.Notices.push_back({Report.Fingerprint, Report.CrashId});
+void LocalGate::onBackendCrash(std::size_t LostRuns,
+                               const PeerCrashes &Crashes) {
+  UnreachableUntil = Time.now() + UnreachablePause;
+  Log.write(LogEvent::BackendCrashed, {{"running", std::to_string(LostRuns)}});
   if (CrashFound && !Crashes.Notices.empty())
     CrashFound(Crashes);
 }
 
-void LocalGate::learnCrashes(const PeerCrashes &Crashes) {
-  const Instant Now = Time.now();
-  for (const CrashNotice &Notice : Crashes.Notices)
-    Guard.onReport({Notice.Fingerprint, Notice.Crash, Duration()}, Now);
-  (void)Guard.takeReports(MaxReports, Now);
-}
-
 RunEnd LocalGate::endOf(const Run &Item, const PeerAnswer &Answer) const {
   if (!Item.Started)
     return RunEnd::Unknown;
@@ -349,10 +319,6 @@
   if (Found == Runs.end())
     return;
   Queue.finish(RunId, Time.now(), Completed);
-  const bool Lost =
-      std::find(LostRuns.begin(), LostRuns.end(), RunId) != LostRuns.end();
-  if (!Lost)
-    Guard.end(RunId, Completed, Time.now());
   const RunEnd End = endOf(Found->second, Answer);
   if (Found->second.Limited)
     Limiter.end(Found->second.Call.Route, End, Time.now());
@@ -429,7 +395,7 @@
   if (!Item.Call.Idempotent)
     return;
   Item.Connection->close();
-  Guard.end(RunId, /*Completed=*/false, Time.now());
+  Crashed.end(RunId, /*Completed=*/false);
   Queue.finish(RunId, Time.now(), /*Completed=*/false);
   Limiter.end(Item.Call.Route, RunEnd::Unknown, Time.now());
   Runs.erase(Found);
@@ -465,7 +431,7 @@
   RecentRuns *= CountDecay;
   RecentOutbound *= CountDecay;
   Pool.prune();
-  Guard.tick(Time.now());
+  Crashed.tick();
   if (Ledger.current().Id.empty())
     probe();
   startWaiting();
--- a/packages/gateway/camphorpin/src/Gateway/LocalGate.h
+++ b/packages/gateway/camphorpin/src/Gateway/LocalGate.h
@@ -1,9 +1,9 @@
 #ifndef CAMPHORPIN_SRC_GATEWAY_LOCALGATE_H
 #define CAMPHORPIN_SRC_GATEWAY_LOCALGATE_H
 
-#include "camphorpin/src/Crash/CrashGuard.h"
 #include "camphorpin/src/Daemon/EventLog.h"
 #include "camphorpin/src/Gateway/BackendLedger.h"
+#include "camphorpin/src/Gateway/CrashWatch.h"
 #include "camphorpin/src/Gateway/GateQueue.h"
 #include "camphorpin/src/Gateway/GatewaySettings.h"
 #include "camphorpin/src/Gateway/HttpPool.h"
@@ -43,11 +43,11 @@
   }
 
   /// News of a crash at another node.
-  void learnCrashes(const PeerCrashes &Crashes);
+  void learnCrashes(const PeerCrashes &Crashes) { Crashed.learn(Crashes); }
 
   /// \returns true if the request has crashed too many backend servers.
   bool crashSuspect(std::uint64_t Fingerprint) const {
-    return Guard.refuses(Fingerprint, Time.now());
+    return Crashed.refuses(Fingerprint);
   }
 
   /// Asks the backend server who it is.
@@ -111,8 +111,7 @@
   void refuse(std::uint64_t RunId, RefusalReason Reason, Duration RetryAfter);
   void refuseWaiting(RefusalReason Reason);
   void afterLedgerChange(bool Changed);
-  void checkForCrash(std::uint64_t LostRun);
-  void onCrashCheck(bool Refused);
+  void onBackendCrash(std::size_t LostRuns, const PeerCrashes &Crashes);
   void armQueueTimer();
   void expireWaiting();
 
@@ -124,10 +123,7 @@
   BackendLedger Ledger;
   GateQueue Queue;
   RouteLimiter Limiter;
-  CrashGuard Guard;
-  /// Runs whose connection was lost since the last check for a crash.
-  std::vector<std::uint64_t> LostRuns;
-  bool CrashCheckRunning = false;
+  CrashWatch Crashed;
   Instant LastOutboundFailure;
   /// Fading counts of the requests that begin on the host and of the runs.
   double RecentOutbound = 0;
--- a/packages/gateway/tests/GatewayFixture.h
+++ b/packages/gateway/tests/GatewayFixture.h
@@ -1,6 +1,7 @@
 #ifndef CAMPHORPIN_TESTS_GATEWAYFIXTURE_H
 #define CAMPHORPIN_TESTS_GATEWAYFIXTURE_H
 
+#include "FreeAddress.h"
 #include "camphorpin/Gateway.h"
 #include "camphorpin/src/Gateway/AsyncHttpServer.h"
 #include "camphorpin/src/Gateway/PeerServer.h"
@@ -12,16 +13,6 @@
 
 namespace camphorpin::test {
 
-/// \returns a free port of the loopback address.
-inline HostAddress freeAddress() {
-  EventLoop Loop;
-  boost::asio::ip::tcp::acceptor Probe(
-      Loop, detail::endpointOf(*HostAddress::parse("127.0.0.1:0")));
-  HostAddress Result = *HostAddress::parse("127.0.0.1:1");
-  Result.Port = Probe.local_endpoint().port();
-  return Result;
-}
-
 /// A protocol with the product's own header names and no store.
 class PlainProtocol final : public PlatformProtocol {
 public:
