Tell the limiter about failed calls of a run

Change: each failed request of the host reaches the gate, and a bound regains more at each success, because it now sees all failures.

--- a/packages/gateway/camphorpin/src/Gateway/EntryCalls.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/EntryCalls.cpp
@@ -326,6 +326,7 @@
 
 void EntryCalls::logEnd(const EntryCall &Item, unsigned Status,
                         RefusalReason Reason) {
+  Gate.onOutboundFailure();
   Log.write(
       LogEvent::RequestFailed,
       {{"request", Item.RequestId},
--- a/packages/gateway/camphorpin/src/Gateway/RouteLimiter.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/RouteLimiter.cpp
@@ -15,7 +15,7 @@
 /// Relative increase of the bound at a success, for rank 0. Together with the
 /// decrease it sets the part of failed runs at which the bound rests, the same
 /// for routes of any size.
-constexpr double Increase = 0.004;
+constexpr double Increase = 0.03;
 /// How much less a route regains for each rank that it is less urgent.
 constexpr double RankHandicap = 0.3;
 /// A bound this far above what is active has no effect and is dropped.
