--- a/packages/gateway/camphorpin/src/Gateway/AsyncHttpServer.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/AsyncHttpServer.cpp
@@ -15,7 +15,7 @@
 }
 
 std::string AsyncHttpServer::listen(const HostAddress &Address) {
-  const std::string Error = detail::openAcceptor(Acceptor, Address);
+  std::string Error = detail::openAcceptor(Acceptor, Address);
   if (Error.empty())
     accept();
   return Error;
--- a/packages/gateway/camphorpin/src/Gateway/PeerServer.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerServer.cpp
@@ -72,7 +72,7 @@
 }
 
 std::string PeerServer::listen(const HostAddress &Address) {
-  const std::string Error = detail::openAcceptor(Acceptor, Address);
+  std::string Error = detail::openAcceptor(Acceptor, Address);
   if (Error.empty())
     accept();
   return Error;
