Read on behind the last record and keep ended calls past their deadline

Cause: found by reading. A read of the store that its size limit cuts was taken to reach the end of the partition, so a configuration behind the cut would be skipped; and the end of a call was forgotten 15 s after it, although a call with a longer deadline could still be sent again and would run twice.

Change: the next position is behind the last record; an ended call is kept 15 s past its deadline.

--- a/packages/gateway/camphorpin/src/Gateway/PeerServer.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerServer.cpp
@@ -1,5 +1,7 @@
 #include "camphorpin/src/Gateway/PeerServer.h"
 
+#include <algorithm>
+
 namespace camphorpin {
 
 namespace {
@@ -8,7 +10,7 @@
 /// A caller that replaces a silent connection is back within this time.
 constexpr Duration ReattachWithin = Duration::millis(350);
 /// How long the end of a call is kept for a caller that has lost its
-/// connection. Longer than any route's timeout that is in use.
+/// connection, beyond the deadline of the call.
 constexpr Duration KeepEnded = Duration::seconds(15);
 
 } // namespace
@@ -106,6 +108,7 @@
   Record &Item = Calls[Key];
   Item.Caller = Caller;
   Item.Idempotent = Call.Idempotent;
+  Item.Deadline = Time.now() + Call.TimeLeft;
   const std::uint64_t RunId =
       Gate.submit(std::move(Call), [this, Key](PeerAnswer Answer) {
         onAnswer(Key, std::move(Answer));
@@ -199,7 +202,8 @@
   cancelDetached();
   const Instant Now = Time.now();
   std::erase_if(Calls, [Now](const auto &Entry) {
-    return Entry.second.Kept && Now - Entry.second.Ended > KeepEnded;
+    const Record &Item = Entry.second;
+    return Item.Kept && Now - std::max(Item.Ended, Item.Deadline) > KeepEnded;
   });
 }
 
--- a/packages/gateway/camphorpin/src/Gateway/PeerServer.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerServer.h
@@ -63,6 +63,8 @@
     /// The end of a non-idempotent call until the caller acknowledges it.
     std::optional<PeerAnswer> Kept;
     Instant Ended;
+    /// After this instant the caller doesn't repeat the call.
+    Instant Deadline;
     /// When the caller's connection was lost, if it has not come back.
     std::optional<Instant> Detached;
   };
--- a/packages/gateway/camphorpin/src/Gateway/PlatformProtocol.h
+++ b/packages/gateway/camphorpin/src/Gateway/PlatformProtocol.h
@@ -108,7 +108,9 @@
   /// \returns the call that waits up to \p Wait for records from \p Position.
   virtual std::string readCall(StoreFeed Feed, std::uint64_t Position,
                                Duration Wait) const = 0;
-  virtual StoreReply readReply(const HttpResponse &Response) const = 0;
+  /// \param Position where the read began.
+  virtual StoreReply readReply(const HttpResponse &Response,
+                               std::uint64_t Position) const = 0;
 
   /// \returns the call that adds a record; an empty value drops its key.
   virtual std::string appendCall(StoreFeed Feed,
--- a/packages/gateway/camphorpin/src/Gateway/StoreReader.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/StoreReader.cpp
@@ -73,7 +73,7 @@
   }
   Pool.release(Current);
   StoreReply Reply = Newest ? Protocol.newestReply(Result.Response)
-                            : Protocol.readReply(Result.Response);
+                            : Protocol.readReply(Result.Response, Position);
   if (Reply.Fault != StoreFault::None) {
     onFault(Reply.Fault);
     return;
--- a/packages/gateway/tests/GatewayFixture.h
+++ b/packages/gateway/tests/GatewayFixture.h
@@ -25,7 +25,9 @@
   std::string readCall(StoreFeed, std::uint64_t, Duration) const override {
     return {};
   }
-  StoreReply readReply(const HttpResponse &) const override { return {}; }
+  StoreReply readReply(const HttpResponse &, std::uint64_t) const override {
+    return {};
+  }
   std::string appendCall(StoreFeed, const StoreRecord &) const override {
     return {};
   }
