Give each listener of a test its own port

The tests of the packages shared 127.0.0.1 with all outgoing connections of the host besides.

Ruled out: load of the machine. With the admin port set to the HTTP port, the test fails on an idle machine with the same line after 60.04 s.

Change: tests/support has the one loopbackIp() and freePort() of the test tree; a port is given once per process, and each process has its own loopback address. freeAddress() existed twice and moves there.

--- a/cmake/CamphorpinPackage.cmake
+++ b/cmake/CamphorpinPackage.cmake
@@ -31,7 +31,7 @@
     add_executable(${TEST} ${SOURCE})
     target_include_directories(${TEST}
                                PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}/tests)
-    target_link_libraries(${TEST} PRIVATE ${ARGN} criterion rapidcheck)
+    target_link_libraries(${TEST} PRIVATE ${ARGN} test_support criterion rapidcheck)
     add_test(NAME ${TEST} COMMAND ${TEST} -j2)
     set_tests_properties(${TEST} PROPERTIES LABELS unit TIMEOUT 300
                          ENVIRONMENT "RC_PARAMS=seed=20261204")
--- a/packages/daemon/tests/ConnectionTest.cpp
+++ b/packages/daemon/tests/ConnectionTest.cpp
@@ -1,5 +1,6 @@
 // Guards calls between nodes against connections that stop responding for ever
 // while new ones work, and against ones that break.
+#include "FreeAddress.h"
 #include "RawConnection.h"
 #include "camphorpin/src/Daemon/RpcThread.h"
 
@@ -10,7 +11,7 @@
 #include <vector>
 
 using namespace camphorpin;
-using camphorpin::testing::freeAddress;
+using camphorpin::test::freeAddress;
 
 namespace {
 
--- a/packages/daemon/tests/HttpServerTest.cpp
+++ b/packages/daemon/tests/HttpServerTest.cpp
@@ -1,13 +1,15 @@
 // Guards the HTTP front end against malformed, oversized, slow and never-ending
 // requests: each gets a clear error, and requests after it are served.
 #include "camphorpin/src/Daemon/HttpServer.h"
+
+#include "FreeAddress.h"
 #include "RawConnection.h"
 
 #include <criterion/criterion.h>
 #include <string>
 
 using namespace camphorpin;
-using camphorpin::testing::freeAddress;
+using camphorpin::test::freeAddress;
 using camphorpin::testing::RawConnection;
 
 namespace {
--- a/packages/daemon/tests/RawConnection.h
+++ b/packages/daemon/tests/RawConnection.h
@@ -11,16 +11,6 @@
 
 namespace camphorpin::testing {
 
-/// \returns an address on the loopback that nothing listens on.
-inline HostAddress freeAddress() {
-  const int Socket = listenTcp(HostAddress{0x7F000001, 0});
-  sockaddr_in Name{};
-  socklen_t Size = sizeof(Name);
-  ::getsockname(Socket, reinterpret_cast<sockaddr *>(&Name), &Size);
-  ::close(Socket);
-  return {0x7F000001, ntohs(Name.sin_port)};
-}
-
 /// \class RawConnection
 /// \brief A TCP connection that sends exactly what a test says.
 class RawConnection {
--- a/tests/process/Mesh.cpp
+++ b/tests/process/Mesh.cpp
@@ -1,13 +1,13 @@
 #include "Mesh.h"
 
-#include <arpa/inet.h>
+#include "LoopbackPorts.h"
+
 #include <cstdio>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <httplib.h>
 #include <sstream>
-#include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
 
@@ -15,37 +15,14 @@
 
 namespace {
 
+using test::freePort;
+using test::loopbackIp;
+
 const std::string BinDir = CAMPHORPIN_BIN_DIR;
 constexpr int Zones = 3;
 constexpr int SeedPeers = 3;
 constexpr int BackendSlots = 16;
 
-/// Gives each program run its own range of loopback addresses, so that
-/// programs which run at the same time do not meet.
-std::string loopbackIp(int Host) {
-  const int Pid = ::getpid();
-  return "127." + std::to_string(64 + (Pid >> 8) % 128) + "." +
-         std::to_string(Pid & 0xFF) + "." + std::to_string(Host + 1);
-}
-
-/// \returns a port of \p Ip that the kernel chose as free.
-int freePort(const std::string &Ip) {
-  const int Socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in Address{};
-  Address.sin_family = AF_INET;
-  ::inet_pton(AF_INET, Ip.c_str(), &Address.sin_addr);
-  socklen_t Size = sizeof Address;
-  const bool Bound =
-      ::bind(Socket, reinterpret_cast<sockaddr *>(&Address), Size) == 0 &&
-      ::getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Size) == 0;
-  ::close(Socket);
-  if (!Bound) {
-    std::perror(Ip.c_str());
-    std::exit(1);
-  }
-  return ntohs(Address.sin_port);
-}
-
 std::string makeDirectory() {
   std::string Path =
       (std::filesystem::temp_directory_path() / "camphorpin-XXXXXX").string();
