Keep the whole answer for a caller that is reconnecting

Cause: PeerServer dropped the body of an idempotent call's answer when the run ended while the caller's connection was lost.

Ruled out: answers torn by the backend server; the gate had the whole answer.

Change: the answer is kept whole, for one second if the call may run again.

Result: PeerServerTest's new test fails without the change and passes with it.

--- a/packages/gateway/camphorpin/src/Gateway/PeerServer.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerServer.cpp
@@ -9,9 +9,12 @@
 /// How long an idempotent call runs on after its caller's connection was lost.
 /// A caller that replaces a silent connection is back within this time.
 constexpr Duration ReattachWithin = Duration::millis(350);
-/// How long the end of a call is kept for a caller that has lost its
-/// connection, beyond the deadline of the call.
+/// How long the end of a call that must not run again is kept for a caller that
+/// has lost its connection, beyond the deadline of the call.
 constexpr Duration KeepEnded = Duration::seconds(15);
+/// The same for an answer that may be made anew: a link gives up a connection
+/// that takes longer.
+constexpr Duration KeepRepeatable = Duration::seconds(1);
 
 } // namespace
 
@@ -134,9 +137,10 @@
     Calls.erase(Found);
     return;
   }
-  if (Item.Idempotent)
-    Answer.Body.clear();
-  Item.Ended = Time.now();
+  const Instant Now = Time.now();
+  Item.KeptUntil = Item.Idempotent && Answer.Outcome == CallOutcome::Answered
+                       ? Now + KeepRepeatable
+                       : std::max(Now, Item.Deadline) + KeepEnded;
   Item.Kept = std::move(Answer);
 }
 
@@ -203,7 +207,7 @@
   const Instant Now = Time.now();
   std::erase_if(Calls, [Now](const auto &Entry) {
     const Record &Item = Entry.second;
-    return Item.Kept && Now - std::max(Item.Ended, Item.Deadline) > KeepEnded;
+    return Item.Kept && Now > Item.KeptUntil;
   });
 }
 
--- a/packages/gateway/camphorpin/src/Gateway/PeerServer.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerServer.h
@@ -60,9 +60,9 @@
     std::weak_ptr<Session> Caller;
     std::uint64_t RunId = 0;
     bool Idempotent = false;
-    /// The end of a non-idempotent call until the caller acknowledges it.
+    /// The whole end of a call whose caller may not have received it.
     std::optional<PeerAnswer> Kept;
-    Instant Ended;
+    Instant KeptUntil;
     /// After this instant the caller doesn't repeat the call.
     Instant Deadline;
     /// When the caller's connection was lost, if it has not come back.
--- a/packages/gateway/tests/PeerServerTest.cpp
+++ b/packages/gateway/tests/PeerServerTest.cpp
@@ -205,6 +205,33 @@
   cr_assert_eq(World.Backend.Arrivals, 1);
 }
 
+// Guards callers against an answer without its body: a run that ends while the
+// connection is lost keeps its whole answer for the caller that comes back.
+Test(PeerServer, answerOfARunThatEndsDuringAReconnectIsWhole) {
+  GateWorld World;
+  CallerOwner Owner("caller");
+  auto Old = std::make_unique<GateLink>(World.Loop, World.Time, "gate",
+                                        World.Address, Owner);
+  World.Hold = true;
+  Old->call(GateWorld::call(64, "one", true), [](const PeerAnswer &) {});
+  runUntil(World.Loop, Duration::seconds(2),
+           [&] { return World.Held.size() == 1; });
+  Old.reset();
+  runUntil(World.Loop, Duration::millis(50), [] { return false; });
+  GateWorld::answer(World.Held.front());
+  runUntil(World.Loop, Duration::millis(50), [] { return false; });
+  std::optional<PeerAnswer> Answer;
+  GateLink New(World.Loop, World.Time, "gate", World.Address, Owner);
+  New.call(GateWorld::call(64, "one", true),
+           [&](PeerAnswer Value) { Answer = std::move(Value); });
+  runUntil(World.Loop, Duration::seconds(2),
+           [&] { return Answer.has_value(); });
+  cr_assert(Answer.has_value());
+  cr_assert_eq(Answer->StatusCode, 200);
+  cr_assert_eq(Answer->Body, std::string("one"));
+  cr_assert_eq(World.Backend.Arrivals, 1);
+}
+
 // Guards urgent requests against waiting for a host that is cut off: another
 // gate must be asked while there is time.
 Test(GateLink, callForASilentHostIsRefusedSoon) {
