Confirm the first report of a backend server

A restarted node knew its backend server from a health check, which doesn't tell its start. The server left, and a report that it had sent before arrived two seconds later and counted as a new server.

Ruled out: the outage of the store at that time; the ledger uses nothing of it.

Change: a departure whose start is unknown is compared with the time of day. The first report of an incarnation takes effect after a health check, or after a second report at least a second later where health checks fail wrongly. A health check that gets no answer no longer blocks further ones.

Four new tests in BackendLedgerTest.

--- a/packages/gateway/camphorpin/src/Gateway/LocalGate.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/LocalGate.cpp
@@ -8,6 +8,9 @@
 
 /// How often waiting requests are checked for having waited too long.
 constexpr Duration QueueCheckInterval = Duration::millis(20);
+/// How long a health check may take. A full backend server may leave it without
+/// an answer for good.
+constexpr Duration ProbeTimeout = Duration::seconds(2);
 /// How long a backend server that refuses connections is left alone.
 constexpr Duration UnreachablePause = Duration::millis(300);
 /// Time after the deadline in which the backend server's own answer may still
@@ -66,36 +69,47 @@
 }
 
 void LocalGate::probe() {
-  if (ProbeRunning)
+  if (Probing)
     return;
-  ProbeRunning = true;
-  const std::shared_ptr<HttpConnection> Connection = Pool.acquire();
+  Probing = Pool.acquire();
+  ProbeStarted = Time.now();
   ExchangeCall Call;
   Call.Bytes = "GET " + HealthPath +
                " HTTP/1.1\r\nHost: " + Settings.BackendAddress.toString() +
                "\r\n\r\n";
-  Connection->exchange(
-      std::move(Call), [this, Connection](const ExchangeResult &Result) {
-        ProbeRunning = false;
-        if (Result.End != ExchangeEnd::Whole)
-          return;
-        Pool.release(Connection);
-        afterLedgerChange(Ledger.onProbe(Protocol.probe(Result.Response)));
-      });
+  Probing->exchange(std::move(Call), [this](const ExchangeResult &Result) {
+    const std::shared_ptr<HttpConnection> Connection = std::move(Probing);
+    Probing = nullptr;
+    if (Result.End != ExchangeEnd::Whole)
+      return;
+    Pool.release(Connection);
+    afterLedgerChange(Ledger.onProbe(Protocol.probe(Result.Response)));
+  });
+}
+
+void LocalGate::probeIfNeeded() {
+  if (Probing && Time.now() - ProbeStarted >= ProbeTimeout) {
+    Probing->close();
+    Probing = nullptr;
+  }
+  if (Ledger.needsProbe())
+    probe();
 }
 
 void LocalGate::onReport(const BackendReport &Report) {
   const std::string Before = Ledger.current().Id;
-  const bool Changed = Ledger.onReport(Report);
+  const bool Changed = Ledger.onReport(Report, Time.now());
   if (Ledger.current().Id != Before)
     Pool.clear();
   if (Report.Id == Ledger.current().Id)
     UnreachableUntil = Instant();
   afterLedgerChange(Changed);
+  if (Changed)
+    probeIfNeeded();
 }
 
 void LocalGate::onDeparture(const std::string &Id) {
-  afterLedgerChange(Ledger.onGone(Id));
+  afterLedgerChange(Ledger.onGone(Id, Time.wallNow(), Time.now()));
 }
 
 void LocalGate::afterLedgerChange(bool Changed) {
@@ -432,8 +446,7 @@
   RecentOutbound *= CountDecay;
   Pool.prune();
   Crashed.tick();
-  if (Ledger.current().Id.empty())
-    probe();
+  probeIfNeeded();
   startWaiting();
 }
 
--- a/packages/gateway/camphorpin/src/Gateway/LocalGate.h
+++ b/packages/gateway/camphorpin/src/Gateway/LocalGate.h
@@ -97,6 +97,8 @@
   };
 
   bool available() const;
+  /// Probes if the answer could make the backend server usable.
+  void probeIfNeeded();
   void start(std::uint64_t RunId);
   void startWaiting();
   std::string requestBytes(const Run &Item) const;
@@ -137,7 +139,9 @@
   boost::asio::steady_timer QueueTimer;
   bool QueueTimerArmed = false;
   bool Draining = false;
-  bool ProbeRunning = false;
+  /// The connection of the health check that runs.
+  std::shared_ptr<HttpConnection> Probing;
+  Instant ProbeStarted;
   /// The backend server refuses connections until this instant.
   Instant UnreachableUntil;
 };
--- a/packages/gateway/tests/BackendLedgerTest.cpp
+++ b/packages/gateway/tests/BackendLedgerTest.cpp
@@ -21,39 +21,45 @@
   return Result;
 }
 
+constexpr Instant Start = Instant::fromMillis(0);
+/// Time between two reports of one backend server.
+constexpr Duration ReportInterval = Duration::millis(1500);
+
 } // namespace
 
 // Guards a new incarnation against a report of the old one that was held up by
 // a partition.
 Test(BackendLedger, lateReportOfAnEarlierStartIsIgnored) {
   BackendLedger Ledger(Address, "shop");
-  cr_assert(Ledger.onReport(report("old", 100, 9)));
-  cr_assert(Ledger.onReport(report("new", 200, 1)));
-  cr_assert_not(Ledger.onReport(report("old", 100, 10)));
+  cr_assert(Ledger.onReport(report("old", 100, 9), Start));
+  cr_assert(Ledger.onReport(report("new", 200, 1), Start));
+  cr_assert_not(Ledger.onReport(report("old", 100, 10), Start));
   cr_assert_not(
-      Ledger.onReport(report("old", 100, 11, BackendPhase::Draining)));
-  cr_assert(Ledger.accepting());
+      Ledger.onReport(report("old", 100, 11, BackendPhase::Draining), Start));
   cr_assert_eq(Ledger.current().Id, std::string("new"));
+  cr_assert_eq(Ledger.current().Phase, BackendPhase::Ready);
 }
 
 // Guards against new work for a server whose leaving was acknowledged.
 Test(BackendLedger, drainingIsFinalForOneStart) {
   BackendLedger Ledger(Address, "shop");
-  Ledger.onReport(report("a", 100, 1));
-  cr_assert(Ledger.onReport(report("a", 100, 3, BackendPhase::Draining)));
-  cr_assert_not(Ledger.onReport(report("a", 100, 2)));
-  cr_assert_not(Ledger.onReport(report("a", 100, 4)));
+  Ledger.onReport(report("a", 100, 1), Start);
+  cr_assert(
+      Ledger.onReport(report("a", 100, 3, BackendPhase::Draining), Start));
+  cr_assert_not(Ledger.onReport(report("a", 100, 2), Start));
+  cr_assert_not(Ledger.onReport(report("a", 100, 4), Start));
   cr_assert_not(Ledger.accepting());
 }
 
 // Guards a server that starts again under its old id and counts anew.
 Test(BackendLedger, laterStartUnderTheSameIdIsANewServer) {
   BackendLedger Ledger(Address, "shop");
-  Ledger.onReport(report("a", 100, 50));
-  Ledger.onGone("a");
+  Ledger.onReport(report("a", 100, 50), Start);
+  Ledger.onGone("a", Start, Start);
   cr_assert_not(Ledger.accepting());
-  cr_assert_not(Ledger.onReport(report("a", 100, 51)));
-  cr_assert(Ledger.onReport(report("a", 300, 1)));
+  cr_assert_not(Ledger.onReport(report("a", 100, 51), Start));
+  cr_assert(Ledger.onReport(report("a", 300, 1), Start));
+  cr_assert(Ledger.onProbe({true, "a", 5}));
   cr_assert(Ledger.accepting());
 }
 
@@ -62,10 +68,10 @@
   BackendLedger Ledger(Address, "shop");
   BackendReport Foreign = report("a", 100, 1);
   Foreign.Address = "10.0.0.2:80";
-  cr_assert_not(Ledger.onReport(Foreign));
+  cr_assert_not(Ledger.onReport(Foreign, Start));
   BackendReport Other = report("b", 100, 1);
   Other.Service = "bank";
-  cr_assert_not(Ledger.onReport(Other));
+  cr_assert_not(Ledger.onReport(Other, Start));
   cr_assert_not(Ledger.accepting());
 }
 
@@ -76,7 +82,61 @@
   cr_assert_not(Ledger.onProbe({false, "a", 5}));
   cr_assert(Ledger.onProbe({true, "a", 5}));
   cr_assert(Ledger.accepting());
-  cr_assert(Ledger.onReport(report("a", 100, 7, BackendPhase::Draining)));
+  cr_assert(
+      Ledger.onReport(report("a", 100, 7, BackendPhase::Draining), Start));
   cr_assert_not(Ledger.onProbe({true, "a", 5}));
   cr_assert_not(Ledger.accepting());
 }
+
+// Guards against new work for a server that left: a report from before may
+// arrive seconds later, at a process that knows the server only by a probe.
+Test(BackendLedger, reportThatWasHeldUpDoesNotBringBackAServerThatLeft) {
+  const Instant Departure = Instant::fromMillis(5000);
+  BackendLedger Ledger(Address, "shop");
+  cr_assert(Ledger.onProbe({true, "a", 5}));
+  cr_assert(Ledger.onGone("a", Departure, Start));
+  cr_assert_not(Ledger.onReport(report("a", 4000, 21), Start));
+  cr_assert_not(Ledger.needsProbe());
+  cr_assert_not(Ledger.accepting());
+  // A later start under the same id is a new server.
+  cr_assert(Ledger.onReport(report("a", 6000, 1), Start));
+  cr_assert(Ledger.onProbe({true, "a", 5}));
+  cr_assert(Ledger.accepting());
+}
+
+// Guards against the same where the server left before this process had heard
+// of it at all.
+Test(BackendLedger, firstReportIsConfirmedByAProbe) {
+  BackendLedger Ledger(Address, "shop");
+  cr_assert(Ledger.onReport(report("a", 100, 7), Start));
+  cr_assert_not(Ledger.accepting());
+  cr_assert(Ledger.needsProbe());
+  cr_assert_not(Ledger.onProbe({false, "a", 5}));
+  cr_assert_not(Ledger.onProbe({true, "b", 5}));
+  cr_assert_not(Ledger.accepting());
+  cr_assert(Ledger.onProbe({true, "a", 5}));
+  cr_assert(Ledger.accepting());
+  cr_assert_not(Ledger.needsProbe());
+}
+
+// Guards a server whose health check wrongly fails against getting no work.
+Test(BackendLedger, laterReportConfirmsTheFirst) {
+  BackendLedger Ledger(Address, "shop");
+  cr_assert(Ledger.onReport(report("a", 100, 7), Start));
+  // Two reports that were held up together say no more than one.
+  cr_assert_not(
+      Ledger.onReport(report("a", 100, 8), Start + Duration::millis(100)));
+  cr_assert_not(Ledger.accepting());
+  cr_assert(Ledger.onReport(report("a", 100, 9), Start + ReportInterval));
+  cr_assert(Ledger.accepting());
+}
+
+// Guards a server that a probe has shown against a pause when its first report
+// tells its start.
+Test(BackendLedger, firstReportAfterAProbeKeepsTheServerInUse) {
+  BackendLedger Ledger(Address, "shop");
+  cr_assert(Ledger.onProbe({true, "a", 5}));
+  cr_assert_not(Ledger.onReport(report("a", 100, 7), Start));
+  cr_assert(Ledger.accepting());
+  cr_assert_eq(Ledger.current().StartedMillis, 100);
+}
--- a/packages/gateway/tests/GatewayFixture.h
+++ b/packages/gateway/tests/GatewayFixture.h
@@ -41,12 +41,20 @@
   }
   LifecycleCall lifecycleCall(const HttpRequest &) const override { return {}; }
   HttpReply lifecycleReply(bool) const override { return {}; }
-  BackendProbe probe(const HttpResponse &) const override { return {}; }
+  BackendProbe probe(const HttpResponse &Response) const override {
+    return {Response.result_int() == 200,
+            std::string(detail::headerOf(Response, Names.BackendId)), 4};
+  }
 
 private:
   HeaderNames Names;
 };
 
+/// The path of health checks, and what a healthy backend server "b1" answers.
+constexpr const char *HealthPath = "/health";
+constexpr const char *HealthyHead =
+    "HTTP/1.1 200 OK\r\nCamphorpin-Backend-Id: b1\r\n";
+
 /// A backend server whose answers the test writes.
 class FakeBackend final : public HttpRequestHandler {
 public:
@@ -58,6 +66,10 @@
   }
 
   void onRequest(const std::shared_ptr<HttpExchange> &Exchange) override {
+    if (Exchange->request().target() == HealthPath) {
+      Exchange->reply({200, HealthyHead, ""});
+      return;
+    }
     ++Arrivals;
     Answer(Exchange);
   }
@@ -89,6 +101,20 @@
     Loop.run_one_for(std::chrono::milliseconds(5));
 }
 
+/// Lets \p Gate take requests for the backend server "b1" at \p Address.
+inline void makeAvailable(EventLoop &Loop, LocalGate &Gate,
+                          const HostAddress &Address) {
+  BackendReport Report;
+  Report.Id = "b1";
+  Report.Service = "shop";
+  Report.Address = Address.toString();
+  Report.Slots = 4;
+  Report.Sequence = 1;
+  Gate.onReport(Report);
+  runUntil(Loop, Duration::seconds(2),
+           [&Gate] { return Gate.status().Available; });
+}
+
 } // namespace camphorpin::test
 
 #endif
--- a/packages/gateway/tests/LocalGateTest.cpp
+++ b/packages/gateway/tests/LocalGateTest.cpp
@@ -46,9 +46,18 @@
   void read(const std::shared_ptr<Connection> &Item) {
     Item->Socket.async_read_some(
         boost::asio::buffer(Item->Chunk),
-        [this, Item](const boost::system::error_code &Error, std::size_t) {
+        [this, Item](const boost::system::error_code &Error,
+                     std::size_t Bytes) {
           if (Error)
             return;
+          const std::string_view Text(Item->Chunk.data(), Bytes);
+          if (Text.starts_with("GET /health ")) {
+            const std::string Healthy =
+                std::string(HealthyHead) + "Content-Length: 0\r\n\r\n";
+            boost::asio::write(Item->Socket, boost::asio::buffer(Healthy));
+            read(Item);
+            return;
+          }
           const std::string &Answer =
               Answers[static_cast<std::size_t>(Requests) % Answers.size()];
           ++Requests;
@@ -79,13 +88,7 @@
   explicit GateWorld(std::vector<std::string> Answers)
       : Backend(Loop, std::move(Answers)), Settings(settings(Backend.Address)),
         Gate(Loop, Time, Settings, Protocol, Log) {
-    BackendReport Report;
-    Report.Id = "b1";
-    Report.Service = "shop";
-    Report.Address = Backend.Address.toString();
-    Report.Slots = 4;
-    Report.Sequence = 1;
-    Gate.onReport(Report);
+    makeAvailable(Loop, Gate, Backend.Address);
   }
 
   static GatewaySettings settings(const HostAddress &Backend) {
--- a/packages/gateway/tests/PeerServerTest.cpp
+++ b/packages/gateway/tests/PeerServerTest.cpp
@@ -55,13 +55,7 @@
 
   GateWorld() {
     Server.listen(Address);
-    BackendReport Report;
-    Report.Id = "b1";
-    Report.Service = "shop";
-    Report.Address = Backend.Address.toString();
-    Report.Slots = 4;
-    Report.Sequence = 1;
-    Gate.onReport(Report);
+    makeAvailable(Loop, Gate, Backend.Address);
   }
 
   GatewaySettings settings() const {
