Tell peers of news, and end silent reads of the store sooner

During a silent outage of the store the open reads of most nodes died without an error, and they lasted up to 25 s. Newer versions came only with answers of other nodes, which never crossed an availability zone.

Ruled out: keep-alive probes (the connections live) and lost records.

Reads of the configuration end after 4 to 25 s, depending on the number of nodes. Requests for news carry a digest of the member directory, so that an unchanged one isn't sent. Links without calls are closed after a minute.

--- a/packages/gateway/camphorpin/src/Gateway/GateLink.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/GateLink.cpp
@@ -27,7 +27,7 @@
 GateLink::GateLink(EventLoop &Loop, const Clock &Time, std::string Node,
                    const HostAddress &Address, GateLinkListener &Owner)
     : Loop(Loop), Time(Time), Node(std::move(Node)), Address(Address),
-      Owner(Owner), Timer(Loop) {}
+      Owner(Owner), Timer(Loop), LastUse(Time.now()) {}
 
 GateLink::~GateLink() {
   *Alive = false;
@@ -112,7 +112,7 @@
     failCalls(/*PeerEnded=*/true);
   for (auto &[Id, Item] : Calls)
     writeCall(Item);
-  Owner.onConfigurationVersion(Node, Hello.Configuration);
+  Owner.onNotice(Node, Hello.Known);
   if (!Calls.empty())
     armTimer(CheckInterval);
 }
@@ -130,6 +130,8 @@
     Owner.onNews(std::move(*News));
   else if (const auto *Request = std::get_if<PeerNewsRequest>(&Frame))
     send(Owner.news(*Request));
+  else if (const auto *Told = std::get_if<PeerNotice>(&Frame))
+    Owner.onNotice(Node, *Told);
   else if (const auto *Crashes = std::get_if<PeerCrashes>(&Frame))
     Owner.onCrashes(*Crashes);
 }
@@ -137,7 +139,7 @@
 void GateLink::onAnswer(PeerAnswer Answer) {
   Status = Answer.Status;
   StatusKnown = true;
-  const std::uint64_t Version = Answer.Configuration;
+  const PeerNotice Told{Answer.Configuration, 0};
   const auto Found = Calls.find(Answer.Id);
   if (Found != Calls.end()) {
     if (!Found->second.Call.Idempotent)
@@ -146,13 +148,14 @@
     Calls.erase(Found);
     Done(std::move(Answer));
   }
-  Owner.onConfigurationVersion(Node, Version);
+  Owner.onNotice(Node, Told);
 }
 
 void GateLink::call(PeerCall Call, Reply Done) {
   const std::uint64_t Id = Call.Id;
   Pending &Item = Calls[Id];
   Item.Submitted = Time.now();
+  LastUse = Item.Submitted;
   Item.Deadline = Item.Submitted + Call.TimeLeft;
   Item.Call = std::move(Call);
   Item.Done = std::move(Done);
--- a/packages/gateway/camphorpin/src/Gateway/GateLink.h
+++ b/packages/gateway/camphorpin/src/Gateway/GateLink.h
@@ -19,8 +19,8 @@
 
   /// \returns the hello frame of this node.
   virtual PeerHello hello() = 0;
-  virtual void onConfigurationVersion(const std::string &Node,
-                                      std::uint64_t Version) = 0;
+  /// The peer \p Node has told what it knows.
+  virtual void onNotice(const std::string &Node, const PeerNotice &Told) = 0;
   virtual PeerNews news(const PeerNewsRequest &Request) = 0;
   virtual void onNews(PeerNews News) = 0;
   virtual void onCrashes(const PeerCrashes &Crashes) = 0;
@@ -52,8 +52,11 @@
   const GateStatus &status() const { return Status; }
   bool statusKnown() const { return StatusKnown; }
   std::size_t outstanding() const { return Calls.size(); }
+  /// \returns when the link was last used.
+  Instant lastUse() const { return LastUse; }
 
-  /// Opens the connection if there is none.
+  /// Opens the connection if there is none. The hellos of both sides tell what
+  /// each knows.
   void open();
   void call(PeerCall Call, Reply Done);
   /// The answer is no longer wanted.
@@ -104,6 +107,7 @@
   std::map<std::uint64_t, Pending> Calls;
   std::vector<std::uint64_t> Unacknowledged;
   Instant LastHeard;
+  Instant LastUse;
   Instant Pinged;
   bool PingOutstanding = false;
   Instant ConnectStarted;
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
@@ -12,10 +12,14 @@
 /// up to a rate at which a node's share of the fleet's load fails as a whole.
 constexpr std::uint32_t LinesPerSecond = 200;
 constexpr Duration TickInterval = Duration::millis(500);
-/// How often a node without the store asks a peer for news.
-constexpr Duration NewsInterval = Duration::millis(400);
-/// How often one link may be asked for a newer configuration.
-constexpr Duration NewsPause = Duration::millis(100);
+/// How long the store holds a read of a feed open at most. Each costs a call.
+constexpr Duration LongestWait = Duration::seconds(25);
+/// A read may go silent without an error, and only its end shows it. The reads
+/// of the configuration end as often in the whole fleet as one node's would
+/// every 400 ms, so that one soon finds the store back and tells the others.
+constexpr Duration WaitPerNode = Duration::millis(400);
+constexpr Duration ShortestWait = Duration::seconds(4);
+constexpr double WaitSpread = 0.3;
 /// While draining, callers still come until the platform has seen twice that
 /// the node is not ready. Until then the gate serves as before, so that a
 /// rolling restart takes the backend server's capacity away only briefly.
@@ -137,6 +141,7 @@
       Network(Loop, Time, Source, Settings, Gate, *this),
       Entry(Loop, Time, Source, Settings, Protocol, Network, Gate, Log, Values),
       Peers(Loop, Time, Gate, *this),
+      Exchange(Loop, Time, Source, Network, Peers, [this] { return notice(); }),
       Ready(std::make_unique<ReadyHandler>(*this)),
       Reports(std::make_unique<ReportHandler>(*this)),
       MetricsPage(std::make_unique<MetricsHandler>(*this)),
@@ -204,22 +209,22 @@
   Result.Service = Settings.Service;
   Result.Zone = Settings.Zone;
   Result.Address = Settings.PeerAddress.toString();
-  Result.Configuration = Configuration.Version;
+  Result.Known = notice();
   Result.Status = Gate.status();
   return Result;
 }
 
-std::uint64_t Gateway::configurationVersion() const {
-  return Configuration.Version;
+PeerNotice Gateway::notice() const {
+  return {Configuration.Version, Network.directory().digest()};
 }
 
-void Gateway::onConfigurationVersion(const std::string &Node,
-                                     std::uint64_t Version) {
-  const Instant Now = Time.now();
-  if (Version <= Configuration.Version || Now - LastNewsRequest < NewsPause)
-    return;
-  LastNewsRequest = Now;
-  Network.requestNews(Node, Configuration.Version);
+void Gateway::onNotice(const std::string &Node, const PeerNotice &Told) {
+  Exchange.onNotice(Node, Told);
+}
+
+void Gateway::learn(const NodeRecord &Record) {
+  if (Network.add(Record))
+    Exchange.onLearned();
 }
 
 PeerNews Gateway::news(const PeerNewsRequest &Request) {
@@ -227,6 +232,8 @@
   Result.Configuration = Configuration.Version;
   if (Request.Configuration < Configuration.Version)
     Result.Document = Configuration.Document;
+  if (Request.Members == Network.directory().digest())
+    return Result;
   for (const auto &[Node, Record] : Network.directory().all())
     Result.Members.push_back({Node, Record.toJson()});
   return Result;
@@ -236,7 +243,7 @@
   for (const MemberNews &Member : News.Members) {
     const std::optional<NodeRecord> Record = NodeRecord::parse(Member.Record);
     if (Record)
-      Network.add(*Record);
+      learn(*Record);
   }
   if (News.Document.empty())
     return;
@@ -261,7 +268,7 @@
     }
     const std::optional<NodeRecord> Record = NodeRecord::parse(Item.Value);
     if (Record && Record->Node == Item.Key)
-      Network.add(*Record);
+      learn(*Record);
   }
 }
 
@@ -269,6 +276,18 @@
   Log.write(Reachable ? LogEvent::StoreReachable : LogEvent::StoreUnreachable,
             {{"feed",
               Feed == StoreFeed::Configuration ? "configuration" : "members"}});
+  // The open read of the other feed may have gone silent at the same time.
+  if (Feed == StoreFeed::Configuration && Reachable)
+    MemberReader.readAgain();
+}
+
+Duration Gateway::waitSpan(StoreFeed Feed) {
+  if (Feed != StoreFeed::Configuration)
+    return LongestWait;
+  const Duration Fair = WaitPerNode * static_cast<double>(Network.nodes());
+  const Duration Bounded = std::clamp(Fair, ShortestWait, LongestWait);
+  // Reads that began together must not end together.
+  return Bounded * (1 - WaitSpread * Source.unit());
 }
 
 void Gateway::adopt(FleetConfiguration Next, std::string_view Origin) {
@@ -280,6 +299,7 @@
              {"origin", std::string(Origin)},
              {"routes", std::to_string(Configuration.Routes.size())}});
   Entry.apply(Configuration);
+  Exchange.onLearned();
   CallServer.setLimits(Configuration.Limits);
   for (const ServiceRule &Service : Configuration.Services)
     if (Service.Name == Settings.Service)
@@ -301,14 +321,10 @@
 void Gateway::tick() {
   Gate.tick();
   Peers.tick();
+  Network.tick();
   const bool StoreAway =
       !ConfigurationReader.reachable() || !MemberReader.reachable();
-  const Instant Now = Time.now();
-  if (StoreAway && Now - LastNewsRequest >= NewsInterval) {
-    LastNewsRequest = Now;
-    Network.requestNews(Configuration.Version);
-    Peers.requestNews(Source);
-  }
+  Exchange.tick(StoreAway);
 }
 
 void Gateway::waitForSignal() {
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.h
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.h
@@ -2,7 +2,7 @@
 #define CAMPHORPIN_SRC_GATEWAY_GATEWAY_H
 
 #include "camphorpin/src/Gateway/EntryCalls.h"
-#include "camphorpin/src/Gateway/PeerServer.h"
+#include "camphorpin/src/Gateway/NewsExchange.h"
 #include "camphorpin/src/Gateway/StoreReader.h"
 #include "camphorpin/src/Gateway/StoreWriter.h"
 
@@ -37,16 +37,17 @@
   class MetricsHandler;
 
   PeerHello hello() override;
-  void onConfigurationVersion(const std::string &Node,
-                              std::uint64_t Version) override;
+  void onNotice(const std::string &Node, const PeerNotice &Told) override;
   void onNews(PeerNews News) override;
   void onCrashes(const PeerCrashes &Crashes) override;
-  std::uint64_t configurationVersion() const override;
+  PeerNotice notice() const override;
   PeerNews news(const PeerNewsRequest &Request) override;
   void onRecords(StoreFeed Feed,
                  const std::vector<StoreRecord> &Records) override;
   void onReachable(StoreFeed Feed, bool Reachable) override;
+  Duration waitSpan(StoreFeed Feed) override;
 
+  void learn(const NodeRecord &Record);
   void adopt(FleetConfiguration Next, std::string_view Origin);
   void publish(bool Departed);
   void armTick();
@@ -69,6 +70,7 @@
   PeerNetwork Network;
   EntryCalls Entry;
   PeerServer Peers;
+  NewsExchange Exchange;
   std::unique_ptr<ReadyHandler> Ready;
   std::unique_ptr<ReportHandler> Reports;
   std::unique_ptr<MetricsHandler> MetricsPage;
@@ -83,7 +85,6 @@
   boost::asio::signal_set Signals;
   boost::asio::steady_timer TickTimer;
   Instant DrainStarted;
-  Instant LastNewsRequest;
   bool Draining = false;
 };
 
--- a/packages/gateway/camphorpin/src/Gateway/NodeDirectory.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/NodeDirectory.cpp
@@ -44,7 +44,9 @@
                         Record.Departed && !Known.Departed);
     if (!Newer)
       return false;
+    Digest ^= stableHash(Known.toJson());
   }
+  Digest ^= stableHash(Record.toJson());
   Nodes[Record.Node] = Record;
   return true;
 }
--- a/packages/gateway/camphorpin/src/Gateway/NodeDirectory.h
+++ b/packages/gateway/camphorpin/src/Gateway/NodeDirectory.h
@@ -51,11 +51,16 @@
     return Nodes;
   }
 
+  /// \returns a number that is equal for directories with the same records.
+  std::uint64_t digest() const { return Digest; }
+
   /// \returns the number of nodes that have not departed.
   std::size_t present() const;
 
 private:
   std::map<std::string, NodeRecord, std::less<>> Nodes;
+  /// The hashes of all records, combined so that their order doesn't count.
+  std::uint64_t Digest = 0;
 };
 
 } // namespace camphorpin
--- a/packages/gateway/camphorpin/src/Gateway/PeerCodec.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerCodec.cpp
@@ -44,6 +44,15 @@
   Target.setServiceUs(static_cast<std::uint32_t>(Source.ServiceTime.ticks()));
 }
 
+void write(peer::Notice::Builder Target, const PeerNotice &Source) {
+  Target.setConfiguration(Source.Configuration);
+  Target.setMembers(Source.Members);
+}
+
+PeerNotice read(peer::Notice::Reader Source) {
+  return {Source.getConfiguration(), Source.getMembers()};
+}
+
 GateStatus read(peer::GateState::Reader Source) {
   GateStatus Result;
   Result.Available = Source.getAvailable();
@@ -67,7 +76,7 @@
     Target.setService(Value.Service);
     Target.setZone(Value.Zone);
     Target.setAddress(Value.Address);
-    Target.setConfiguration(Value.Configuration);
+    write(Target.initKnown(), Value.Known);
     write(Target.initState(), Value.Status);
   }
   void operator()(const PeerCall &Value) {
@@ -105,7 +114,9 @@
   void operator()(const PeerPong &Value) { Root.setPong(Value.Number); }
   void operator()(const GateStatus &Value) { write(Root.initState(), Value); }
   void operator()(const PeerNewsRequest &Value) {
-    Root.initNewsRequest().setConfiguration(Value.Configuration);
+    peer::NewsRequest::Builder Target = Root.initNewsRequest();
+    Target.setConfiguration(Value.Configuration);
+    Target.setMembers(Value.Members);
   }
   void operator()(const PeerNews &Value) {
     peer::News::Builder Target = Root.initNews();
@@ -123,6 +134,7 @@
     for (unsigned Index = 0; Index < Ids.size(); ++Index)
       Ids.set(Index, Value.Ids[Index]);
   }
+  void operator()(const PeerNotice &Value) { write(Root.initNotice(), Value); }
   void operator()(const PeerCrashes &Value) {
     auto Notices =
         Root.initCrashes(static_cast<unsigned>(Value.Notices.size()));
@@ -140,7 +152,7 @@
   Result.Service = textOf(Source.getService());
   Result.Zone = textOf(Source.getZone());
   Result.Address = textOf(Source.getAddress());
-  Result.Configuration = Source.getConfiguration();
+  Result.Known = read(Source.getKnown());
   Result.Status = read(Source.getState());
   return Result;
 }
@@ -224,13 +236,16 @@
   case peer::PeerFrame::STATE:
     return read(Root.getState());
   case peer::PeerFrame::NEWS_REQUEST:
-    return PeerNewsRequest{Root.getNewsRequest().getConfiguration()};
+    return PeerNewsRequest{Root.getNewsRequest().getConfiguration(),
+                           Root.getNewsRequest().getMembers()};
   case peer::PeerFrame::NEWS:
     return readNews(Root.getNews());
   case peer::PeerFrame::ACKNOWLEDGED:
     return readAcknowledged(Root);
   case peer::PeerFrame::CRASHES:
     return readCrashes(Root);
+  case peer::PeerFrame::NOTICE:
+    return read(Root.getNotice());
   }
   // A frame of a later version is ignored.
   return PeerPong{0};
--- a/packages/gateway/camphorpin/src/Gateway/PeerMessages.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerMessages.h
@@ -26,6 +26,15 @@
   Duration ServiceTime;
 };
 
+/// \class PeerNotice
+/// \brief What the sender knows from the platform's store.
+struct PeerNotice {
+  /// Version of the configuration; 0 if it knows none.
+  std::uint64_t Configuration = 0;
+  /// Digest of its member directory (NodeDirectory::digest()); 0 says nothing.
+  std::uint64_t Members = 0;
+};
+
 /// \class PeerHello
 /// \brief The first frame in both directions of a connection.
 struct PeerHello {
@@ -34,7 +43,7 @@
   std::string Service;
   std::string Zone;
   std::string Address;
-  std::uint64_t Configuration = 0;
+  PeerNotice Known;
   GateStatus Status;
 };
 
@@ -104,9 +113,11 @@
 };
 
 /// \class PeerNewsRequest
-/// \brief Asks for what the receiver knows from the platform's store.
+/// \brief Asks for what the receiver knows and the sender lacks.
 struct PeerNewsRequest {
+  /// What the sender knows, as in PeerNotice.
   std::uint64_t Configuration = 0;
+  std::uint64_t Members = 0;
 };
 
 /// \class MemberNews
@@ -122,6 +133,7 @@
   std::uint64_t Configuration = 0;
   /// Empty if the receiver's configuration is not older.
   std::string Document;
+  /// Empty if the receiver's directory is the same.
   std::vector<MemberNews> Members;
 };
 
@@ -144,9 +156,10 @@
 };
 
 /// A frame of the protocol between gateways.
-using PeerFrame = std::variant<PeerHello, PeerCall, PeerAnswer, PeerCancel,
-                               PeerPing, PeerPong, GateStatus, PeerNewsRequest,
-                               PeerNews, PeerAcknowledged, PeerCrashes>;
+using PeerFrame =
+    std::variant<PeerHello, PeerCall, PeerAnswer, PeerCancel, PeerPing,
+                 PeerPong, GateStatus, PeerNewsRequest, PeerNews,
+                 PeerAcknowledged, PeerCrashes, PeerNotice>;
 
 inline Verdict PeerAnswer::verdict() const {
   switch (Outcome) {
--- a/packages/gateway/camphorpin/src/Gateway/PeerNetwork.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerNetwork.cpp
@@ -6,6 +6,14 @@
 
 namespace camphorpin {
 
+namespace {
+
+/// How long a connection without calls is kept. Nodes that call each other do
+/// so more often; the others are only told of news.
+constexpr Duration IdleLink = Duration::seconds(60);
+
+} // namespace
+
 PeerNetwork::PeerNetwork(EventLoop &Loop, const Clock &Time, Random &Source,
                          const GatewaySettings &Settings, LocalGate &Gate,
                          GateLinkListener &Owner)
@@ -108,19 +116,32 @@
     Link->send(Frame);
 }
 
-void PeerNetwork::requestNews(std::uint64_t Version) {
-  std::vector<GateLink *> Open;
-  for (const auto &[Node, Link] : Links)
-    if (Link->connected())
-      Open.push_back(Link.get());
-  if (!Open.empty())
-    Open[Source.below(Open.size())]->send(PeerNewsRequest{Version});
+void PeerNetwork::send(const std::string &Node, const PeerFrame &Frame) {
+  const auto Found = Directory.all().find(Node);
+  if (Found == Directory.all().end() || Node == Settings.Node)
+    return;
+  GateLink &Target = link(Found->second);
+  if (Target.connected())
+    Target.send(Frame);
+  else
+    Target.open();
 }
 
-void PeerNetwork::requestNews(const std::string &Node, std::uint64_t Version) {
-  const auto Found = Links.find(Node);
-  if (Found != Links.end())
-    Found->second->send(PeerNewsRequest{Version});
+void PeerNetwork::sendToAny(const PeerFrame &Frame) {
+  std::vector<const std::string *> Others;
+  for (const auto &[Node, Record] : Directory.all())
+    if (!Record.Departed && Node != Settings.Node)
+      Others.push_back(&Node);
+  if (!Others.empty())
+    send(*Others[Source.below(Others.size())], Frame);
+}
+
+void PeerNetwork::tick() {
+  const Instant Now = Time.now();
+  std::erase_if(Links, [Now](const auto &Entry) {
+    const GateLink &Link = *Entry.second;
+    return Link.outstanding() == 0 && Now - Link.lastUse() > IdleLink;
+  });
 }
 
 } // namespace camphorpin
--- a/packages/gateway/camphorpin/src/Gateway/PeerNetwork.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerNetwork.h
@@ -22,7 +22,7 @@
               const GatewaySettings &Settings, LocalGate &Gate,
               GateLinkListener &Owner);
 
-  NodeDirectory &directory() { return Directory; }
+  const NodeDirectory &directory() const { return Directory; }
 
   /// Adds a record, and follows it with the link if there is one.
   /// \returns true if the record is new.
@@ -40,9 +40,15 @@
   /// Sends \p Frame to all nodes to which this node has a connection.
   void broadcast(const PeerFrame &Frame);
 
-  /// Asks a connected peer for news.
-  void requestNews(std::uint64_t Version);
-  void requestNews(const std::string &Node, std::uint64_t Version);
+  /// Sends \p Frame to \p Node if there is a connection; otherwise opens one,
+  /// whose hellos tell what each side knows.
+  void send(const std::string &Node, const PeerFrame &Frame);
+
+  /// Does the same with a random other node.
+  void sendToAny(const PeerFrame &Frame);
+
+  /// Closes connections that have not been used for long. Periodic work.
+  void tick();
 
   /// \returns the number of nodes that share the fleet's budgets.
   std::size_t nodes() const {
--- a/packages/gateway/camphorpin/src/Gateway/PeerServer.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerServer.cpp
@@ -43,9 +43,9 @@
       // Nodes may start in the same millisecond, so the name belongs to the
       // identity of a sender.
       Sender = stableHash(Hello->Node, Hello->Incarnation);
+      Node = Hello->Node;
       send(Server.Owner.hello());
-      if (Hello->Configuration > Server.Owner.configurationVersion())
-        send(PeerNewsRequest{Server.Owner.configurationVersion()});
+      onNotice(Hello->Known);
     } else if (const auto *Request = std::get_if<PeerNewsRequest>(&Frame)) {
       send(Server.Owner.news(*Request));
     } else if (auto *News = std::get_if<PeerNews>(&Frame)) {
@@ -53,17 +53,29 @@
     } else if (const auto *Ids = std::get_if<PeerAcknowledged>(&Frame)) {
       for (const std::uint64_t Id : Ids->Ids)
         Server.Calls.erase({Sender, Id});
+    } else if (const auto *Told = std::get_if<PeerNotice>(&Frame)) {
+      onNotice(*Told);
     } else if (const auto *Crashes = std::get_if<PeerCrashes>(&Frame)) {
       Server.Owner.onCrashes(*Crashes);
     }
   }
 
+  /// A node without a configuration doesn't wait for a connection of its own.
+  void onNotice(const PeerNotice &Told) {
+    const PeerNotice Known = Server.Owner.notice();
+    if (Known.Configuration == 0 && Told.Configuration != 0)
+      send(PeerNewsRequest{Known.Configuration, Known.Members});
+    else
+      Server.Owner.onNotice(Node, Told);
+  }
+
   void onClosed() override { Server.onSessionClosed(shared_from_this()); }
 
 private:
   PeerServer &Server;
   std::shared_ptr<PeerChannel> Channel;
   std::uint64_t Sender = 0;
+  std::string Node;
 };
 
 PeerServer::PeerServer(EventLoop &Loop, const Clock &Time, LocalGate &Gate,
@@ -127,7 +139,7 @@
   if (Found == Calls.end())
     return;
   Record &Item = Found->second;
-  Answer.Configuration = Owner.configurationVersion();
+  Answer.Configuration = Owner.notice().Configuration;
   const std::shared_ptr<Session> Caller = Item.Caller.lock();
   if (Caller)
     Caller->send(Answer);
@@ -191,13 +203,13 @@
       Item->send(Frame);
 }
 
-void PeerServer::requestNews(Random &Source) {
+void PeerServer::sendToAny(const PeerFrame &Frame, Random &Source) {
   if (Sessions.empty())
     return;
   auto Chosen = Sessions.begin();
   std::advance(Chosen,
                static_cast<std::ptrdiff_t>(Source.below(Sessions.size())));
-  (*Chosen)->send(PeerNewsRequest{Owner.configurationVersion()});
+  (*Chosen)->send(Frame);
 }
 
 void PeerServer::announce() { broadcast(Gate.status()); }
--- a/packages/gateway/camphorpin/src/Gateway/PeerServer.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerServer.h
@@ -19,7 +19,9 @@
 public:
   virtual ~PeerServerListener() = default;
   virtual PeerHello hello() = 0;
-  virtual std::uint64_t configurationVersion() const = 0;
+  virtual PeerNotice notice() const = 0;
+  /// The peer \p Node has told what it knows.
+  virtual void onNotice(const std::string &Node, const PeerNotice &Told) = 0;
   virtual PeerNews news(const PeerNewsRequest &Request) = 0;
   virtual void onNews(PeerNews News) = 0;
   virtual void onCrashes(const PeerCrashes &Crashes) = 0;
@@ -43,8 +45,8 @@
   void announce();
   void broadcast(const PeerFrame &Frame);
 
-  /// Asks one of the connected peers for news.
-  void requestNews(Random &Source);
+  /// Sends \p Frame to one of the connected peers.
+  void sendToAny(const PeerFrame &Frame, Random &Source);
 
   /// Periodic work, at least once a second.
   void tick();
--- a/packages/gateway/camphorpin/src/Gateway/StoreReader.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/StoreReader.cpp
@@ -6,10 +6,7 @@
 
 namespace {
 
-/// How long the store holds a read open while nothing is written. Each idle
-/// feed of each node costs one priced call per span.
-constexpr Duration WaitSpan = Duration::seconds(25);
-/// How long the store may take beyond that.
+/// How long the store may take beyond the time for which it holds a read open.
 constexpr Duration AnswerWithin = Duration::millis(1500);
 /// Pause after records have come, so that a burst of changes is read with a few
 /// calls. It delays only what follows a change, by much less than the time in
@@ -40,14 +37,23 @@
 }
 
 void StoreReader::readNext() {
-  call(Protocol.readCall(Feed, Position, WaitSpan), WaitSpan + AnswerWithin,
+  const Duration Wait = Owner.waitSpan(Feed);
+  call(Protocol.readCall(Feed, Position, Wait), Wait + AnswerWithin,
        /*Newest=*/false);
 }
 
+void StoreReader::readAgain() {
+  if (Stopped || !PositionKnown || !Waiting)
+    return;
+  Current->close();
+  readNext();
+}
+
 void StoreReader::call(std::string Bytes, Duration Within, bool Newest) {
   if (Stopped)
     return;
   Current = Pool.acquire();
+  Waiting = !Newest;
   ExchangeCall Call;
   Call.Bytes = std::move(Bytes);
   Current->exchange(std::move(Call),
@@ -58,6 +64,7 @@
   Timer.async_wait([this](const boost::system::error_code &Error) {
     if (Error || Stopped)
       return;
+    Waiting = false;
     Current->close();
     onFault(StoreFault::Refused);
   });
@@ -66,6 +73,7 @@
 void StoreReader::onResult(const ExchangeResult &Result, bool Newest) {
   if (Stopped)
     return;
+  Waiting = false;
   Timer.cancel();
   if (Result.End != ExchangeEnd::Whole) {
     onFault(StoreFault::Refused);
--- a/packages/gateway/camphorpin/src/Gateway/StoreReader.h
+++ b/packages/gateway/camphorpin/src/Gateway/StoreReader.h
@@ -18,13 +18,16 @@
                          const std::vector<StoreRecord> &Records) = 0;
   /// The store became reachable or unreachable for this feed.
   virtual void onReachable(StoreFeed Feed, bool Reachable) = 0;
+  /// \returns how long the store may hold the next read of \p Feed open.
+  virtual Duration waitSpan(StoreFeed Feed) = 0;
 };
 
 /// \class StoreReader
 /// \brief Follows one feed of the platform's store.
 ///
 /// Reads the newest record of each key, then waits for later records. One call
-/// is outstanding at any time; an idle feed costs one call per WaitSpan.
+/// is outstanding at any time; an idle feed costs one call per
+/// StoreReaderListener::waitSpan().
 class StoreReader {
 public:
   StoreReader(EventLoop &Loop, Random &Source, const HostAddress &Address,
@@ -34,6 +37,9 @@
   void start() { readNewest(); }
   void stop();
 
+  /// Replaces the waiting read, which may have gone silent.
+  void readAgain();
+
   /// \returns true if the last call succeeded and the waiting one isn't late.
   bool reachable() const { return Reachable; }
 
@@ -60,6 +66,8 @@
   bool PositionKnown = false;
   bool Reachable = false;
   bool Stopped = false;
+  /// A read is open that ends when a record comes.
+  bool Waiting = false;
   unsigned Failures = 0;
 };
 
--- a/packages/gateway/tests/PeerServerTest.cpp
+++ b/packages/gateway/tests/PeerServerTest.cpp
@@ -12,8 +12,9 @@
 
 class GateOwner final : public PeerServerListener {
 public:
-  PeerHello hello() override { return {"gate", 1, "shop", "a", "", 0, {}}; }
-  std::uint64_t configurationVersion() const override { return 0; }
+  PeerHello hello() override { return {"gate", 1, "shop", "a", "", {}, {}}; }
+  PeerNotice notice() const override { return {}; }
+  void onNotice(const std::string &, const PeerNotice &) override {}
   PeerNews news(const PeerNewsRequest &) override { return {}; }
   void onNews(PeerNews) override {}
   void onCrashes(const PeerCrashes &) override {}
@@ -23,8 +24,8 @@
 public:
   explicit CallerOwner(std::string Node) : Node(std::move(Node)) {}
   // Both callers started in the same millisecond.
-  PeerHello hello() override { return {Node, 7, "web", "a", "", 0, {}}; }
-  void onConfigurationVersion(const std::string &, std::uint64_t) override {}
+  PeerHello hello() override { return {Node, 7, "web", "a", "", {}, {}}; }
+  void onNotice(const std::string &, const PeerNotice &) override {}
   PeerNews news(const PeerNewsRequest &) override { return {}; }
   void onNews(PeerNews) override {}
   void onCrashes(const PeerCrashes &) override {}
