Tell services that are unavailable from overloaded ones

Ruled out: blaming load again; bounds don't help a service without servers.

Change: CallFailure names three causes. Overload lowers bounds; overload and unavailability keep a failed run from being repeated; lost answers do neither.

--- a/packages/gateway/camphorpin/src/Gateway/EntryCalls.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/EntryCalls.cpp
@@ -328,8 +328,7 @@
 
 void EntryCalls::logEnd(const EntryCall &Item, unsigned Status,
                         RefusalReason Reason) {
-  if (RouteLimiter::blamesLoad(Reason, Status))
-    Gate.onOutboundOverload();
+  Gate.onOutboundFailure(callFailureOf(Reason, Status));
   Log.write(
       LogEvent::RequestFailed,
       {{"request", Item.RequestId},
--- a/packages/gateway/camphorpin/src/Gateway/LocalGate.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/LocalGate.cpp
@@ -267,11 +267,29 @@
   if (Answer.Outcome != CallOutcome::Answered)
     return RunEnd::Unknown;
   if (Answer.StatusCode == 500)
-    return LastOutboundOverload >= Item.StartTime ? RunEnd::DependencyFailed
-                                                  : RunEnd::Unknown;
+    return LastOverload >= Item.StartTime ? RunEnd::DependencyFailed
+                                          : RunEnd::Unknown;
   return RunEnd::Succeeded;
 }
 
+RefusalReason LocalGate::sharedCause(const Run &Item,
+                                     const PeerAnswer &Answer) const {
+  if (!Item.Started || Answer.Outcome != CallOutcome::Answered)
+    return RefusalReason::None;
+  if (endOf(Item, Answer) == RunEnd::DependencyFailed)
+    return RefusalReason::Shed;
+  if (Answer.StatusCode == 500 && LastUnavailable >= Item.StartTime)
+    return RefusalReason::NoBackend;
+  return RefusalReason::None;
+}
+
+void LocalGate::onOutboundFailure(CallFailure Cause) {
+  if (Cause == CallFailure::Overload)
+    LastOverload = Time.now();
+  if (Cause == CallFailure::Unavailable)
+    LastUnavailable = Time.now();
+}
+
 PeerAnswer LocalGate::classify(const Run &Item, ExchangeResult &Result) {
   PeerAnswer Answer;
   switch (Result.End) {
@@ -336,10 +354,8 @@
   const RunEnd End = endOf(Found->second, Answer);
   if (Found->second.Limited)
     Limiter.end(Found->second.Call.Route, End, Time.now());
-  // Another backend server would need the same calls.
-  if (End == RunEnd::DependencyFailed &&
-      Answer.Outcome == CallOutcome::Answered)
-    Answer.Reason = RefusalReason::Shed;
+  if (Answer.Outcome == CallOutcome::Answered)
+    Answer.Reason = sharedCause(Found->second, Answer);
   logFailure(Found->second, Answer);
   Answer.Id = Found->second.Call.Id;
   Answer.Backend = Found->second.Backend;
--- a/packages/gateway/camphorpin/src/Gateway/LocalGate.h
+++ b/packages/gateway/camphorpin/src/Gateway/LocalGate.h
@@ -3,6 +3,7 @@
 
 #include "camphorpin/src/Daemon/EventLog.h"
 #include "camphorpin/src/Gateway/BackendLedger.h"
+#include "camphorpin/src/Gateway/CallFailure.h"
 #include "camphorpin/src/Gateway/CrashWatch.h"
 #include "camphorpin/src/Gateway/GateQueue.h"
 #include "camphorpin/src/Gateway/GatewaySettings.h"
@@ -70,10 +71,9 @@
   /// A request begins on this host. It may be a call of a run.
   void onOutboundRequest() { RecentOutbound += 1; }
 
-  /// A request that began on this host has failed, and the load of the called
-  /// service is to blame. It may have been a call of a run of the backend
-  /// server.
-  void onOutboundOverload() { LastOutboundOverload = Time.now(); }
+  /// A request that began on this host has failed. It may have been a call of
+  /// a run of the backend server.
+  void onOutboundFailure(CallFailure Cause);
 
   GateStatus status() const;
   const BackendReport &backend() const { return Ledger.current(); }
@@ -109,6 +109,8 @@
   bool runsMakeCalls() const;
   void logFailure(const Run &Item, const PeerAnswer &Answer);
   RunEnd endOf(const Run &Item, const PeerAnswer &Answer) const;
+  /// \returns why another backend server would not do better, or None.
+  RefusalReason sharedCause(const Run &Item, const PeerAnswer &Answer) const;
   void onRunDeadline(std::uint64_t RunId);
   void finish(std::uint64_t RunId, PeerAnswer Answer, bool Completed);
   void refuse(std::uint64_t RunId, RefusalReason Reason, Duration RetryAfter);
@@ -127,7 +129,9 @@
   GateQueue Queue;
   RouteLimiter Limiter;
   CrashWatch Crashed;
-  Instant LastOutboundOverload;
+  /// The latest failure of a call for each of these causes.
+  Instant LastOverload;
+  Instant LastUnavailable;
   /// Fading counts of the requests that begin on the host and of the runs.
   double RecentOutbound = 0;
   double RecentRuns = 0;
--- a/packages/gateway/camphorpin/src/Gateway/RouteLimiter.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/RouteLimiter.cpp
@@ -24,18 +24,6 @@
 
 } // namespace
 
-bool RouteLimiter::blamesLoad(RefusalReason Reason, unsigned Status) {
-  switch (Reason) {
-  case RefusalReason::Overloaded:
-  case RefusalReason::Shed:
-  case RefusalReason::BackendShed:
-  case RefusalReason::Deadline:
-    return true;
-  default:
-    return Status == 504;
-  }
-}
-
 bool RouteLimiter::admit(const std::string &Route, std::uint8_t Rank) {
   State &Item = Routes[Route];
   Item.Rank = Rank;
--- a/packages/gateway/camphorpin/src/Gateway/RouteLimiter.h
+++ b/packages/gateway/camphorpin/src/Gateway/RouteLimiter.h
@@ -30,10 +30,6 @@
 /// calls a run needs, so the routes at the top of the graph are bounded most.
 class RouteLimiter {
 public:
-  /// \returns true if the failure of a call blames the load of the called
-  /// service. Lost answers and connections don't: fewer runs would not help.
-  static bool blamesLoad(RefusalReason Reason, unsigned Status);
-
   /// \param Rank the rank of the route; less urgent ones regain less.
   /// \returns true if another run may be taken; it is then counted.
   bool admit(const std::string &Route, std::uint8_t Rank);
--- a/packages/gateway/tests/GateDecisionsTest.cpp
+++ b/packages/gateway/tests/GateDecisionsTest.cpp
@@ -1,4 +1,5 @@
 #include "camphorpin/src/Gateway/AttemptPolicy.h"
+#include "camphorpin/src/Gateway/CallFailure.h"
 #include "camphorpin/src/Gateway/GateQueue.h"
 #include "camphorpin/src/Gateway/PeerSelector.h"
 #include "camphorpin/src/Gateway/RetryAllowance.h"
@@ -181,3 +182,19 @@
   Candidates[0].Status.Queued = 10;
   cr_assert_eq(*Selector.choose(Candidates), 1);
 }
+
+// Guards routes against bounds that come from reset connections and lost
+// answers: such failures are as frequent among fewer runs. A service without a
+// backend server is no reason for a bound either, but for no repeat.
+Test(CallFailure, onlyLoadLowersBounds) {
+  using enum RefusalReason;
+  cr_assert_eq(callFailureOf(Overloaded, 503), CallFailure::Overload);
+  cr_assert_eq(callFailureOf(Shed, 500), CallFailure::Overload);
+  cr_assert_eq(callFailureOf(BackendShed, 503), CallFailure::Overload);
+  cr_assert_eq(callFailureOf(Deadline, 504), CallFailure::Overload);
+  cr_assert_eq(callFailureOf(BackendFailed, 502), CallFailure::Lost);
+  cr_assert_eq(callFailureOf(PeerFailed, 502), CallFailure::Lost);
+  cr_assert_eq(callFailureOf(BackendFailed, 500), CallFailure::Lost);
+  cr_assert_eq(callFailureOf(NoBackend, 503), CallFailure::Unavailable);
+  cr_assert_eq(callFailureOf(Draining, 503), CallFailure::Unavailable);
+}
