Read changed settings while a node runs

Ruled out: a restart on SIGHUP, which would cut requests.

Change: the settings are read again on SIGHUP and every five seconds. The retry budget and the stop grace change at once, other fields are named as needing a restart, a faulty file changes nothing; events 104 and 105 tell it.

--- a/packages/camphorpind/main.cpp
+++ b/packages/camphorpind/main.cpp
@@ -9,6 +9,7 @@
 #include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
+#include <optional>
 #include <sstream>
 #include <string>
 #include <sys/stat.h>
@@ -23,6 +24,7 @@
 
 namespace {
 
+using camphorpin::GatewaySettings;
 using camphorpin::NodeDaemon;
 using camphorpin::Settings;
 using camphorpin::SettingsError;
@@ -74,21 +76,45 @@
     (void)::fcntl(STDOUT_FILENO, F_SETFL, Flags | O_NONBLOCK);
 }
 
+/// \returns the content of the settings file, or nothing if it can't be read.
+std::optional<std::string> readSettingsFile() {
+  std::ifstream File(FLAGS_settings);
+  if (!File)
+    return std::nullopt;
+  std::stringstream Text;
+  Text << File.rdbuf();
+  return Text.str();
+}
+
+/// The settings file of a node of a hosted platform.
+class GatewaySettingsFile final : public camphorpin::SettingsSource {
+public:
+  std::variant<GatewaySettings, std::vector<SettingsError>> read() override {
+    const std::optional<std::string> Text = readSettingsFile();
+    if (!Text)
+      return std::vector<SettingsError>{{"", "cannot be read"}};
+    std::variant<GatewaySettings, std::vector<SettingsError>> Result =
+        camphorpin::parseGatewaySettings(*Text);
+    if (auto *Options = std::get_if<GatewaySettings>(&Result))
+      camphorpin::platform::applyBounds(*Options);
+    return Result;
+  }
+};
+
 /// Runs a node of a hosted platform.
-int runGateway(const std::string &Text) {
-  const std::variant<camphorpin::GatewaySettings, std::vector<SettingsError>>
-      Result = camphorpin::parseGatewaySettings(Text);
+int runGateway() {
+  GatewaySettingsFile File;
+  const std::variant<GatewaySettings, std::vector<SettingsError>> Result =
+      File.read();
   if (std::holds_alternative<std::vector<SettingsError>>(Result))
     return printErrors(std::get<std::vector<SettingsError>>(Result));
   if (FLAGS_check_settings)
     return EXIT_SUCCESS;
-  camphorpin::GatewaySettings Options =
-      std::get<camphorpin::GatewaySettings>(Result);
-  camphorpin::platform::applyBounds(Options);
+  const GatewaySettings &Options = std::get<GatewaySettings>(Result);
   std::signal(SIGPIPE, SIG_IGN);
   neverBlockOnOutput();
   const camphorpin::HostedProtocol Protocol(Options.StoreAddress.toString());
-  camphorpin::Gateway Node(Options, Protocol);
+  camphorpin::Gateway Node(Options, Protocol, &File);
   const std::string Error = Node.start();
   if (!Error.empty()) {
     std::cerr << "camphorpind: cannot bind " << Error << "\n";
@@ -105,16 +131,13 @@
   gflags::SetUsageMessage("runs one camphorpin node\n"
                           "  camphorpind --settings FILE [--check-settings]");
   gflags::ParseCommandLineFlags(&Count, &Arguments, true);
-  std::ifstream File(FLAGS_settings);
-  if (!File)
+  const std::optional<std::string> Text = readSettingsFile();
+  if (!Text)
     return printErrors({{"", "cannot be read"}});
-  std::stringstream Text;
-  Text << File.rdbuf();
-
-  if (camphorpin::isGatewaySettings(Text.str()))
-    return runGateway(Text.str());
+  if (camphorpin::isGatewaySettings(*Text))
+    return runGateway();
   const std::variant<Settings, std::vector<SettingsError>> Result =
-      camphorpin::parseSettings(Text.str());
+      camphorpin::parseSettings(*Text);
   if (std::holds_alternative<std::vector<SettingsError>>(Result))
     return printErrors(std::get<std::vector<SettingsError>>(Result));
   const Settings &Options = std::get<Settings>(Result);
--- a/packages/decision/camphorpin/src/Engine/LogEvent.cpp
+++ b/packages/decision/camphorpin/src/Engine/LogEvent.cpp
@@ -21,6 +21,14 @@
     LogEventInfo{LogEvent::NodeEnded, LogSeverity::Info, "node-ended", "",
                  "Everything that was accepted is answered; the process "
                  "exits."},
+    LogEventInfo{LogEvent::SettingsReloaded, LogSeverity::Info,
+                 "settings-reloaded", "applied,needRestart",
+                 "The settings were read again. Applied fields are in force, "
+                 "the others after the next start."},
+    LogEventInfo{LogEvent::SettingsRejected, LogSeverity::Error,
+                 "settings-rejected", "field,error",
+                 "The settings were read again and are faulty. Those in force "
+                 "stay; correct the file."},
     LogEventInfo{LogEvent::ConnectionOpened, LogSeverity::Debug,
                  "connection-opened", "peer",
                  "A connection to another node is open."},
--- a/packages/decision/camphorpin/src/Engine/LogEvent.h
+++ b/packages/decision/camphorpin/src/Engine/LogEvent.h
@@ -16,6 +16,8 @@
   StateChanged = 101,
   DrainRequested = 102,
   NodeEnded = 103,
+  SettingsReloaded = 104,
+  SettingsRejected = 105,
   ConnectionOpened = 200,
   ConnectionFailed = 201,
   ConnectionReplaced = 202,
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
@@ -12,6 +12,8 @@
 /// up to a rate at which a node's share of the fleet's load fails as a whole.
 constexpr std::uint32_t LinesPerSecond = 200;
 constexpr Duration TickInterval = Duration::millis(500);
+/// How often the settings are read again: they may change without a signal.
+constexpr Duration ReloadInterval = Duration::seconds(5);
 /// How long the store holds a read of a feed open at most. Each costs a call.
 constexpr Duration LongestWait = Duration::seconds(25);
 /// A read may go silent without an error, and only its end shows it. The reads
@@ -132,8 +134,8 @@
 }
 
 Gateway::Gateway(const GatewaySettings &Options,
-                 const PlatformProtocol &Protocol)
-    : Settings(Options), Protocol(Protocol), Loop(1),
+                 const PlatformProtocol &Protocol, SettingsSource *Reloads)
+    : Settings(Options), Protocol(Protocol), Reloads(Reloads), Loop(1),
       Source(std::random_device()()),
       Log(Settings.Logging, Time, LinesPerSecond),
       Incarnation(static_cast<std::uint64_t>(Time.wallNow().wholeMillis())),
@@ -325,6 +327,8 @@
   const bool StoreAway =
       !ConfigurationReader.reachable() || !MemberReader.reachable();
   Exchange.tick(StoreAway);
+  if (Time.now() - LastReload >= ReloadInterval)
+    reload(/*Asked=*/false);
 }
 
 void Gateway::waitForSignal() {
@@ -332,12 +336,37 @@
       [this](const boost::system::error_code &Error, int Signal) {
         if (Error)
           return;
-        if (Signal != SIGHUP)
+        if (Signal == SIGHUP)
+          reload(/*Asked=*/true);
+        else
           drain();
         waitForSignal();
       });
 }
 
+void Gateway::reload(bool Asked) {
+  LastReload = Time.now();
+  if (Reloads == nullptr)
+    return;
+  const auto Result = Reloads->read();
+  if (const auto *Faults = std::get_if<std::vector<SettingsError>>(&Result)) {
+    const SettingsError &First = Faults->front();
+    if (Asked || First.Message != SettingsFault)
+      Log.write(LogEvent::SettingsRejected,
+                {{"field", First.Field}, {"error", First.Message}});
+    SettingsFault = First.Message;
+    return;
+  }
+  SettingsFault.clear();
+  const SettingsChange Change =
+      adoptSettings(Settings, std::get<GatewaySettings>(Result));
+  // What needs a restart stays different and is told once per signal.
+  if (Asked || !Change.Applied.empty())
+    Log.write(LogEvent::SettingsReloaded,
+              {{"applied", detail::commaSeparated(Change.Applied)},
+               {"needRestart", detail::commaSeparated(Change.NeedRestart)}});
+}
+
 void Gateway::drain() {
   if (Draining)
     return;
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.h
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.h
@@ -3,6 +3,7 @@
 
 #include "camphorpin/src/Gateway/EntryCalls.h"
 #include "camphorpin/src/Gateway/NewsExchange.h"
+#include "camphorpin/src/Gateway/SettingsReload.h"
 #include "camphorpin/src/Gateway/StoreReader.h"
 #include "camphorpin/src/Gateway/StoreWriter.h"
 
@@ -18,7 +19,9 @@
                       private PeerServerListener,
                       private StoreReaderListener {
 public:
-  Gateway(const GatewaySettings &Settings, const PlatformProtocol &Protocol);
+  /// \param Source where changed settings come from; may be null.
+  Gateway(const GatewaySettings &Settings, const PlatformProtocol &Protocol,
+          SettingsSource *Source = nullptr);
   ~Gateway() override;
 
   /// Binds all addresses.
@@ -53,6 +56,10 @@
   void armTick();
   void tick();
   void waitForSignal();
+  /// Reads the settings again.
+  /// \param Asked an operator asked for it, so the log tells about it also if
+  /// nothing has changed.
+  void reload(bool Asked);
   void drain();
   void checkDrained();
   bool ready() const;
@@ -60,6 +67,7 @@
 
   GatewaySettings Settings;
   const PlatformProtocol &Protocol;
+  SettingsSource *Reloads;
   EventLoop Loop;
   SystemClock Time;
   SeededRandom Source;
@@ -85,6 +93,9 @@
   boost::asio::signal_set Signals;
   boost::asio::steady_timer TickTimer;
   Instant DrainStarted;
+  Instant LastReload;
+  /// The first fault of the settings that were read last, if they had any.
+  std::string SettingsFault;
   bool Draining = false;
 };
 
--- a/packages/gateway/camphorpin/src/Gateway/RetryAllowance.h
+++ b/packages/gateway/camphorpin/src/Gateway/RetryAllowance.h
@@ -18,6 +18,8 @@
   /// Repeats that are allowed in a window besides, in the whole fleet.
   double Slack = 10;
   Duration Window = Duration::seconds(10);
+
+  bool operator==(const RetryBudgetSettings &) const = default;
 };
 
 /// \class RetryAllowance
@@ -28,6 +30,7 @@
 /// without any exchange of messages.
 class RetryAllowance {
 public:
+  /// \param Settings must outlive the object and may change.
   explicit RetryAllowance(const RetryBudgetSettings &Settings)
       : Settings(Settings) {}
 
@@ -50,7 +53,7 @@
   Slice &current(Ring &Counts, Instant Now) const;
   std::int64_t sliceNumber(Instant Now) const;
 
-  RetryBudgetSettings Settings;
+  const RetryBudgetSettings &Settings;
   std::map<std::string, Ring> Services;
 };
 
