Split the decisions of a gate from its network

Cause: the queue, the bounds of routes and the causes of failed runs were joined inside LocalGate, between sockets and timers, so a load could only be played against parts of them.

Ruled out: a second copy of the joining logic in a load model.

Change: GateControl holds these decisions without a network; LocalGate carries them out. No change of behaviour is meant.

--- /dev/null
+++ b/packages/gateway/camphorpin/src/Gateway/GateControl.cpp
@@ -0,0 +1,116 @@
+#include "camphorpin/src/Gateway/GateControl.h"
+
+namespace camphorpin {
+
+namespace {
+
+/// When a run that was refused because its dependencies fail may come back. The
+/// bound of a route regains its level within a few run times.
+constexpr Duration BoundedRetryAfter = Duration::millis(600);
+/// Requests that begin on the host for each run, from which the runs are taken
+/// to make calls. Where they make none, a late run has waited for this server
+/// only, and the queue deals with that.
+constexpr double CallsPerRun = 0.8;
+/// Factor by which the counts of requests and runs fade at each tick.
+constexpr double CountDecay = 0.8;
+
+} // namespace
+
+GateAdmission GateControl::offer(const GateTicket &Ticket, Instant Now) {
+  GateAdmission Result;
+  if (!Limiter.admit(Ticket.Route, Ticket.Rank))
+    return {GateChoice::Refuse, RefusalReason::Shed, BoundedRetryAfter};
+  const GateDecision Decision = Queue.offer(Ticket, Now);
+  Result.Choice = Decision.Choice;
+  if (Decision.Choice == GateChoice::Refuse) {
+    Limiter.end(Ticket.Route, RunEnd::Unknown, Now);
+    Result.Reason = RefusalReason::Overloaded;
+    Result.RetryAfter = Decision.RetryAfter;
+    return Result;
+  }
+  Calls[Ticket.Id] = Active{Ticket.Route, Now};
+  if (Decision.Choice == GateChoice::Start)
+    RecentRuns += 1;
+  return Result;
+}
+
+std::optional<GateTicket> GateControl::takeNext(Instant Now) {
+  const std::optional<GateTicket> Result = Queue.takeNext(Now);
+  if (Result) {
+    Calls[Result->Id].Start = Now;
+    RecentRuns += 1;
+  }
+  return Result;
+}
+
+std::vector<GateTicket> GateControl::takeExpired(Instant Now) {
+  return Queue.takeExpired(Now);
+}
+
+std::vector<GateTicket> GateControl::takeAll() { return Queue.takeAll(); }
+
+void GateControl::abandon(std::uint64_t Id, Instant Now) {
+  const auto Found = Calls.find(Id);
+  if (Found == Calls.end())
+    return;
+  Queue.remove(Id);
+  Queue.finish(Id, Now, /*Completed=*/false);
+  Limiter.end(Found->second.Route, RunEnd::Unknown, Now);
+  Calls.erase(Found);
+}
+
+RefusalReason GateControl::end(std::uint64_t Id, const PeerAnswer &Answer,
+                               Instant Now) {
+  const auto Found = Calls.find(Id);
+  if (Found == Calls.end())
+    return RefusalReason::None;
+  const Active Run = std::move(Found->second);
+  Calls.erase(Found);
+  Queue.finish(Id, Now, Answer.Outcome == CallOutcome::Answered);
+  const RunEnd End = endOf(Run, Answer);
+  Limiter.end(Run.Route, End, Now);
+  return sharedCause(Run, Answer, End);
+}
+
+RunEnd GateControl::endOf(const Active &Run, const PeerAnswer &Answer) const {
+  const bool TimedOut =
+      Answer.StatusCode == 504 || Answer.Reason == RefusalReason::Deadline;
+  if (TimedOut)
+    return runsMakeCalls() ? RunEnd::DependencyFailed : RunEnd::Unknown;
+  if (Answer.Outcome != CallOutcome::Answered)
+    return RunEnd::Unknown;
+  if (Answer.StatusCode == 500)
+    return LastOverload >= Run.Start ? RunEnd::DependencyFailed
+                                     : RunEnd::Unknown;
+  return RunEnd::Succeeded;
+}
+
+RefusalReason GateControl::sharedCause(const Active &Run,
+                                       const PeerAnswer &Answer,
+                                       RunEnd End) const {
+  if (Answer.Outcome != CallOutcome::Answered)
+    return RefusalReason::None;
+  if (End == RunEnd::DependencyFailed)
+    return RefusalReason::Shed;
+  if (Answer.StatusCode == 500 && LastUnavailable >= Run.Start)
+    return RefusalReason::NoBackend;
+  return RefusalReason::None;
+}
+
+void GateControl::onOutboundFailure(CallFailure Cause, Instant Now) {
+  if (Cause == CallFailure::Overload)
+    LastOverload = Now;
+  if (Cause == CallFailure::Unavailable)
+    LastUnavailable = Now;
+}
+
+bool GateControl::runsMakeCalls() const {
+  return RecentOutbound >= CallsPerRun * RecentRuns;
+}
+
+void GateControl::tick() {
+  RecentRuns *= CountDecay;
+  RecentOutbound *= CountDecay;
+}
+
+} // namespace camphorpin
--- /dev/null
+++ b/packages/gateway/camphorpin/src/Gateway/GateControl.h
@@ -0,0 +1,103 @@
+#ifndef CAMPHORPIN_SRC_GATEWAY_GATECONTROL_H
+#define CAMPHORPIN_SRC_GATEWAY_GATECONTROL_H
+
+#include "camphorpin/src/Gateway/CallFailure.h"
+#include "camphorpin/src/Gateway/GateQueue.h"
+#include "camphorpin/src/Gateway/PeerMessages.h"
+#include "camphorpin/src/Gateway/RouteLimiter.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace camphorpin {
+
+/// \class GateAdmission
+/// \brief What becomes of a call at the gate, and why it is refused.
+struct GateAdmission {
+  GateChoice Choice = GateChoice::Start;
+  RefusalReason Reason = RefusalReason::None;
+  /// When a refused call may come back.
+  Duration RetryAfter;
+};
+
+/// \class GateControl
+/// \brief The decisions of the node beside a backend server, without a network.
+///
+/// Joins the queue in front of the slots with the bounds of routes, and tells
+/// from the ends of runs and of calls that began on the host whether a run
+/// failed for a service that it called.
+class GateControl {
+public:
+  /// \param Slots the requests that the backend server runs at the same time.
+  void setSlots(std::uint32_t Slots) { Queue.setSlots(Slots); }
+
+  /// Asks for a slot. With GateChoice::Start the call counts as running.
+  GateAdmission offer(const GateTicket &Ticket, Instant Now);
+
+  /// \returns the next waiting call that may start; it counts as running.
+  std::optional<GateTicket> takeNext(Instant Now);
+
+  /// \returns the waiting calls that have waited too long; they still count
+  /// until abandon() is called.
+  std::vector<GateTicket> takeExpired(Instant Now);
+
+  /// \returns all waiting calls; they still count until abandon() is called.
+  std::vector<GateTicket> takeAll();
+
+  /// The call did not run, or its end says nothing.
+  void abandon(std::uint64_t Id, Instant Now);
+
+  /// The run has ended.
+  /// \returns why a run on another backend server would not do better, or None.
+  RefusalReason end(std::uint64_t Id, const PeerAnswer &Answer, Instant Now);
+
+  /// A request begins on this host. It may be a call of a run.
+  void onOutboundRequest() { RecentOutbound += 1; }
+
+  /// A request that began on this host has failed. It may have been a call of
+  /// a run of the backend server.
+  void onOutboundFailure(CallFailure Cause, Instant Now);
+
+  /// Periodic work, twice a second.
+  void tick();
+
+  std::size_t running() const { return Queue.running(); }
+  std::size_t queued() const { return Queue.queued(); }
+  std::uint32_t slots() const { return Queue.limit(); }
+  Duration serviceTime() const { return Queue.serviceTime(); }
+
+  /// \returns the expected wait of a new call of the least urgent rank.
+  Duration estimatedWait() const { return Queue.estimatedWait(UINT8_MAX); }
+
+  /// \returns the bound on active runs of \p Route, or 0 if it has none.
+  double bound(const std::string &Route) const { return Limiter.bound(Route); }
+
+private:
+  struct Active {
+    std::string Route;
+    Instant Start;
+  };
+
+  bool runsMakeCalls() const;
+  RunEnd endOf(const Active &Run, const PeerAnswer &Answer) const;
+  RefusalReason sharedCause(const Active &Run, const PeerAnswer &Answer,
+                            RunEnd End) const;
+
+  GateQueue Queue;
+  RouteLimiter Limiter;
+  /// Calls that wait or run.
+  std::map<std::uint64_t, Active> Calls;
+  /// The latest failure of a call for each of these causes.
+  Instant LastOverload;
+  Instant LastUnavailable;
+  /// Fading counts of the requests that begin on the host and of the runs.
+  double RecentOutbound = 0;
+  double RecentRuns = 0;
+};
+
+} // namespace camphorpin
+
+#endif
--- a/packages/gateway/camphorpin/src/Gateway/LocalGate.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/LocalGate.cpp
@@ -17,16 +17,6 @@
 /// arrive.
 constexpr Duration DeadlineSlack = Duration::millis(50);
 constexpr Duration ShortRetryAfter = Duration::millis(200);
-/// When a run that was refused because its dependencies fail may come back. The
-/// bound of a route regains its level within a few run times.
-constexpr Duration LimitedRetryAfter = Duration::millis(600);
-
-/// Requests that begin on the host for each run, from which the runs are taken
-/// to make calls. Where they make none, a late run has waited for this server
-/// only, and the queue deals with that.
-constexpr double CallsPerRun = 0.8;
-/// Factor by which the counts of requests and runs fade at each tick.
-constexpr double CountDecay = 0.8;
 /// When a request that crashes backend servers may come back.
 constexpr Duration SuspectRetryAfter = Duration::seconds(5);
 
@@ -60,11 +50,11 @@
   GateStatus Result;
   Result.Available = available();
   Result.Leaving = Draining;
-  Result.Running = static_cast<std::uint32_t>(Queue.running());
-  Result.Queued = static_cast<std::uint32_t>(Queue.queued());
-  Result.Limit = Queue.limit();
-  Result.Wait = Queue.estimatedWait(UINT8_MAX);
-  Result.ServiceTime = Queue.serviceTime();
+  Result.Running = static_cast<std::uint32_t>(Control.running());
+  Result.Queued = static_cast<std::uint32_t>(Control.queued());
+  Result.Limit = Control.slots();
+  Result.Wait = Control.estimatedWait();
+  Result.ServiceTime = Control.serviceTime();
   return Result;
 }
 
@@ -116,7 +106,7 @@
   if (!Changed)
     return;
   const BackendReport &Backend = Ledger.current();
-  Queue.setSlots(std::max<std::uint32_t>(1, Backend.Slots));
+  Control.setSlots(std::max<std::uint32_t>(1, Backend.Slots));
   Log.write(LogEvent::BackendChanged,
             {{"backend", Backend.Id},
              {"phase", std::to_string(static_cast<int>(Backend.Phase))},
@@ -155,18 +145,13 @@
            ShortRetryAfter);
     return RunId;
   }
-  Item.Limited = Limiter.admit(Ticket.Route, Ticket.Rank);
-  if (!Item.Limited) {
-    refuse(RunId, RefusalReason::Shed, LimitedRetryAfter);
-    return RunId;
-  }
-  const GateDecision Decision = Queue.offer(Ticket, Now);
-  if (Decision.Choice == GateChoice::Start)
+  const GateAdmission Admission = Control.offer(Ticket, Now);
+  if (Admission.Choice == GateChoice::Start)
     start(RunId);
-  else if (Decision.Choice == GateChoice::Queue)
+  else if (Admission.Choice == GateChoice::Queue)
     armQueueTimer();
   else
-    refuse(RunId, RefusalReason::Overloaded, Decision.RetryAfter);
+    refuse(RunId, Admission.Reason, Admission.RetryAfter);
   return RunId;
 }
 
@@ -200,7 +185,6 @@
     return;
   }
   Item.Started = true;
-  RecentRuns += 1;
   Item.StartTime = Time.now();
   Item.Backend = Ledger.current().Id;
   Item.Connection = Pool.acquire();
@@ -230,7 +214,7 @@
   PeerAnswer Answer;
   Answer.Outcome = CallOutcome::Failed;
   Answer.Reason = RefusalReason::Deadline;
-  finish(RunId, std::move(Answer), /*Completed=*/false);
+  finish(RunId, std::move(Answer));
 }
 
 void LocalGate::onResult(std::uint64_t RunId, ExchangeResult Result) {
@@ -241,12 +225,11 @@
   PeerAnswer Answer = classify(Item, Result);
   if (Result.End == ExchangeEnd::Whole)
     Pool.release(Item.Connection);
-  const bool Completed = Answer.Outcome == CallOutcome::Answered;
   if (Result.End == ExchangeEnd::Lost)
     Crashed.onRunLost(RunId);
   else
-    Crashed.end(RunId, Completed);
-  finish(RunId, std::move(Answer), Completed);
+    Crashed.end(RunId, Answer.Outcome == CallOutcome::Answered);
+  finish(RunId, std::move(Answer));
 }
 
 void LocalGate::onBackendCrash(std::size_t LostRuns,
@@ -257,39 +240,6 @@
     CrashFound(Crashes);
 }
 
-RunEnd LocalGate::endOf(const Run &Item, const PeerAnswer &Answer) const {
-  if (!Item.Started)
-    return RunEnd::Unknown;
-  const bool TimedOut =
-      Answer.StatusCode == 504 || Answer.Reason == RefusalReason::Deadline;
-  if (TimedOut)
-    return runsMakeCalls() ? RunEnd::DependencyFailed : RunEnd::Unknown;
-  if (Answer.Outcome != CallOutcome::Answered)
-    return RunEnd::Unknown;
-  if (Answer.StatusCode == 500)
-    return LastOverload >= Item.StartTime ? RunEnd::DependencyFailed
-                                          : RunEnd::Unknown;
-  return RunEnd::Succeeded;
-}
-
-RefusalReason LocalGate::sharedCause(const Run &Item,
-                                     const PeerAnswer &Answer) const {
-  if (!Item.Started || Answer.Outcome != CallOutcome::Answered)
-    return RefusalReason::None;
-  if (endOf(Item, Answer) == RunEnd::DependencyFailed)
-    return RefusalReason::Shed;
-  if (Answer.StatusCode == 500 && LastUnavailable >= Item.StartTime)
-    return RefusalReason::NoBackend;
-  return RefusalReason::None;
-}
-
-void LocalGate::onOutboundFailure(CallFailure Cause) {
-  if (Cause == CallFailure::Overload)
-    LastOverload = Time.now();
-  if (Cause == CallFailure::Unavailable)
-    LastUnavailable = Time.now();
-}
-
 PeerAnswer LocalGate::classify(const Run &Item, ExchangeResult &Result) {
   PeerAnswer Answer;
   switch (Result.End) {
@@ -346,16 +296,18 @@
   return Answer;
 }
 
-void LocalGate::finish(std::uint64_t RunId, PeerAnswer Answer, bool Completed) {
+void LocalGate::finish(std::uint64_t RunId, PeerAnswer Answer) {
+  const RefusalReason Cause = Control.end(RunId, Answer, Time.now());
+  // Another backend server would need the same calls.
+  if (Answer.Outcome == CallOutcome::Answered)
+    Answer.Reason = Cause;
+  deliver(RunId, std::move(Answer));
+}
+
+void LocalGate::deliver(std::uint64_t RunId, PeerAnswer Answer) {
   const auto Found = Runs.find(RunId);
   if (Found == Runs.end())
     return;
-  Queue.finish(RunId, Time.now(), Completed);
-  const RunEnd End = endOf(Found->second, Answer);
-  if (Found->second.Limited)
-    Limiter.end(Found->second.Call.Route, End, Time.now());
-  if (Answer.Outcome == CallOutcome::Answered)
-    Answer.Reason = sharedCause(Found->second, Answer);
   logFailure(Found->second, Answer);
   Answer.Id = Found->second.Call.Id;
   Answer.Backend = Found->second.Backend;
@@ -380,11 +332,11 @@
              {"status", std::to_string(Answer.StatusCode)},
              {"verdict", std::string(toString(Answer.verdict()))},
              {"runMs", std::to_string(Elapsed.wholeMillis())},
-             {"running", std::to_string(Queue.running())},
-             {"queued", std::to_string(Queue.queued())},
-             {"limit", std::to_string(Queue.limit())},
+             {"running", std::to_string(Control.running())},
+             {"queued", std::to_string(Control.queued())},
+             {"limit", std::to_string(Control.slots())},
              {"bound", std::to_string(
-                           static_cast<int>(Limiter.bound(Item.Call.Route)))}});
+                           static_cast<int>(Control.bound(Item.Call.Route)))}});
 }
 
 void LocalGate::refuse(std::uint64_t RunId, RefusalReason Reason,
@@ -393,17 +345,18 @@
   Answer.Outcome = CallOutcome::Refused;
   Answer.Reason = Reason;
   Answer.RetryAfter = RetryAfter;
-  finish(RunId, std::move(Answer), /*Completed=*/false);
+  Control.abandon(RunId, Time.now());
+  deliver(RunId, std::move(Answer));
 }
 
 void LocalGate::refuseWaiting(RefusalReason Reason) {
-  for (const GateTicket &Ticket : Queue.takeAll())
+  for (const GateTicket &Ticket : Control.takeAll())
     refuse(Ticket.Id, Reason, ShortRetryAfter);
 }
 
 void LocalGate::startWaiting() {
   while (available()) {
-    const std::optional<GateTicket> Next = Queue.takeNext(Time.now());
+    const std::optional<GateTicket> Next = Control.takeNext(Time.now());
     if (!Next)
       return;
     start(Next->Id);
@@ -416,18 +369,13 @@
     return;
   Run &Item = Found->second;
   Item.Done = nullptr;
-  if (!Item.Started) {
-    Limiter.end(Item.Call.Route, RunEnd::Unknown, Time.now());
-    Queue.remove(RunId);
-    Runs.erase(Found);
+  if (Item.Started && !Item.Call.Idempotent)
     return;
+  if (Item.Started) {
+    Item.Connection->close();
+    Crashed.end(RunId, /*Completed=*/false);
   }
-  if (!Item.Call.Idempotent)
-    return;
-  Item.Connection->close();
-  Crashed.end(RunId, /*Completed=*/false);
-  Queue.finish(RunId, Time.now(), /*Completed=*/false);
-  Limiter.end(Item.Call.Route, RunEnd::Unknown, Time.now());
+  Control.abandon(RunId, Time.now());
   Runs.erase(Found);
   startWaiting();
 }
@@ -445,21 +393,16 @@
 }
 
 void LocalGate::expireWaiting() {
-  const Duration Wait = Queue.estimatedWait(UINT8_MAX);
-  for (const GateTicket &Ticket : Queue.takeExpired(Time.now()))
+  const Duration Wait = Control.estimatedWait();
+  for (const GateTicket &Ticket : Control.takeExpired(Time.now()))
     refuse(Ticket.Id, RefusalReason::Overloaded,
            std::max(ShortRetryAfter, Wait));
-  if (Queue.queued() > 0)
+  if (Control.queued() > 0)
     armQueueTimer();
 }
 
-bool LocalGate::runsMakeCalls() const {
-  return RecentOutbound >= CallsPerRun * RecentRuns;
-}
-
 void LocalGate::tick() {
-  RecentRuns *= CountDecay;
-  RecentOutbound *= CountDecay;
+  Control.tick();
   Pool.prune();
   Crashed.tick();
   probeIfNeeded();
--- a/packages/gateway/camphorpin/src/Gateway/LocalGate.h
+++ b/packages/gateway/camphorpin/src/Gateway/LocalGate.h
@@ -3,14 +3,12 @@
 
 #include "camphorpin/src/Daemon/EventLog.h"
 #include "camphorpin/src/Gateway/BackendLedger.h"
-#include "camphorpin/src/Gateway/CallFailure.h"
 #include "camphorpin/src/Gateway/CrashWatch.h"
-#include "camphorpin/src/Gateway/GateQueue.h"
+#include "camphorpin/src/Gateway/GateControl.h"
 #include "camphorpin/src/Gateway/GatewaySettings.h"
 #include "camphorpin/src/Gateway/HttpPool.h"
 #include "camphorpin/src/Gateway/PeerMessages.h"
 #include "camphorpin/src/Gateway/PlatformProtocol.h"
-#include "camphorpin/src/Gateway/RouteLimiter.h"
 
 #include <functional>
 #include <map>
@@ -69,11 +67,13 @@
   void cancel(std::uint64_t RunId);
 
   /// A request begins on this host. It may be a call of a run.
-  void onOutboundRequest() { RecentOutbound += 1; }
+  void onOutboundRequest() { Control.onOutboundRequest(); }
 
   /// A request that began on this host has failed. It may have been a call of
   /// a run of the backend server.
-  void onOutboundFailure(CallFailure Cause);
+  void onOutboundFailure(CallFailure Cause) {
+    Control.onOutboundFailure(Cause, Time.now());
+  }
 
   GateStatus status() const;
   const BackendReport &backend() const { return Ledger.current(); }
@@ -92,8 +92,6 @@
     std::shared_ptr<HttpConnection> Connection;
     std::unique_ptr<boost::asio::steady_timer> Timer;
     bool Started = false;
-    /// Counted by the limiter.
-    bool Limited = false;
     Instant StartTime;
   };
 
@@ -106,13 +104,12 @@
   void onResult(std::uint64_t RunId, ExchangeResult Result);
   PeerAnswer classify(const Run &Item, ExchangeResult &Result);
   PeerAnswer classifyWhole(const HttpResponse &Response);
-  bool runsMakeCalls() const;
   void logFailure(const Run &Item, const PeerAnswer &Answer);
-  RunEnd endOf(const Run &Item, const PeerAnswer &Answer) const;
-  /// \returns why another backend server would not do better, or None.
-  RefusalReason sharedCause(const Run &Item, const PeerAnswer &Answer) const;
   void onRunDeadline(std::uint64_t RunId);
-  void finish(std::uint64_t RunId, PeerAnswer Answer, bool Completed);
+  /// A run has ended.
+  void finish(std::uint64_t RunId, PeerAnswer Answer);
+  /// Gives the end of a call that no longer counts to whoever waits for it.
+  void deliver(std::uint64_t RunId, PeerAnswer Answer);
   void refuse(std::uint64_t RunId, RefusalReason Reason, Duration RetryAfter);
   void refuseWaiting(RefusalReason Reason);
   void afterLedgerChange(bool Changed);
@@ -126,15 +123,8 @@
   const PlatformProtocol &Protocol;
   EventLog &Log;
   BackendLedger Ledger;
-  GateQueue Queue;
-  RouteLimiter Limiter;
+  GateControl Control;
   CrashWatch Crashed;
-  /// The latest failure of a call for each of these causes.
-  Instant LastOverload;
-  Instant LastUnavailable;
-  /// Fading counts of the requests that begin on the host and of the runs.
-  double RecentOutbound = 0;
-  double RecentRuns = 0;
   HttpPool Pool;
   std::function<void()> StatusChanged;
   std::function<void(const PeerCrashes &)> CrashFound;
