Never shed calls of runs that have begun

Ruled out: raising the least bound, which only moves the level at which it holds; blaming only refusals of full queues, which lets begun runs fail at every level.

Change: CallTracker recognizes the requests that runs make, because they end at the deadlines that the runs were given; they are marked in the frames between nodes, and a bound never refuses them. Callers' requests are bounded as before.

--- /dev/null
+++ b/packages/gateway/camphorpin/src/Gateway/CallTracker.cpp
@@ -0,0 +1,58 @@
+#include "camphorpin/src/Gateway/CallTracker.h"
+
+#include <iterator>
+
+namespace camphorpin {
+
+namespace {
+
+/// How far the end of a call lies from that of its run: deadlines are told in
+/// whole milliseconds, and the call takes a moment to arrive.
+constexpr Duration Before = Duration::fromMillis(1.5);
+constexpr Duration After = Duration::fromMillis(1.6);
+/// The density of the ends of runs is taken from this span on both sides.
+constexpr Duration Neighbourhood = Duration::millis(50);
+/// Weight of the latest request in the smoothed excess.
+constexpr double SmoothingWeight = 0.02;
+/// Part of the requests that must match beyond chance. Calls of a run that has
+/// most of its time left may have deadlines of their own, so that a third to a
+/// half of a called route's requests match; of callers' routes 1 in 100 do.
+constexpr double CallPart = 0.1;
+
+} // namespace
+
+void CallTracker::onRunStart(std::uint64_t Run, Instant Deadline) {
+  Runs[Run] = Deadline;
+  Deadlines.insert(Deadline);
+}
+
+void CallTracker::onRunEnd(std::uint64_t Run) {
+  const auto Found = Runs.find(Run);
+  if (Found == Runs.end())
+    return;
+  Deadlines.erase(Deadlines.find(Found->second));
+  Runs.erase(Found);
+}
+
+bool CallTracker::endsWithARun(Instant Deadline) const {
+  const auto First = Deadlines.lower_bound(Deadline - Before);
+  return First != Deadlines.end() && *First <= Deadline + After;
+}
+
+double CallTracker::chanceOfMatch(Instant Deadline) const {
+  const auto First = Deadlines.lower_bound(Deadline - Neighbourhood);
+  const auto Last = Deadlines.upper_bound(Deadline + Neighbourhood);
+  const double Near = static_cast<double>(std::distance(First, Last));
+  const double Part =
+      (Before + After).toMillis() / (Neighbourhood * 2).toMillis();
+  return Near * Part;
+}
+
+bool CallTracker::onRequest(const std::string &Route, Instant Deadline) {
+  double &Value = Excess[Route];
+  const double Match = endsWithARun(Deadline) ? 1 : 0;
+  Value += SmoothingWeight * (Match - chanceOfMatch(Deadline) - Value);
+  return Value > CallPart;
+}
+
+} // namespace camphorpin
--- a/packages/gateway/camphorpin/src/Gateway/EntryCalls.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/EntryCalls.cpp
@@ -114,9 +114,8 @@
   Item.Head += detail::headerLine(Names.CallerService, Settings.Service);
   Item.RequestId = std::string(detail::headerOf(Request, Names.RequestId));
   Item.Arrived = Time.now();
-  const Duration Left =
-      std::min(timeLeftOf(detail::headerOf(Request, Names.Deadline)),
-               Route->Timeout - AnswerMargin);
+  const Duration Told = timeLeftOf(detail::headerOf(Request, Names.Deadline));
+  const Duration Left = std::min(Told, Route->Timeout - AnswerMargin);
   Item.Deadline = Item.Arrived + Left;
   Item.Body = Exchange->takeBody();
   Item.Fingerprint = fingerprintOf(Request, Settings.Service, Item.Body);
@@ -127,7 +126,7 @@
       onDeadline(Id);
   });
   Exchange->onAbandoned([this, Id] { onAbandoned(Id); });
-  Gate.onOutboundRequest();
+  Item.Nested = Gate.onOutboundRequest(Route->Name, Item.Arrived + Told);
   Budget.onRequest(Item.Service, Item.Arrived);
   if (Gate.crashSuspect(Item.Fingerprint)) {
     Item.RetryAfter = SuspectRetryAfter;
@@ -153,6 +152,7 @@
   Call.Objective = Item.Route->Objective;
   Call.Age = Now - Item.Arrived;
   Call.Fingerprint = Item.Fingerprint;
+  Call.Nested = Item.Nested;
   return Call;
 }
 
--- a/packages/gateway/camphorpin/src/Gateway/EntryCalls.h
+++ b/packages/gateway/camphorpin/src/Gateway/EntryCalls.h
@@ -52,6 +52,8 @@
     std::uint32_t BackendSends = 0;
     std::uint32_t Refusals = 0;
     bool MayHaveRun = false;
+    /// A run of the local backend server waits for it.
+    bool Nested = false;
     std::vector<std::string> Tried;
     std::string Node;
     Duration RetryAfter;
--- a/packages/gateway/camphorpin/src/Gateway/GateControl.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/GateControl.cpp
@@ -18,7 +18,7 @@
 
 GateAdmission GateControl::offer(const GateTicket &Ticket, Instant Now) {
   GateAdmission Result;
-  if (!Limiter.admit(Ticket.Route, Ticket.Rank))
+  if (!Limiter.admit(Ticket.Route, Ticket.Rank, Ticket.Nested))
     return {GateChoice::Refuse, RefusalReason::Shed, BoundedRetryAfter};
   const GateDecision Decision = Queue.offer(Ticket, Now);
   Result.Choice = Decision.Choice;
@@ -56,6 +56,7 @@
   Queue.remove(Id);
   Queue.finish(Id, Now, /*Completed=*/false);
   Limiter.end(Found->second.Route, RunEnd::Unknown, Now);
+  Tracker.onRunEnd(Id);
   Calls.erase(Found);
 }
 
@@ -66,6 +67,7 @@
     return RefusalReason::None;
   const Active Run = std::move(Found->second);
   Calls.erase(Found);
+  Tracker.onRunEnd(Id);
   Queue.finish(Id, Now, Answer.Outcome == CallOutcome::Answered);
   const RunEnd End = endOf(Run, Answer);
   Limiter.end(Run.Route, End, Now);
@@ -97,6 +99,12 @@
   return RefusalReason::None;
 }
 
+bool GateControl::onOutboundRequest(const std::string &Route,
+                                    Instant Deadline) {
+  RecentOutbound += 1;
+  return Tracker.onRequest(Route, Deadline);
+}
+
 void GateControl::onOutboundFailure(CallFailure Cause, Instant Now) {
   if (Cause == CallFailure::Overload)
     LastOverload = Now;
--- a/packages/gateway/camphorpin/src/Gateway/GateControl.h
+++ b/packages/gateway/camphorpin/src/Gateway/GateControl.h
@@ -2,6 +2,7 @@
 #define CAMPHORPIN_SRC_GATEWAY_GATECONTROL_H
 
 #include "camphorpin/src/Gateway/CallFailure.h"
+#include "camphorpin/src/Gateway/CallTracker.h"
 #include "camphorpin/src/Gateway/GateQueue.h"
 #include "camphorpin/src/Gateway/PeerMessages.h"
 #include "camphorpin/src/Gateway/RouteLimiter.h"
@@ -54,8 +55,14 @@
   /// \returns why a run on another backend server would not do better, or None.
   RefusalReason end(std::uint64_t Id, const PeerAnswer &Answer, Instant Now);
 
-  /// A request begins on this host. It may be a call of a run.
-  void onOutboundRequest() { RecentOutbound += 1; }
+  /// The run of a call was given \p Deadline.
+  void onDeadlineGiven(std::uint64_t Id, Instant Deadline) {
+    Tracker.onRunStart(Id, Deadline);
+  }
+
+  /// A request of \p Route begins on this host and ends at \p Deadline.
+  /// \returns true if it is a call of a run of the backend server.
+  bool onOutboundRequest(const std::string &Route, Instant Deadline);
 
   /// A request that began on this host has failed. It may have been a call of
   /// a run of the backend server.
@@ -88,6 +95,7 @@
 
   GateQueue Queue;
   RouteLimiter Limiter;
+  CallTracker Tracker;
   /// Calls that wait or run.
   std::map<std::uint64_t, Active> Calls;
   /// The latest failure of a call for each of these causes.
--- a/packages/gateway/camphorpin/src/Gateway/GateQueue.h
+++ b/packages/gateway/camphorpin/src/Gateway/GateQueue.h
@@ -18,6 +18,8 @@
   std::uint64_t Id = 0;
   std::string Route;
   std::uint8_t Rank = 0;
+  /// A run that has begun waits for it.
+  bool Nested = false;
   Duration Objective;
   /// Time since the request entered the system.
   Duration Age;
--- a/packages/gateway/camphorpin/src/Gateway/LocalGate.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/LocalGate.cpp
@@ -133,6 +133,7 @@
   Ticket.Id = RunId;
   Ticket.Route = Call.Route;
   Ticket.Rank = Call.Rank;
+  Ticket.Nested = Call.Nested;
   Ticket.Objective = Call.Objective;
   Ticket.Age = Call.Age;
   Ticket.Deadline = Now + Call.TimeLeft;
@@ -155,13 +156,14 @@
   return RunId;
 }
 
-std::string LocalGate::requestBytes(const Run &Item) const {
+std::string LocalGate::requestBytes(std::uint64_t RunId, const Run &Item) {
   const HeaderNames &Names = Protocol.headers();
-  const Duration Left =
-      std::max(Duration::millis(1), Item.Deadline - Time.now());
+  const Instant Now = Time.now();
+  const std::int64_t LeftMillis =
+      std::max<std::int64_t>(1, (Item.Deadline - Now).wholeMillis());
+  Control.onDeadlineGiven(RunId, Now + Duration::millis(LeftMillis));
   std::string Result = Item.Call.Head;
-  Result +=
-      detail::headerLine(Names.Deadline, std::to_string(Left.wholeMillis()));
+  Result += detail::headerLine(Names.Deadline, std::to_string(LeftMillis));
   Result += detail::headerLine(Names.ExpectedBackend, Item.Backend);
   const bool HasBody = !Item.Call.Body.empty() ||
                        Item.Call.Head.starts_with("POST ") ||
@@ -189,7 +191,7 @@
   Item.Backend = Ledger.current().Id;
   Item.Connection = Pool.acquire();
   ExchangeCall Call;
-  Call.Bytes = requestBytes(Item);
+  Call.Bytes = requestBytes(RunId, Item);
   Call.HeadMethod = Item.Call.Head.starts_with("HEAD ");
   Call.Id = Item.Call.RequestId;
   Call.IdHeader = Protocol.headers().RequestId;
--- a/packages/gateway/camphorpin/src/Gateway/LocalGate.h
+++ b/packages/gateway/camphorpin/src/Gateway/LocalGate.h
@@ -66,8 +66,11 @@
   /// non-idempotent one that has started runs to its end.
   void cancel(std::uint64_t RunId);
 
-  /// A request begins on this host. It may be a call of a run.
-  void onOutboundRequest() { Control.onOutboundRequest(); }
+  /// A request of \p Route begins on this host and ends at \p Deadline.
+  /// \returns true if it is a call of a run of the backend server.
+  bool onOutboundRequest(const std::string &Route, Instant Deadline) {
+    return Control.onOutboundRequest(Route, Deadline);
+  }
 
   /// A request that began on this host has failed. It may have been a call of
   /// a run of the backend server.
@@ -100,7 +103,7 @@
   void probeIfNeeded();
   void start(std::uint64_t RunId);
   void startWaiting();
-  std::string requestBytes(const Run &Item) const;
+  std::string requestBytes(std::uint64_t RunId, const Run &Item);
   void onResult(std::uint64_t RunId, ExchangeResult Result);
   PeerAnswer classify(const Run &Item, ExchangeResult &Result);
   PeerAnswer classifyWhole(const HttpResponse &Response);
--- a/packages/gateway/camphorpin/src/Gateway/PeerCodec.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerCodec.cpp
@@ -93,6 +93,7 @@
     Target.setObjectiveMs(millisOf(Value.Objective));
     Target.setAgeMs(millisOf(Value.Age));
     Target.setFingerprint(Value.Fingerprint);
+    Target.setNested(Value.Nested);
     Target.setCrashCount(Value.CrashCount);
   }
   void operator()(const PeerAnswer &Value) {
@@ -172,6 +173,7 @@
   Result.Age = Duration::millis(Source.getAgeMs());
   Result.Fingerprint = Source.getFingerprint();
   Result.CrashCount = Source.getCrashCount();
+  Result.Nested = Source.getNested();
   return Result;
 }
 
--- a/packages/gateway/camphorpin/src/Gateway/PeerMessages.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerMessages.h
@@ -68,6 +68,8 @@
   Duration Age;
   std::uint64_t Fingerprint = 0;
   std::uint8_t CrashCount = 0;
+  /// A run of the sender's backend server waits for it.
+  bool Nested = false;
 };
 
 /// \brief What became of a call at the gate.
--- a/packages/gateway/camphorpin/src/Gateway/RouteLimiter.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/RouteLimiter.cpp
@@ -24,10 +24,11 @@
 
 } // namespace
 
-bool RouteLimiter::admit(const std::string &Route, std::uint8_t Rank) {
+bool RouteLimiter::admit(const std::string &Route, std::uint8_t Rank,
+                         bool Nested) {
   State &Item = Routes[Route];
   Item.Rank = Rank;
-  if (Item.Bound > 0 && Item.Active + 1 > Item.Bound)
+  if (!Nested && Item.Bound > 0 && Item.Active + 1 > Item.Bound)
     return false;
   ++Item.Active;
   return true;
--- a/packages/gateway/camphorpin/src/Gateway/RouteLimiter.h
+++ b/packages/gateway/camphorpin/src/Gateway/RouteLimiter.h
@@ -31,8 +31,11 @@
 class RouteLimiter {
 public:
   /// \param Rank the rank of the route; less urgent ones regain less.
+  /// \param Nested a run that has begun waits for it. It is always taken:
+  /// refusing it would waste that run, and bounds that answer each other's
+  /// refusals would stay low after the overload has gone.
   /// \returns true if another run may be taken; it is then counted.
-  bool admit(const std::string &Route, std::uint8_t Rank);
+  bool admit(const std::string &Route, std::uint8_t Rank, bool Nested = false);
 
   /// The run has ended, or was refused after all.
   void end(const std::string &Route, RunEnd End, Instant Now);
--- /dev/null
+++ b/packages/gateway/tests/CallTrackerTest.cpp
@@ -0,0 +1,97 @@
+#include "camphorpin/src/Gateway/CallTracker.h"
+#include "camphorpin/src/Gateway/RouteLimiter.h"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+#include <deque>
+
+using namespace camphorpin;
+
+namespace {
+
+/// A host with runs of a route that makes calls, and with callers.
+class BusyHost {
+public:
+  explicit BusyHost(std::uint64_t Seed) : Source(Seed) {}
+
+  /// A run begins; it ends after a while or at its deadline.
+  void startRun() {
+    const Instant Deadline = Now + RunTimeout;
+    Tracker.onRunStart(NextRun, Deadline);
+    Runs.push_back({NextRun++, Deadline});
+    if (Runs.size() > ActiveRuns) {
+      Tracker.onRunEnd(Runs.front().first);
+      Runs.pop_front();
+    }
+    Now = Now + Duration::fromMillis(20 * Source.unit());
+  }
+
+  /// A run calls: at its deadline, told in whole milliseconds, or at one of its
+  /// own where the run has much time left.
+  bool call(Duration OwnDeadline) {
+    const Instant Parent = Runs[Source.below(Runs.size())].second;
+    const Duration Left = std::min(OwnDeadline, Parent - Now);
+    return Tracker.onRequest("called",
+                             Now + Duration::millis(Left.wholeMillis()));
+  }
+
+  /// A caller's request has its own deadline.
+  bool request(Duration Longest) {
+    return Tracker.onRequest("asked",
+                             Now + Longest * (0.8 + 0.2 * Source.unit()));
+  }
+
+private:
+  static constexpr Duration RunTimeout = Duration::millis(990);
+  static constexpr std::size_t ActiveRuns = 40;
+
+  SeededRandom Source;
+  CallTracker Tracker;
+  Instant Now = Instant::fromMillis(5000);
+  std::deque<std::pair<std::uint64_t, Instant>> Runs;
+  std::uint64_t NextRun = 1;
+};
+
+} // namespace
+
+// Guards begun runs against losing their calls to bounds that are meant for
+// callers: calls are recognized, also where half of them have own deadlines.
+Test(CallTracker, callsOfRunsAreRecognized) {
+  BusyHost Host(20261204);
+  int Recognized = 0;
+  for (int Count = 0; Count < 300; ++Count) {
+    Host.startRun();
+    if (Host.call(Duration::millis(700)) && Count >= 100)
+      ++Recognized;
+  }
+  cr_assert_geq(Recognized, 195, "%d of 200", Recognized);
+}
+
+// Guards the bounds against callers that are taken for runs, also if their
+// deadlines lie among those of many runs.
+Test(CallTracker, requestsOfCallersAreNot) {
+  for (const Duration Longest : {Duration::millis(800), Duration::seconds(6)}) {
+    BusyHost Host(20261205);
+    int Recognized = 0;
+    for (int Count = 0; Count < 2000; ++Count) {
+      Host.startRun();
+      if (Host.request(Longest))
+        ++Recognized;
+    }
+    cr_assert_leq(Recognized, 40, "%d of 2000", Recognized);
+  }
+}
+
+// Guards against bounds that hold each other down after an overload: a call of
+// a begun run is taken whatever the bound of its route.
+Test(RouteLimiter, nestedCallsAreAlwaysTaken) {
+  RouteLimiter Limiter;
+  for (int Count = 0; Count < 500; ++Count) {
+    Limiter.admit("r", 3);
+    Limiter.end("r", RunEnd::DependencyFailed,
+                Instant::fromMillis(1000 + Count * 50));
+  }
+  for (int Count = 0; Count < 20; ++Count)
+    cr_assert(Limiter.admit("r", 3, /*Nested=*/true));
+  cr_assert_not(Limiter.admit("r", 3));
+}
