Send nothing to another node at a reused address

Ruled out: superseding records by the start time of another node at the same address; with clocks apart that could hide a living node.

Change: a link whose peer says another name in its hello fails its calls and pauses as if the connection had failed.

Result: PeerServerTest's new test fails without the change (the call runs on the other node).

--- a/packages/gateway/camphorpin/src/Gateway/GateLink.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/GateLink.cpp
@@ -100,6 +100,10 @@
 }
 
 void GateLink::onHello(const PeerHello &Hello) {
+  if (Hello.Node != Node) {
+    onOtherNode();
+    return;
+  }
   const bool PeerEnded = Incarnation != 0 && Hello.Incarnation != Incarnation;
   Incarnation = Hello.Incarnation;
   State = LinkState::Open;
@@ -117,6 +121,16 @@
     armTimer(CheckInterval);
 }
 
+void GateLink::onOtherNode() {
+  // The host has gone, and its address belongs to another one.
+  const bool WasKnown = Incarnation != 0;
+  Incarnation = 0;
+  StatusKnown = false;
+  if (WasKnown)
+    failCalls(/*PeerEnded=*/true);
+  onConnectFailed();
+}
+
 void GateLink::onFrame(PeerFrame Frame) {
   LastHeard = Time.now();
   PingOutstanding = false;
--- a/packages/gateway/camphorpin/src/Gateway/GateLink.h
+++ b/packages/gateway/camphorpin/src/Gateway/GateLink.h
@@ -81,6 +81,8 @@
   void connect();
   void onConnected(TcpSocket Socket);
   void onHello(const PeerHello &Hello);
+  /// Another node answers at the peer's address.
+  void onOtherNode();
   void onAnswer(PeerAnswer Answer);
   void writeCall(Pending &Item);
   void onConnectFailed();
--- a/packages/gateway/tests/PeerServerTest.cpp
+++ b/packages/gateway/tests/PeerServerTest.cpp
@@ -246,6 +246,23 @@
   cr_assert_not(Link.usable());
 }
 
+// Guards requests against a host that took over the address of one that went
+// without a notice: they are refused at once, and the link isn't chosen.
+Test(GateLink, otherNodeAtTheAddressGetsNoCalls) {
+  GateWorld World;
+  CallerOwner Owner("caller");
+  GateLink Link(World.Loop, World.Time, "gone", World.Address, Owner);
+  std::optional<PeerAnswer> Answer;
+  Link.call(GateWorld::call(64, "one", true),
+            [&](PeerAnswer Value) { Answer = std::move(Value); });
+  runUntil(World.Loop, Duration::seconds(1),
+           [&] { return Answer.has_value(); });
+  cr_assert(Answer.has_value());
+  cr_assert_eq(Answer->verdict(), Verdict::NotRun);
+  cr_assert_eq(World.Backend.Arrivals, 0);
+  cr_assert_not(Link.usable());
+}
+
 // Guards callers against a connection that goes silent: idempotent work is
 // given up soon, non-idempotent work is asked about over a new connection.
 Test(GateLink, silentConnectionIsReplaced) {
