Weigh latency against the objective when choosing a gate

Cause: the handicap of another availability zone was a factor on the expected latency. Invoices (64 ms of work, objective 200 ms) stayed at a server of speed 0.6 in their zone, where one in eight is late, while relaxed calls left it for a little speed. The service time of a gate was that of all routes together.

Ruled out: a smaller factor for all; it moves the calls with time to spare, whose bytes are priced.

Change: the cost of a gate is the square of expected latency over objective, a fixed cost for another zone and one for a queue. Answers tell the service time of the call's route at the gate.

--- a/packages/gateway/camphorpin/src/Gateway/EntryCalls.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/EntryCalls.cpp
@@ -157,7 +157,8 @@
 }
 
 bool EntryCalls::attempt(std::uint64_t Id, EntryCall &Item) {
-  Item.Node = Network.choose(Item.Service, Item.Tried);
+  Item.Node = Network.choose(Item.Service, Item.Route->Name,
+                             Item.Route->Objective, Item.Tried);
   if (Item.Node.empty())
     return false;
   Item.Tried.push_back(Item.Node);
@@ -185,6 +186,7 @@
   if (Found == Calls.end())
     return;
   EntryCall &Item = Found->second;
+  Network.learnRouteTime(Item.Node, Item.Route->Name, Answer.RouteTime);
   if (Answer.Outcome == CallOutcome::Refused)
     ++Item.Refusals;
   else
--- a/packages/gateway/camphorpin/src/Gateway/GateControl.h
+++ b/packages/gateway/camphorpin/src/Gateway/GateControl.h
@@ -75,6 +75,9 @@
   std::size_t queued() const { return Queue.queued(); }
   std::uint32_t slots() const { return Queue.limit(); }
   Duration serviceTime() const { return Queue.serviceTime(); }
+  Duration serviceTime(const std::string &Route) const {
+    return Queue.serviceTime(Route);
+  }
 
   /// \returns the expected wait of a new call of the least urgent rank.
   Duration estimatedWait() const { return Queue.estimatedWait(UINT8_MAX); }
--- a/packages/gateway/camphorpin/src/Gateway/GateQueue.h
+++ b/packages/gateway/camphorpin/src/Gateway/GateQueue.h
@@ -80,6 +80,11 @@
   /// \returns the expected wait of a new request of \p Rank.
   Duration estimatedWait(std::uint8_t Rank) const;
 
+  /// \returns the smoothed service time of the requests of \p Route.
+  Duration serviceTime(const std::string &Route) const {
+    return Duration::fromMillis(expectedMillis(Route));
+  }
+
   /// \returns the smoothed service time of all requests.
   Duration serviceTime() const { return Duration::fromMillis(MeanMillis); }
 
--- a/packages/gateway/camphorpin/src/Gateway/LocalGate.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/LocalGate.cpp
@@ -312,6 +312,7 @@
     return;
   logFailure(Found->second, Answer);
   Answer.Id = Found->second.Call.Id;
+  Answer.RouteTime = Control.serviceTime(Found->second.Call.Route);
   Answer.Backend = Found->second.Backend;
   const Reply Done = std::move(Found->second.Done);
   Runs.erase(Found);
--- a/packages/gateway/camphorpin/src/Gateway/PeerCodec.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerCodec.cpp
@@ -107,6 +107,7 @@
     Target.setBody(dataOf(Value.Body));
     Target.setBackend(Value.Backend);
     write(Target.initState(), Value.Status);
+    Target.setRouteUs(static_cast<std::uint32_t>(Value.RouteTime.ticks()));
     Target.setConfiguration(Value.Configuration);
     Target.setCrashCount(Value.CrashCount);
   }
@@ -192,6 +193,7 @@
   Result.Body = textOf(Source.getBody());
   Result.Backend = textOf(Source.getBackend());
   Result.Status = read(Source.getState());
+  Result.RouteTime = Duration::ticks(Source.getRouteUs());
   Result.Configuration = Source.getConfiguration();
   Result.CrashCount = Source.getCrashCount();
   return Result;
--- a/packages/gateway/camphorpin/src/Gateway/PeerMessages.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerMessages.h
@@ -97,6 +97,8 @@
   /// The backend server that was tried, for logs.
   std::string Backend;
   GateStatus Status;
+  /// Smoothed service time of the call's route at the gate.
+  Duration RouteTime;
   std::uint64_t Configuration = 0;
   std::uint8_t CrashCount = 0;
 
--- a/packages/gateway/camphorpin/src/Gateway/PeerNetwork.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerNetwork.cpp
@@ -28,6 +28,7 @@
       (Record.Departed || Found->second->address() != Record.Address) &&
       Found->second->outstanding() == 0)
     Links.erase(Found);
+  RouteTimes.erase(Record.Node);
   return true;
 }
 
@@ -39,9 +40,22 @@
   return *Link;
 }
 
-PeerCandidate PeerNetwork::candidate(const NodeRecord &Record) {
+void PeerNetwork::learnRouteTime(const std::string &Node,
+                                 const std::string &Route, Duration Time) {
+  if (Time > Duration())
+    RouteTimes[Node][Route] = Time;
+}
+
+PeerCandidate PeerNetwork::candidate(const NodeRecord &Record,
+                                     const std::string &Route) {
   PeerCandidate Result;
   Result.Node = Record.Node;
+  const auto Times = RouteTimes.find(Record.Node);
+  if (Times != RouteTimes.end()) {
+    const auto Time = Times->second.find(Route);
+    if (Time != Times->second.end())
+      Result.RouteTime = Time->second;
+  }
   Result.SameZone = Record.Zone == Settings.Zone;
   if (Record.Node == Settings.Node) {
     Result.Local = true;
@@ -58,15 +72,17 @@
 }
 
 std::string PeerNetwork::choose(std::string_view Service,
+                                const std::string &Route, Duration Objective,
                                 std::span<const std::string> Tried) {
   std::vector<PeerCandidate> Candidates;
   for (const NodeRecord *Record : Directory.nodesOf(Service)) {
-    PeerCandidate Item = candidate(*Record);
+    PeerCandidate Item = candidate(*Record, Route);
     Item.Tried =
         std::find(Tried.begin(), Tried.end(), Item.Node) != Tried.end();
     Candidates.push_back(std::move(Item));
   }
-  const std::optional<std::size_t> Best = Selector.choose(Candidates);
+  const std::optional<std::size_t> Best =
+      Selector.choose(Candidates, Objective);
   return Best ? Candidates[*Best].Node : std::string();
 }
 
--- a/packages/gateway/camphorpin/src/Gateway/PeerNetwork.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerNetwork.h
@@ -30,8 +30,13 @@
 
   /// \param Tried nodes that must not be chosen.
   /// \returns the node whose gate the request should go to, or an empty text.
-  std::string choose(std::string_view Service,
-                     std::span<const std::string> Tried);
+  /// \param Objective the latency objective of the route.
+  std::string choose(std::string_view Service, const std::string &Route,
+                     Duration Objective, std::span<const std::string> Tried);
+
+  /// The gate of \p Node has told the service time of \p Route.
+  void learnRouteTime(const std::string &Node, const std::string &Route,
+                      Duration Time);
 
   /// Sends a call to the gate of \p Node.
   void call(const std::string &Node, PeerCall Call, LocalGate::Reply Done);
@@ -60,7 +65,7 @@
 
 private:
   GateLink &link(const NodeRecord &Record);
-  PeerCandidate candidate(const NodeRecord &Record);
+  PeerCandidate candidate(const NodeRecord &Record, const std::string &Route);
 
   EventLoop &Loop;
   const Clock &Time;
@@ -71,6 +76,9 @@
   NodeDirectory Directory;
   PeerSelector Selector;
   std::map<std::string, std::unique_ptr<GateLink>, std::less<>> Links;
+  /// Service times of routes at the gates, by node and route.
+  std::map<std::string, std::map<std::string, Duration>, std::less<>>
+      RouteTimes;
   /// Runs of the local gate for calls of this node.
   std::map<std::uint64_t, std::uint64_t> LocalRuns;
 };
--- a/packages/gateway/camphorpin/src/Gateway/PeerSelector.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerSelector.cpp
@@ -6,48 +6,97 @@
 
 namespace {
 
-/// Handicap of another availability zone: its round trip and the price of the
-/// bytes that cross.
-constexpr double OtherZoneFactor = 1.7;
-constexpr double OtherZoneMillis = 4.0;
-/// Random part of the estimate, so that nodes with the same view spread.
+/// Cost of leaving the availability zone, on the scale on which a latency as
+/// long as the objective costs 1. It stands for the price of the bytes.
+constexpr double OtherZoneCost = 0.08;
+/// Cost of a gate whose queue is as long as QueuePart of its slots or longer.
+/// It exceeds OtherZoneCost, so that a full server is left for one with room.
+constexpr double QueueCost = 0.1;
+constexpr double QueuePart = 0.25;
+/// A round trip to another zone of the region.
+constexpr double OtherZoneMillis = 3.0;
+/// Random part of the cost, so that nodes with the same view spread.
 constexpr double Jitter = 0.1;
 /// Service time that is assumed before any has been seen.
 constexpr double UnknownServiceMillis = 50.0;
 
+/// Service times of one route at gates that have told none.
+class ServiceTimes {
+public:
+  explicit ServiceTimes(std::span<const PeerCandidate> Candidates) {
+    double All = 0;
+    double OfRoute = 0;
+    double AllOfSame = 0;
+    double Known = 0;
+    for (const PeerCandidate &Item : Candidates) {
+      const double Millis = Item.Status.ServiceTime.toMillis();
+      if (Millis <= 0)
+        continue;
+      All += Millis;
+      Known += 1;
+      if (Item.RouteTime > Duration()) {
+        OfRoute += Item.RouteTime.toMillis();
+        AllOfSame += Millis;
+      }
+    }
+    if (Known > 0)
+      MeanMillis = All / Known;
+    if (AllOfSame > 0)
+      RoutePart = OfRoute / AllOfSame;
+  }
+
+  /// \returns the service time of the route at the gate, in milliseconds.
+  double at(const PeerCandidate &Item) const {
+    if (Item.RouteTime > Duration())
+      return Item.RouteTime.toMillis();
+    const double Millis = Item.Status.ServiceTime.toMillis();
+    return (Millis > 0 ? Millis : MeanMillis) * RoutePart;
+  }
+
+private:
+  double MeanMillis = UnknownServiceMillis;
+  /// The route's service time as a part of that of all routes.
+  double RoutePart = 1;
+};
+
 } // namespace
 
-double PeerSelector::expectedMillis(const PeerCandidate &Candidate,
-                                    double DefaultServiceMillis) {
-  const GateStatus &Status = Candidate.Status;
-  const double Known = Status.ServiceTime.toMillis();
-  const double Service = Known > 0 ? Known : DefaultServiceMillis;
+double PeerSelector::use(const PeerCandidate &Candidate) {
+  if (!Candidate.StatusKnown)
+    return 0;
   const double Busy =
-      std::max<double>(Status.Running + Status.Queued,
+      std::max<double>(Candidate.Status.Running + Candidate.Status.Queued,
                        static_cast<double>(Candidate.Outstanding));
-  const double Limit = std::max<double>(1, Status.Limit);
-  const double Use = Candidate.StatusKnown ? Busy / Limit : 0;
+  return Busy / std::max<double>(1, Candidate.Status.Limit);
+}
+
+double PeerSelector::expectedMillis(const PeerCandidate &Candidate,
+                                    double RouteMillis) {
+  const GateStatus &Status = Candidate.Status;
+  const double Use = use(Candidate);
   // Below full use a fuller server is only a little worse; above it, requests
   // wait for a slot.
-  const double Waiting = Use > 1 ? (Use - 1) * Service : 0;
-  double Result = Service * (1 + 0.5 * std::min(Use, 1.0)) + Waiting;
-  if (!Candidate.SameZone)
-    Result = Result * OtherZoneFactor + OtherZoneMillis;
-  return Result;
+  const double MeanMillis = Status.ServiceTime > Duration()
+                                ? Status.ServiceTime.toMillis()
+                                : RouteMillis;
+  const double Waiting = Use > 1 ? (Use - 1) * MeanMillis : 0;
+  const double Travel = Candidate.SameZone ? 0 : OtherZoneMillis;
+  return RouteMillis * (1 + 0.5 * std::min(Use, 1.0)) + Waiting + Travel;
+}
+
+double PeerSelector::cost(const PeerCandidate &Candidate, double RouteMillis,
+                          Duration Objective) {
+  const double Late = expectedMillis(Candidate, RouteMillis) /
+                      std::max(1.0, Objective.toMillis());
+  const double Queue = std::clamp((use(Candidate) - 1) / QueuePart, 0.0, 1.0);
+  return Late * Late + QueueCost * Queue +
+         (Candidate.SameZone ? 0 : OtherZoneCost);
 }
 
 std::optional<std::size_t>
-PeerSelector::choose(std::span<const PeerCandidate> Candidates) {
-  double Sum = 0;
-  std::size_t Known = 0;
-  for (const PeerCandidate &Candidate : Candidates) {
-    if (Candidate.Status.ServiceTime > Duration()) {
-      Sum += Candidate.Status.ServiceTime.toMillis();
-      ++Known;
-    }
-  }
-  const double Default =
-      Known > 0 ? Sum / static_cast<double>(Known) : UnknownServiceMillis;
+PeerSelector::choose(std::span<const PeerCandidate> Candidates,
+                     Duration Objective) {
+  const ServiceTimes Times(Candidates);
   std::optional<std::size_t> Best;
   double BestCost = 0;
   for (std::size_t Index = 0; Index < Candidates.size(); ++Index) {
@@ -55,8 +104,8 @@
     if (!Candidate.Usable || Candidate.Tried ||
         (Candidate.StatusKnown && !Candidate.Status.Available))
       continue;
-    const double Cost =
-        expectedMillis(Candidate, Default) * (1 + Jitter * Source.unit());
+    const double Cost = cost(Candidate, Times.at(Candidate), Objective) *
+                        (1 + Jitter * Source.unit());
     if (!Best || Cost < BestCost) {
       Best = Index;
       BestCost = Cost;
--- a/packages/gateway/camphorpin/src/Gateway/PeerSelector.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerSelector.h
@@ -23,6 +23,8 @@
   GateStatus Status;
   /// Calls of this node that the gate has not answered.
   std::size_t Outstanding = 0;
+  /// Smoothed service time of the request's route there; 0 if not known.
+  Duration RouteTime;
   /// The request was already refused or failed there.
   bool Tried = false;
 };
@@ -30,23 +32,35 @@
 /// \class PeerSelector
 /// \brief Chooses the gate for a request.
 ///
-/// Takes the gate with the smallest expected latency: its smoothed service
-/// time, lengthened as its slots fill up, its expected wait, and a handicap for
-/// another availability zone. Gates that are unusable, unavailable or tried are
-/// taken only when there is no other.
+/// Weighs the expected latency against the latency objective: the service time
+/// of the route, lengthened as the slots fill up, and the expected wait. The
+/// risk of being late grows with the square of their part of the objective, so
+/// a request with a tight objective goes to a faster server in another
+/// availability zone, and one with time to spare stays in its own. Gates that
+/// are unusable, unavailable or tried are left out.
 class PeerSelector {
 public:
   explicit PeerSelector(Random &Source) : Source(Source) {}
 
   /// \returns the index of the chosen candidate, or nothing if no candidate is
   /// usable and untried.
-  std::optional<std::size_t> choose(std::span<const PeerCandidate> Candidates);
+  std::optional<std::size_t> choose(std::span<const PeerCandidate> Candidates,
+                                    Duration Objective);
 
   /// \returns the expected latency in milliseconds.
+  /// \param RouteMillis the service time of the route at the gate.
   static double expectedMillis(const PeerCandidate &Candidate,
-                               double DefaultServiceMillis);
+                               double RouteMillis);
+
+  /// \returns what weighs against the gate: 1 for a latency as long as
+  /// \p Objective.
+  static double cost(const PeerCandidate &Candidate, double RouteMillis,
+                     Duration Objective);
 
 private:
+  /// \returns the part of the slots that is in use or waited for.
+  static double use(const PeerCandidate &Candidate);
+
   Random &Source;
 };
 
--- a/tests/model/ModelNode.cpp
+++ b/tests/model/ModelNode.cpp
@@ -138,6 +138,7 @@
   const auto Found = Calls.find(Id);
   if (Found == Calls.end())
     return;
+  Answer.RouteTime = Control.serviceTime(Found->second.Call.Route);
   const Reply Handler = std::move(Found->second.Handler);
   Calls.erase(Found);
   startWaiting();
@@ -238,12 +239,14 @@
     Candidate.StatusKnown = Candidate.Local || Views[Other].Known;
     Candidate.Status = Candidate.Local ? status() : Views[Other].Status;
     Candidate.Outstanding = Views[Other].Outstanding;
+    Candidate.RouteTime = Views[Other].RouteTimes[Item.Route->Name];
     Candidate.Tried = std::find(Item.Tried.begin(), Item.Tried.end(), Other) !=
                       Item.Tried.end();
     Candidates.push_back(std::move(Candidate));
     Indexes.push_back(Other);
   }
-  const std::optional<std::size_t> Best = Selector.choose(Candidates);
+  const std::optional<std::size_t> Best =
+      Selector.choose(Candidates, Item.Route->Objective);
   if (!Best)
     return false;
   Item.Target = Indexes[*Best];
@@ -274,6 +277,8 @@
   if (Found == Requests.end())
     return;
   Entry &Item = Found->second;
+  if (Answer.RouteTime > Duration())
+    Seen.RouteTimes[Item.Route->Name] = Answer.RouteTime;
   const Instant Now = Owner.Events.now();
   Answer.Outcome == CallOutcome::Refused ? ++Item.Refusals : ++Item.Sends;
   Item.MayHaveRun = Item.MayHaveRun || Answer.verdict() != Verdict::NotRun;
--- a/tests/model/ModelNode.h
+++ b/tests/model/ModelNode.h
@@ -95,6 +95,7 @@
     GateStatus Status;
     bool Known = false;
     std::size_t Outstanding = 0;
+    std::map<std::string, Duration> RouteTimes;
   };
 
   std::uint64_t call(const RouteSpec &Route, Duration TimeLeft,
