Let bytes and rank decide whether a request leaves the zone

Change: the cost of leaving grows with the route's bytes, learnt from answers, and the risk of being late weighs less for each rank.

--- a/packages/gateway/camphorpin/src/Gateway/EntryCalls.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/EntryCalls.cpp
@@ -157,8 +157,7 @@
 }
 
 bool EntryCalls::attempt(std::uint64_t Id, EntryCall &Item) {
-  Item.Node = Network.choose(Item.Service, Item.Route->Name,
-                             Item.Route->Objective, Item.Tried);
+  Item.Node = Network.choose(Item.Service, *Item.Route, Item.Tried);
   if (Item.Node.empty())
     return false;
   Item.Tried.push_back(Item.Node);
@@ -186,7 +185,8 @@
   if (Found == Calls.end())
     return;
   EntryCall &Item = Found->second;
-  Network.learnRouteTime(Item.Node, Item.Route->Name, Answer.RouteTime);
+  Network.learn(Item.Node, Item.Route->Name,
+                Item.Head.size() + Item.Body.size(), Answer);
   if (Answer.Outcome == CallOutcome::Refused)
     ++Item.Refusals;
   else
--- a/packages/gateway/camphorpin/src/Gateway/PeerNetwork.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerNetwork.cpp
@@ -11,6 +11,8 @@
 /// How long a connection without calls is kept. Nodes that call each other do
 /// so more often; the others are only told of news.
 constexpr Duration IdleLink = Duration::seconds(60);
+/// Weight of the latest call in the smoothed bytes of its route.
+constexpr double BytesWeight = 0.1;
 
 } // namespace
 
@@ -40,10 +42,16 @@
   return *Link;
 }
 
-void PeerNetwork::learnRouteTime(const std::string &Node,
-                                 const std::string &Route, Duration Time) {
-  if (Time > Duration())
-    RouteTimes[Node][Route] = Time;
+void PeerNetwork::learn(const std::string &Node, const std::string &Route,
+                        std::size_t Bytes, const PeerAnswer &Answer) {
+  if (Answer.RouteTime > Duration())
+    RouteTimes[Node][Route] = Answer.RouteTime;
+  if (Answer.Outcome != CallOutcome::Answered)
+    return;
+  const double Sample =
+      static_cast<double>(Bytes + Answer.Head.size() + Answer.Body.size());
+  double &Smoothed = RouteBytes[Route];
+  Smoothed += BytesWeight * (Sample - Smoothed);
 }
 
 PeerCandidate PeerNetwork::candidate(const NodeRecord &Record,
@@ -72,17 +80,17 @@
 }
 
 std::string PeerNetwork::choose(std::string_view Service,
-                                const std::string &Route, Duration Objective,
+                                const RouteRule &Route,
                                 std::span<const std::string> Tried) {
   std::vector<PeerCandidate> Candidates;
   for (const NodeRecord *Record : Directory.nodesOf(Service)) {
-    PeerCandidate Item = candidate(*Record, Route);
+    PeerCandidate Item = candidate(*Record, Route.Name);
     Item.Tried =
         std::find(Tried.begin(), Tried.end(), Item.Node) != Tried.end();
     Candidates.push_back(std::move(Item));
   }
-  const std::optional<std::size_t> Best =
-      Selector.choose(Candidates, Objective);
+  const std::optional<std::size_t> Best = Selector.choose(
+      Candidates, {Route.Rank, Route.Objective, RouteBytes[Route.Name]});
   return Best ? Candidates[*Best].Node : std::string();
 }
 
--- a/packages/gateway/camphorpin/src/Gateway/PeerNetwork.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerNetwork.h
@@ -1,6 +1,7 @@
 #ifndef CAMPHORPIN_SRC_GATEWAY_PEERNETWORK_H
 #define CAMPHORPIN_SRC_GATEWAY_PEERNETWORK_H
 
+#include "camphorpin/src/Gateway/FleetConfiguration.h"
 #include "camphorpin/src/Gateway/GateLink.h"
 #include "camphorpin/src/Gateway/LocalGate.h"
 #include "camphorpin/src/Gateway/NodeDirectory.h"
@@ -30,13 +31,13 @@
 
   /// \param Tried nodes that must not be chosen.
   /// \returns the node whose gate the request should go to, or an empty text.
-  /// \param Objective the latency objective of the route.
-  std::string choose(std::string_view Service, const std::string &Route,
-                     Duration Objective, std::span<const std::string> Tried);
+  std::string choose(std::string_view Service, const RouteRule &Route,
+                     std::span<const std::string> Tried);
 
-  /// The gate of \p Node has told the service time of \p Route.
-  void learnRouteTime(const std::string &Node, const std::string &Route,
-                      Duration Time);
+  /// The gate of \p Node has answered a call.
+  /// \param Bytes the size of the call.
+  void learn(const std::string &Node, const std::string &Route,
+             std::size_t Bytes, const PeerAnswer &Answer);
 
   /// Sends a call to the gate of \p Node.
   void call(const std::string &Node, PeerCall Call, LocalGate::Reply Done);
@@ -79,6 +80,8 @@
   /// Service times of routes at the gates, by node and route.
   std::map<std::string, std::map<std::string, Duration>, std::less<>>
       RouteTimes;
+  /// Smoothed bytes of a call and its answer, by route.
+  std::map<std::string, double> RouteBytes;
   /// Runs of the local gate for calls of this node.
   std::map<std::uint64_t, std::uint64_t> LocalRuns;
 };
--- a/packages/gateway/camphorpin/src/Gateway/PeerSelector.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerSelector.cpp
@@ -1,17 +1,24 @@
 #include "camphorpin/src/Gateway/PeerSelector.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace camphorpin {
 
 namespace {
 
-/// Cost of leaving the availability zone, on the scale on which a latency as
-/// long as the objective costs 1. It stands for the price of the bytes.
-constexpr double OtherZoneCost = 0.08;
+/// Weight of the risk of being late for each rank, as a part of that of the
+/// next more urgent one.
+constexpr double RankWeight = 0.4;
+/// Cost of leaving the availability zone and of each byte that does, on the
+/// scale on which a latency as long as the objective costs 1. At the users'
+/// prices a late answer of the most urgent rank costs about as much as 25 KB.
+constexpr double OtherZoneCost = 0.01;
+constexpr double OtherZoneCostPerByte = 0.03 / 1000;
 /// Cost of a gate whose queue is as long as QueuePart of its slots or longer.
-/// It exceeds OtherZoneCost, so that a full server is left for one with room.
-constexpr double QueueCost = 0.1;
+/// It exceeds that of leaving the zone, so that a full server is left for one
+/// with room.
+constexpr double QueueCost = 0.25;
 constexpr double QueuePart = 0.25;
 /// A round trip to another zone of the region.
 constexpr double OtherZoneMillis = 3.0;
@@ -85,17 +92,20 @@
 }
 
 double PeerSelector::cost(const PeerCandidate &Candidate, double RouteMillis,
-                          Duration Objective) {
+                          const RouteNeeds &Needs) {
   const double Late = expectedMillis(Candidate, RouteMillis) /
-                      std::max(1.0, Objective.toMillis());
+                      std::max(1.0, Needs.Objective.toMillis());
   const double Queue = std::clamp((use(Candidate) - 1) / QueuePart, 0.0, 1.0);
-  return Late * Late + QueueCost * Queue +
-         (Candidate.SameZone ? 0 : OtherZoneCost);
+  const double Leaving =
+      Candidate.SameZone ? 0
+                         : OtherZoneCost + OtherZoneCostPerByte * Needs.Bytes;
+  return std::pow(RankWeight, Needs.Rank) * Late * Late + QueueCost * Queue +
+         Leaving;
 }
 
 std::optional<std::size_t>
 PeerSelector::choose(std::span<const PeerCandidate> Candidates,
-                     Duration Objective) {
+                     const RouteNeeds &Needs) {
   const ServiceTimes Times(Candidates);
   std::optional<std::size_t> Best;
   double BestCost = 0;
@@ -104,7 +114,7 @@
     if (!Candidate.Usable || Candidate.Tried ||
         (Candidate.StatusKnown && !Candidate.Status.Available))
       continue;
-    const double Cost = cost(Candidate, Times.at(Candidate), Objective) *
+    const double Cost = cost(Candidate, Times.at(Candidate), Needs) *
                         (1 + Jitter * Source.unit());
     if (!Best || Cost < BestCost) {
       Best = Index;
--- a/packages/gateway/camphorpin/src/Gateway/PeerSelector.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerSelector.h
@@ -29,6 +29,15 @@
   bool Tried = false;
 };
 
+/// \class RouteNeeds
+/// \brief What counts when a gate is chosen for requests of a route.
+struct RouteNeeds {
+  std::uint8_t Rank = 0;
+  Duration Objective = Duration::seconds(1);
+  /// Bytes of a request and its answer.
+  double Bytes = 0;
+};
+
 /// \class PeerSelector
 /// \brief Chooses the gate for a request.
 ///
@@ -36,8 +45,9 @@
 /// of the route, lengthened as the slots fill up, and the expected wait. The
 /// risk of being late grows with the square of their part of the objective, so
 /// a request with a tight objective goes to a faster server in another
-/// availability zone, and one with time to spare stays in its own. Gates that
-/// are unusable, unavailable or tried are left out.
+/// availability zone, and one with time to spare, of a less urgent rank or with
+/// a large answer stays in its own. Gates that are unusable, unavailable or
+/// tried are left out.
 class PeerSelector {
 public:
   explicit PeerSelector(Random &Source) : Source(Source) {}
@@ -45,17 +55,17 @@
   /// \returns the index of the chosen candidate, or nothing if no candidate is
   /// usable and untried.
   std::optional<std::size_t> choose(std::span<const PeerCandidate> Candidates,
-                                    Duration Objective);
+                                    const RouteNeeds &Needs);
 
   /// \returns the expected latency in milliseconds.
   /// \param RouteMillis the service time of the route at the gate.
   static double expectedMillis(const PeerCandidate &Candidate,
                                double RouteMillis);
 
-  /// \returns what weighs against the gate: 1 for a latency as long as
-  /// \p Objective.
+  /// \returns what weighs against the gate: 1 for a latency as long as the
+  /// objective.
   static double cost(const PeerCandidate &Candidate, double RouteMillis,
-                     Duration Objective);
+                     const RouteNeeds &Needs);
 
 private:
   /// \returns the part of the slots that is in use or waited for.
--- a/packages/gateway/tests/GateDecisionsTest.cpp
+++ b/packages/gateway/tests/GateDecisionsTest.cpp
@@ -162,9 +162,9 @@
   Candidates[0].StatusKnown = true;
   Candidates[1].Tried = true;
   Candidates[2].Usable = false;
-  cr_assert_not(Selector.choose(Candidates, Duration::seconds(1)).has_value());
+  cr_assert_not(Selector.choose(Candidates, {}).has_value());
   Candidates[0].Status.Available = true;
-  cr_assert_eq(*Selector.choose(Candidates, Duration::seconds(1)), 0);
+  cr_assert_eq(*Selector.choose(Candidates, {}), 0);
 }
 
 // Guards slow servers against an equal share of the load.
@@ -177,10 +177,10 @@
     Item.Status = {true, false, 0, 0, 10, Duration(), Duration::millis(100)};
   }
   Candidates[0].SameZone = true;
-  cr_assert_eq(*Selector.choose(Candidates, Duration::seconds(1)), 0);
+  cr_assert_eq(*Selector.choose(Candidates, {}), 0);
   Candidates[0].Status.Running = 10;
   Candidates[0].Status.Queued = 10;
-  cr_assert_eq(*Selector.choose(Candidates, Duration::seconds(1)), 1);
+  cr_assert_eq(*Selector.choose(Candidates, {}), 1);
 }
 
 // Guards requests with a tight objective against a slow server next to them,
@@ -196,8 +196,16 @@
   Candidates[0].SameZone = true;
   Candidates[0].RouteTime = Duration::millis(107);
   Candidates[1].RouteTime = Duration::millis(46);
-  cr_assert_eq(*Selector.choose(Candidates, Duration::millis(200)), 1);
-  cr_assert_eq(*Selector.choose(Candidates, Duration::millis(1500)), 0);
+  const double Small = 1000;
+  const double Large = 20000;
+  cr_assert_eq(*Selector.choose(Candidates, {0, Duration::millis(200), Small}),
+               1);
+  cr_assert_eq(*Selector.choose(Candidates, {0, Duration::millis(1500), Small}),
+               0);
+  cr_assert_eq(*Selector.choose(Candidates, {0, Duration::millis(200), Large}),
+               0);
+  cr_assert_eq(*Selector.choose(Candidates, {2, Duration::millis(200), Small}),
+               0);
 }
 
 // Guards routes against bounds that come from reset connections and lost
--- a/tests/model/ModelNode.cpp
+++ b/tests/model/ModelNode.cpp
@@ -245,8 +245,8 @@
     Candidates.push_back(std::move(Candidate));
     Indexes.push_back(Other);
   }
-  const std::optional<std::size_t> Best =
-      Selector.choose(Candidates, Item.Route->Objective);
+  const std::optional<std::size_t> Best = Selector.choose(
+      Candidates, {Item.Route->Rank, Item.Route->Objective, Item.Route->Bytes});
   if (!Best)
     return false;
   Item.Target = Indexes[*Best];
--- a/tests/model/Scenario.cpp
+++ b/tests/model/Scenario.cpp
@@ -36,6 +36,7 @@
   Result.WorkMillis = Value.at("workMs").get<double>();
   Result.WorkSpread = Value.value("workSpread", Result.WorkSpread);
   Result.Objective = millisOf(Value, "objectiveMs", Result.Objective);
+  Result.Bytes = Value.value("bytes", Result.Bytes);
   Result.Timeout = millisOf(Value, "timeoutMs", Result.Timeout);
   Result.Deadline = millisOf(Value, "deadlineMs", Result.Deadline);
   Result.MaxAttempts = Value.value("maxAttempts", Result.MaxAttempts);
--- a/tests/model/Scenario.h
+++ b/tests/model/Scenario.h
@@ -42,6 +42,8 @@
   /// Standard deviation of the work's logarithm.
   double WorkSpread = 0;
   Duration Objective = Duration::seconds(1);
+  /// Of a request and its answer.
+  double Bytes = 1000;
   Duration Timeout = Duration::seconds(30);
   /// How long a caller waits.
   Duration Deadline = Duration::seconds(5);
