--- a/packages/gateway/camphorpin/src/Gateway/GateControl.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/GateControl.cpp
@@ -35,7 +35,7 @@
 }
 
 std::optional<GateTicket> GateControl::takeNext(Instant Now) {
-  const std::optional<GateTicket> Result = Queue.takeNext(Now);
+  std::optional<GateTicket> Result = Queue.takeNext(Now);
   if (Result) {
     Calls[Result->Id].Start = Now;
     RecentRuns += 1;
