Take a reconnecting gate only if there is no other

Ruled out: a lost departure record (the hosts lost power and left none). Change: a link whose latest attempt has failed is the last choice. A refused call of a run asks another gate as long as it has time; a run does not retry its calls.

--- a/packages/gateway/camphorpin/src/Gateway/AttemptPolicy.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/AttemptPolicy.cpp
@@ -7,7 +7,8 @@
 /// Gates that are asked for one request. Each refusal costs a round trip.
 constexpr std::uint32_t MaxRefusals = 3;
 /// Part of the latency objective after which no other gate is asked: the caller
-/// can use the rest for its own retry.
+/// can use the rest for its own retry. A run does not retry its calls, and a
+/// refused call wastes the run.
 constexpr double AskPart = 0.35;
 /// Below this remaining time a repeated send would only waste work.
 constexpr Duration MinTimeForRetry = Duration::millis(30);
@@ -34,7 +35,7 @@
     return NextStep::Deliver;
   case CallOutcome::Refused:
     if (Facts.Refusals < MaxRefusals && Facts.TimeLeft > MinTimeForRetry &&
-        Facts.Elapsed < Facts.Objective * AskPart)
+        (Facts.Nested || Facts.Elapsed < Facts.Objective * AskPart))
       return NextStep::TryAnotherGate;
     return NextStep::RefuseNotRun;
   case CallOutcome::Shed:
--- a/packages/gateway/camphorpin/src/Gateway/AttemptPolicy.h
+++ b/packages/gateway/camphorpin/src/Gateway/AttemptPolicy.h
@@ -12,6 +12,8 @@
 /// \brief What has happened to a request so far.
 struct AttemptFacts {
   bool Idempotent = false;
+  /// A run that has begun waits for the request.
+  bool Nested = false;
   std::uint32_t MaxAttempts = 1;
   /// Sends that reached a backend server, the latest included.
   std::uint32_t BackendSends = 0;
--- a/packages/gateway/camphorpin/src/Gateway/EntryCalls.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/EntryCalls.cpp
@@ -171,6 +171,7 @@
   const Instant Now = Time.now();
   AttemptFacts Facts;
   Facts.Idempotent = Item.Route->Idempotent;
+  Facts.Nested = Item.Nested;
   Facts.MaxAttempts = Item.Route->MaxAttempts;
   Facts.BackendSends = Item.BackendSends;
   Facts.Refusals = Item.Refusals;
--- a/packages/gateway/camphorpin/src/Gateway/GateLink.h
+++ b/packages/gateway/camphorpin/src/Gateway/GateLink.h
@@ -47,6 +47,9 @@
   bool usable() const {
     return State != LinkState::Waiting && !ConnectingSlowly;
   }
+  /// \returns true if the latest attempt to connect has failed and none has
+  /// succeeded since: a call would wait for the next attempt.
+  bool reconnecting() const { return State != LinkState::Open && Failures > 0; }
   bool connected() const { return State == LinkState::Open; }
   /// \returns what the peer said last about its gate.
   const GateStatus &status() const { return Status; }
--- a/packages/gateway/camphorpin/src/Gateway/PeerNetwork.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerNetwork.cpp
@@ -73,6 +73,7 @@
   }
   const GateLink &Link = link(Record);
   Result.Usable = Link.usable();
+  Result.Reconnecting = Link.reconnecting();
   Result.StatusKnown = Link.statusKnown();
   Result.Status = Link.status();
   Result.Outstanding = Link.outstanding();
--- a/packages/gateway/camphorpin/src/Gateway/PeerSelector.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerSelector.cpp
@@ -106,12 +106,21 @@
 std::optional<std::size_t>
 PeerSelector::choose(std::span<const PeerCandidate> Candidates,
                      const RouteNeeds &Needs) {
+  const std::optional<std::size_t> Best =
+      cheapest(Candidates, Needs, /*Reconnecting=*/false);
+  return Best ? Best : cheapest(Candidates, Needs, /*Reconnecting=*/true);
+}
+
+std::optional<std::size_t>
+PeerSelector::cheapest(std::span<const PeerCandidate> Candidates,
+                       const RouteNeeds &Needs, bool Reconnecting) {
   const ServiceTimes Times(Candidates);
   std::optional<std::size_t> Best;
   double BestCost = 0;
   for (std::size_t Index = 0; Index < Candidates.size(); ++Index) {
     const PeerCandidate &Candidate = Candidates[Index];
     if (!Candidate.Usable || Candidate.Tried ||
+        Candidate.Reconnecting != Reconnecting ||
         (Candidate.StatusKnown && !Candidate.Status.Available))
       continue;
     const double Cost = cost(Candidate, Times.at(Candidate), Needs) *
--- a/packages/gateway/camphorpin/src/Gateway/PeerSelector.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerSelector.h
@@ -19,6 +19,8 @@
   /// The gate is on this host.
   bool Local = false;
   bool Usable = true;
+  /// Connections to the gate have failed, and it is being tried again.
+  bool Reconnecting = false;
   bool StatusKnown = false;
   GateStatus Status;
   /// Calls of this node that the gate has not answered.
@@ -47,7 +49,8 @@
 /// a request with a tight objective goes to a faster server in another
 /// availability zone, and one with time to spare, of a less urgent rank or with
 /// a large answer stays in its own. Gates that are unusable, unavailable or
-/// tried are left out.
+/// tried are left out, and one that is reconnecting is chosen only if there is
+/// no other: its calls would wait for a host that may be gone for good.
 class PeerSelector {
 public:
   explicit PeerSelector(Random &Source) : Source(Source) {}
@@ -68,6 +71,11 @@
                      const RouteNeeds &Needs);
 
 private:
+  /// \returns the cheapest of the candidates that are reconnecting, or of those
+  /// that are not.
+  std::optional<std::size_t> cheapest(std::span<const PeerCandidate> Candidates,
+                                      const RouteNeeds &Needs,
+                                      bool Reconnecting);
   /// \returns the part of the slots that is in use or waited for.
   static double use(const PeerCandidate &Candidate);
 
--- a/packages/gateway/tests/GateDecisionsTest.cpp
+++ b/packages/gateway/tests/GateDecisionsTest.cpp
@@ -118,6 +118,20 @@
                NextStep::Retry);
 }
 
+// Guards a run against being wasted by one refused call: its caller's own retry
+// would begin from the start, while another gate may have room.
+Test(AttemptPolicy, refusedCallsOfRunsAskAnotherGate) {
+  AttemptFacts Late = facts(true);
+  Late.Refusals = 1;
+  Late.Elapsed = Duration::millis(500);
+  const PeerAnswer Refused = answer(CallOutcome::Refused);
+  cr_assert_eq(AttemptPolicy::next(Late, Refused), NextStep::RefuseNotRun);
+  Late.Nested = true;
+  cr_assert_eq(AttemptPolicy::next(Late, Refused), NextStep::TryAnotherGate);
+  Late.Refusals = 3;
+  cr_assert_eq(AttemptPolicy::next(Late, Refused), NextStep::RefuseNotRun);
+}
+
 // Guards the operator's bound on sends, and against repeats of runs whose
 // dependencies failed.
 Test(AttemptPolicy, idempotentWorkIsRepeatedWithinItsBound) {
@@ -183,6 +197,22 @@
   cr_assert_eq(*Selector.choose(Candidates, {}), 1);
 }
 
+// Guards requests against waiting for a host that is gone while another server
+// could run them, and a fleet that restarts against refusing everything.
+Test(PeerSelector, reconnectingGateIsTheLastChoice) {
+  SeededRandom Source(20261204);
+  PeerSelector Selector(Source);
+  std::vector<PeerCandidate> Candidates(2);
+  Candidates[0].SameZone = true;
+  Candidates[0].Reconnecting = true;
+  Candidates[1].StatusKnown = true;
+  Candidates[1].Status = {
+      true, false, 40, 40, 10, Duration(), Duration::millis(500)};
+  cr_assert_eq(*Selector.choose(Candidates, {}), 1);
+  Candidates[1].Tried = true;
+  cr_assert_eq(*Selector.choose(Candidates, {}), 0);
+}
+
 // Guards requests with a tight objective against a slow server next to them,
 // and the price of bytes between zones against requests with time to spare.
 Test(PeerSelector, onlyTightObjectivesLeaveTheZoneForAFasterServer) {
--- a/tests/model/ModelNode.cpp
+++ b/tests/model/ModelNode.cpp
@@ -286,6 +286,7 @@
                         ? Answer.RetryAfter
                         : std::min(Item.RetryAfter, Answer.RetryAfter);
   AttemptFacts Facts;
+  Facts.Nested = Item.Nested;
   Facts.Idempotent = Item.Route->Idempotent;
   Facts.MaxAttempts = Item.Route->MaxAttempts;
   Facts.BackendSends = Item.Sends;
