Blame only calls of runs for failed runs, and recognize them under load

Change: a failure counts if it is of a recognized call, or if none is recognized and as many requests begin on the host as runs. A match that is more likely by chance than 0.4 changes nothing. Tests: GateControlTest and CallTrackerTest.callsStayRecognizedUnderLoad fail on the code before.

--- a/packages/gateway/camphorpin/src/Gateway/CallTracker.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/CallTracker.cpp
@@ -1,5 +1,6 @@
 #include "camphorpin/src/Gateway/CallTracker.h"
 
+#include <algorithm>
 #include <iterator>
 
 namespace camphorpin {
@@ -18,6 +19,9 @@
 /// most of its time left may have deadlines of their own, so that a third to a
 /// half of a called route's requests match; of callers' routes 1 in 100 do.
 constexpr double CallPart = 0.1;
+/// Where a match is more likely by chance than this, it tells nothing, and what
+/// was learnt under less load stays.
+constexpr double MaxChance = 0.4;
 
 } // namespace
 
@@ -50,9 +54,17 @@
 
 bool CallTracker::onRequest(const std::string &Route, Instant Deadline) {
   double &Value = Excess[Route];
-  const double Match = endsWithARun(Deadline) ? 1 : 0;
-  Value += SmoothingWeight * (Match - chanceOfMatch(Deadline) - Value);
+  const double Chance = chanceOfMatch(Deadline);
+  if (Chance <= MaxChance) {
+    const double Match = endsWithARun(Deadline) ? 1 : 0;
+    Value += SmoothingWeight * (Match - Chance - Value);
+  }
   return Value > CallPart;
 }
 
+bool CallTracker::recognizesCalls() const {
+  return std::any_of(Excess.begin(), Excess.end(),
+                     [](const auto &Entry) { return Entry.second > CallPart; });
+}
+
 } // namespace camphorpin
--- a/packages/gateway/camphorpin/src/Gateway/CallTracker.h
+++ b/packages/gateway/camphorpin/src/Gateway/CallTracker.h
@@ -29,6 +29,9 @@
   /// \returns true if the requests of this route are calls of runs.
   bool onRequest(const std::string &Route, Instant Deadline);
 
+  /// \returns true if the requests of some route are known as calls of runs.
+  bool recognizesCalls() const;
+
 private:
   bool endsWithARun(Instant Deadline) const;
   double chanceOfMatch(Instant Deadline) const;
--- a/packages/gateway/camphorpin/src/Gateway/EntryCalls.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/EntryCalls.cpp
@@ -331,7 +331,7 @@
 
 void EntryCalls::logEnd(const EntryCall &Item, unsigned Status,
                         RefusalReason Reason) {
-  Gate.onOutboundFailure(callFailureOf(Reason, Status));
+  Gate.onOutboundFailure(Item.Nested, callFailureOf(Reason, Status));
   Log.write(
       LogEvent::RequestFailed,
       {{"request", Item.RequestId},
--- a/packages/gateway/camphorpin/src/Gateway/GateControl.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/GateControl.cpp
@@ -105,7 +105,11 @@
   return Tracker.onRequest(Route, Deadline);
 }
 
-void GateControl::onOutboundFailure(CallFailure Cause, Instant Now) {
+void GateControl::onOutboundFailure(bool Nested, CallFailure Cause,
+                                    Instant Now) {
+  const bool OfARun = Nested || (!Tracker.recognizesCalls() && runsMakeCalls());
+  if (!OfARun)
+    return;
   if (Cause == CallFailure::Overload)
     LastOverload = Now;
   if (Cause == CallFailure::Unavailable)
--- a/packages/gateway/camphorpin/src/Gateway/GateControl.h
+++ b/packages/gateway/camphorpin/src/Gateway/GateControl.h
@@ -64,9 +64,11 @@
   /// \returns true if it is a call of a run of the backend server.
   bool onOutboundRequest(const std::string &Route, Instant Deadline);
 
-  /// A request that began on this host has failed. It may have been a call of
-  /// a run of the backend server.
-  void onOutboundFailure(CallFailure Cause, Instant Now);
+  /// A request that began on this host has failed.
+  /// \param Nested it is a call of a run. Requests of callers say nothing about
+  /// the runs; without any recognized call, all count on a host where enough
+  /// requests begin for each run to have made one.
+  void onOutboundFailure(bool Nested, CallFailure Cause, Instant Now);
 
   /// Periodic work, twice a second.
   void tick();
--- a/packages/gateway/camphorpin/src/Gateway/LocalGate.h
+++ b/packages/gateway/camphorpin/src/Gateway/LocalGate.h
@@ -72,10 +72,10 @@
     return Control.onOutboundRequest(Route, Deadline);
   }
 
-  /// A request that began on this host has failed. It may have been a call of
-  /// a run of the backend server.
-  void onOutboundFailure(CallFailure Cause) {
-    Control.onOutboundFailure(Cause, Time.now());
+  /// A request that began on this host has failed.
+  /// \param Nested it is a call of a run of the backend server.
+  void onOutboundFailure(bool Nested, CallFailure Cause) {
+    Control.onOutboundFailure(Nested, Cause, Time.now());
   }
 
   GateStatus status() const;
--- a/packages/gateway/tests/CallTrackerTest.cpp
+++ b/packages/gateway/tests/CallTrackerTest.cpp
@@ -26,6 +26,16 @@
     Now = Now + Duration::fromMillis(20 * Source.unit());
   }
 
+  /// \p Count runs begin within one timeout, and none ends.
+  void crowd(std::size_t Count) {
+    for (std::size_t Index = 0; Index < Count; ++Index) {
+      const Instant Deadline =
+          Now + RunTimeout * (static_cast<double>(Index + 1) / Count);
+      Tracker.onRunStart(NextRun, Deadline);
+      Runs.push_back({NextRun++, Deadline});
+    }
+  }
+
   /// A run calls: at its deadline, told in whole milliseconds, or at one of its
   /// own where the run has much time left.
   bool call(Duration OwnDeadline) {
@@ -67,6 +77,21 @@
   cr_assert_geq(Recognized, 195, "%d of 200", Recognized);
 }
 
+// Guards what was learnt against a load under which the ends of runs lie so
+// close together that every request matches one.
+Test(CallTracker, callsStayRecognizedUnderLoad) {
+  BusyHost Host(20261206);
+  for (int Count = 0; Count < 300; ++Count) {
+    Host.startRun();
+    Host.call(Duration::millis(700));
+  }
+  Host.crowd(400);
+  int Recognized = 0;
+  for (int Count = 0; Count < 300; ++Count)
+    Recognized += Host.call(Duration::millis(700)) ? 1 : 0;
+  cr_assert_geq(Recognized, 290, "%d of 300", Recognized);
+}
+
 // Guards the bounds against callers that are taken for runs, also if their
 // deadlines lie among those of many runs.
 Test(CallTracker, requestsOfCallersAreNot) {
--- /dev/null
+++ b/packages/gateway/tests/GateControlTest.cpp
@@ -0,0 +1,79 @@
+#include "camphorpin/src/Gateway/GateControl.h"
+
+#include <criterion/criterion.h>
+
+using namespace camphorpin;
+
+namespace {
+
+/// A host whose backend server runs one request at a time, while a caller on
+/// the host sends requests that are refused.
+class HostModel {
+public:
+  /// \param Calling each run makes a call that ends with it.
+  explicit HostModel(bool Calling) : Calling(Calling) { Control.setSlots(20); }
+
+  /// Plays \p Count runs, the last one with a call that is refused for
+  /// overload.
+  /// \param Status the answer of the last run.
+  /// \returns why the last run would not do better elsewhere.
+  RefusalReason play(int Count, std::uint16_t Status) {
+    for (int Index = 1; Index < Count; ++Index)
+      run(200);
+    return run(Status);
+  }
+
+  double bound() const { return Control.bound("r"); }
+
+private:
+  RefusalReason run(std::uint16_t Status) {
+    GateTicket Ticket;
+    Ticket.Id = ++LastId;
+    Ticket.Route = "r";
+    Ticket.Objective = Duration::seconds(1);
+    Ticket.Deadline = Now + Duration::seconds(2);
+    Control.offer(Ticket, Now);
+    Control.onDeadlineGiven(Ticket.Id, Ticket.Deadline);
+    Now = Now + Duration::millis(5);
+    if (Calling)
+      request("called", Ticket.Deadline, /*Fails=*/Status != 200);
+    // Callers send less often than runs end.
+    if (LastId % 2 == 0)
+      request("other", Now + Duration::millis(700), /*Fails=*/true);
+    PeerAnswer Answer;
+    Answer.Outcome = CallOutcome::Answered;
+    Answer.StatusCode = Status;
+    return Control.end(Ticket.Id, Answer, Now);
+  }
+
+  void request(const std::string &Route, Instant Deadline, bool Fails) {
+    const bool Nested = Control.onOutboundRequest(Route, Deadline);
+    if (Fails)
+      Control.onOutboundFailure(Nested, CallFailure::Overload, Now);
+  }
+
+  GateControl Control;
+  bool Calling;
+  std::uint64_t LastId = 0;
+  Instant Now = Instant::fromMillis(1000);
+};
+
+} // namespace
+
+// Guards a route that calls no other service against a bound for failures of
+// its own, while requests of callers on its host are refused elsewhere.
+Test(GateControl, failureOfARunWithoutCallsIsItsOwn) {
+  HostModel Host(/*Calling=*/false);
+  cr_assert_eq(Host.play(50, 500), RefusalReason::None);
+  cr_assert_eq(Host.bound(), 0);
+  // Nor does a timeout blame a service below.
+  cr_assert_eq(Host.play(50, 504), RefusalReason::None);
+  cr_assert_eq(Host.bound(), 0);
+}
+
+// Guards an overloaded service against more runs that would fail for it.
+Test(GateControl, failureOfACallBoundsTheRoute) {
+  HostModel Host(/*Calling=*/true);
+  cr_assert_eq(Host.play(50, 500), RefusalReason::Shed);
+  cr_assert_gt(Host.bound(), 0);
+}
