--- a/packages/gateway/camphorpin/src/Gateway/RouteLimiter.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/RouteLimiter.cpp
@@ -18,6 +18,12 @@
 constexpr double Increase = 0.03;
 /// How much less a route regains for each rank that it is less urgent.
 constexpr double RankHandicap = 0.3;
+/// Time without a failed dependency after which it counts as recovered, so that
+/// a few runs at a low bound need not raise it step by step. It is longer than
+/// the pauses between the failures of an overload.
+constexpr Duration QuietSpan = Duration::millis(1500);
+/// Factor of the increase after that time.
+constexpr double QuietIncreaseFactor = 12;
 /// A bound this far above what is active has no effect and is dropped.
 constexpr double SlackFactor = 3;
 constexpr double SlackRuns = 8;
@@ -48,7 +54,9 @@
     return;
   }
   if (End == RunEnd::Succeeded && Item.Bound > 0) {
-    Item.Bound *= 1 + Increase / (1 + RankHandicap * Item.Rank);
+    const double Factor =
+        Now - Item.LastDecrease >= QuietSpan ? QuietIncreaseFactor : 1;
+    Item.Bound *= 1 + Factor * Increase / (1 + RankHandicap * Item.Rank);
     if (Item.Bound > Active * SlackFactor + SlackRuns)
       Item.Bound = 0;
   }
