Give less to servers that fail part of their runs

Cause: a server whose health checks are good can refuse, lose or fail a part of its requests. It answers those sooner than others, so it looked fast and free and got more. Ruled out: taking it out by threshold, which would take all servers of a service out together. Change: a gate tells the smoothed part of the runs that its server failed, for no reason that another server shares. It costs as much as 1.5 objectives at a part of 1, and counts half after 2 s without news, so that the server is tried again. The state frame also tells whether runs call other services. Tests: PeerSelector.faultyServerIsLeftAndTriedAgain.

--- a/packages/gateway/camphorpin/src/Gateway/GateControl.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/GateControl.cpp
@@ -14,6 +14,9 @@
 /// Factor by which the counts of requests and runs fade at each tick.
 constexpr double CountDecay = 0.8;
 
+/// Weight of the latest run in the part of faulty runs.
+constexpr double FaultWeight = 0.05;
+
 } // namespace
 
 GateAdmission GateControl::offer(const GateTicket &Ticket, Instant Now) {
@@ -71,7 +74,16 @@
   Queue.finish(Id, Now, Answer.Outcome == CallOutcome::Answered);
   const RunEnd End = endOf(Run, Answer);
   Limiter.end(Run.Route, End, Now);
-  return sharedCause(Run, Answer, End);
+  const RefusalReason Cause = sharedCause(Run, Answer, End);
+  const double Fault = faulty(Answer, Cause) ? 1 : 0;
+  FaultPart += FaultWeight * (Fault - FaultPart);
+  return Cause;
+}
+
+bool GateControl::faulty(const PeerAnswer &Answer, RefusalReason Cause) {
+  if (Answer.Outcome == CallOutcome::Answered)
+    return Answer.StatusCode == 500 && Cause == RefusalReason::None;
+  return Answer.Reason != RefusalReason::Deadline;
 }
 
 RunEnd GateControl::endOf(const Active &Run, const PeerAnswer &Answer) const {
@@ -116,6 +128,18 @@
     LastUnavailable = Now;
 }
 
+GateStatus GateControl::status() const {
+  GateStatus Result;
+  Result.Running = static_cast<std::uint32_t>(Queue.running());
+  Result.Queued = static_cast<std::uint32_t>(Queue.queued());
+  Result.Limit = Queue.limit();
+  Result.Wait = estimatedWait();
+  Result.ServiceTime = Queue.serviceTime();
+  Result.FaultPart = FaultPart;
+  Result.CallsOthers = runsMakeCalls();
+  return Result;
+}
+
 bool GateControl::runsMakeCalls() const {
   return RecentOutbound >= CallsPerRun * RecentRuns;
 }
--- a/packages/gateway/camphorpin/src/Gateway/GateControl.h
+++ b/packages/gateway/camphorpin/src/Gateway/GateControl.h
@@ -73,10 +73,12 @@
   /// Periodic work, twice a second.
   void tick();
 
+  /// \returns what callers of the gate are told about it.
+  GateStatus status() const;
+
   std::size_t running() const { return Queue.running(); }
   std::size_t queued() const { return Queue.queued(); }
   std::uint32_t slots() const { return Queue.limit(); }
-  Duration serviceTime() const { return Queue.serviceTime(); }
   Duration serviceTime(const std::string &Route) const {
     return Queue.serviceTime(Route);
   }
@@ -94,6 +96,9 @@
   };
 
   bool runsMakeCalls() const;
+  /// \returns true if the backend server is to blame for the end of a run that
+  /// failed for no shared \p Cause.
+  static bool faulty(const PeerAnswer &Answer, RefusalReason Cause);
   RunEnd endOf(const Active &Run, const PeerAnswer &Answer) const;
   RefusalReason sharedCause(const Active &Run, const PeerAnswer &Answer,
                             RunEnd End) const;
@@ -109,6 +114,8 @@
   /// Fading counts of the requests that begin on the host and of the runs.
   double RecentOutbound = 0;
   double RecentRuns = 0;
+  /// Smoothed part of the runs that the backend server refused, lost or failed.
+  double FaultPart = 0;
 };
 
 } // namespace camphorpin
--- a/packages/gateway/camphorpin/src/Gateway/GateLink.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/GateLink.cpp
@@ -109,8 +109,7 @@
   State = LinkState::Open;
   ConnectingSlowly = false;
   Failures = 0;
-  Status = Hello.Status;
-  StatusKnown = true;
+  noteStatus(Hello.Status);
   PingOutstanding = false;
   if (PeerEnded)
     failCalls(/*PeerEnded=*/true);
@@ -121,6 +120,12 @@
     armTimer(CheckInterval);
 }
 
+void GateLink::noteStatus(const GateStatus &Told) {
+  Status = Told;
+  StatusKnown = true;
+  StatusTime = Time.now();
+}
+
 void GateLink::onOtherNode() {
   // The host has gone, and its address belongs to another one.
   const bool WasKnown = Incarnation != 0;
@@ -139,7 +144,7 @@
   else if (const auto *Hello = std::get_if<PeerHello>(&Frame))
     onHello(*Hello);
   else if (const auto *Value = std::get_if<GateStatus>(&Frame))
-    Status = *Value;
+    noteStatus(*Value);
   else if (auto *News = std::get_if<PeerNews>(&Frame))
     Owner.onNews(std::move(*News));
   else if (const auto *Request = std::get_if<PeerNewsRequest>(&Frame))
@@ -151,8 +156,7 @@
 }
 
 void GateLink::onAnswer(PeerAnswer Answer) {
-  Status = Answer.Status;
-  StatusKnown = true;
+  noteStatus(Answer.Status);
   const PeerNotice Told{Answer.Configuration, 0};
   const auto Found = Calls.find(Answer.Id);
   if (Found != Calls.end()) {
--- a/packages/gateway/camphorpin/src/Gateway/GateLink.h
+++ b/packages/gateway/camphorpin/src/Gateway/GateLink.h
@@ -54,6 +54,8 @@
   /// \returns what the peer said last about its gate.
   const GateStatus &status() const { return Status; }
   bool statusKnown() const { return StatusKnown; }
+  /// \returns how long ago the peer said it.
+  Duration statusAge() const { return Time.now() - StatusTime; }
   std::size_t outstanding() const { return Calls.size(); }
   /// \returns when the link was last used.
   Instant lastUse() const { return LastUse; }
@@ -87,6 +89,7 @@
   /// Another node answers at the peer's address.
   void onOtherNode();
   void onAnswer(PeerAnswer Answer);
+  void noteStatus(const GateStatus &Told);
   void writeCall(Pending &Item);
   void onConnectFailed();
   void failCalls(bool PeerEnded);
@@ -108,6 +111,7 @@
   boost::asio::steady_timer Timer;
   GateStatus Status;
   bool StatusKnown = false;
+  Instant StatusTime;
   std::uint64_t Incarnation = 0;
   std::map<std::uint64_t, Pending> Calls;
   std::vector<std::uint64_t> Unacknowledged;
--- a/packages/gateway/camphorpin/src/Gateway/LocalGate.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/LocalGate.cpp
@@ -47,14 +47,9 @@
 }
 
 GateStatus LocalGate::status() const {
-  GateStatus Result;
+  GateStatus Result = Control.status();
   Result.Available = available();
   Result.Leaving = Draining;
-  Result.Running = static_cast<std::uint32_t>(Control.running());
-  Result.Queued = static_cast<std::uint32_t>(Control.queued());
-  Result.Limit = Control.slots();
-  Result.Wait = Control.estimatedWait();
-  Result.ServiceTime = Control.serviceTime();
   return Result;
 }
 
--- a/packages/gateway/camphorpin/src/Gateway/PeerCodec.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerCodec.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
+#include <cmath>
 #include <kj/exception.h>
 #include <kj/io.h>
 
@@ -13,6 +14,8 @@
 namespace {
 
 /// Largest frame: the largest body with its headers and some room.
+/// Parts of a whole are sent in thousandths.
+constexpr double PartUnit = 1000.0;
 constexpr std::size_t MaxFrameBytes = 72U << 20U;
 /// Bytes of the length in front of each message.
 constexpr std::size_t LengthBytes = 4;
@@ -42,6 +45,9 @@
   Target.setLimit(Source.Limit);
   Target.setWaitMs(millisOf(Source.Wait));
   Target.setServiceUs(static_cast<std::uint32_t>(Source.ServiceTime.ticks()));
+  Target.setFaultPerMille(
+      static_cast<std::uint16_t>(std::lround(Source.FaultPart * PartUnit)));
+  Target.setCallsOthers(Source.CallsOthers);
 }
 
 void write(peer::Notice::Builder Target, const PeerNotice &Source) {
@@ -62,6 +68,8 @@
   Result.Limit = Source.getLimit();
   Result.Wait = Duration::millis(Source.getWaitMs());
   Result.ServiceTime = Duration::ticks(Source.getServiceUs());
+  Result.FaultPart = Source.getFaultPerMille() / PartUnit;
+  Result.CallsOthers = Source.getCallsOthers();
   return Result;
 }
 
--- a/packages/gateway/camphorpin/src/Gateway/PeerMessages.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerMessages.h
@@ -24,6 +24,11 @@
   Duration Wait;
   /// Smoothed service time.
   Duration ServiceTime;
+  /// Smoothed part of the runs that the backend server refused or did not
+  /// answer.
+  double FaultPart = 0;
+  /// Its runs call other services.
+  bool CallsOthers = false;
 };
 
 /// \class PeerNotice
--- a/packages/gateway/camphorpin/src/Gateway/PeerNetwork.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerNetwork.cpp
@@ -76,6 +76,7 @@
   Result.Reconnecting = Link.reconnecting();
   Result.StatusKnown = Link.statusKnown();
   Result.Status = Link.status();
+  Result.StatusAge = Link.statusAge();
   Result.Outstanding = Link.outstanding();
   return Result;
 }
--- a/packages/gateway/camphorpin/src/Gateway/PeerSelector.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerSelector.cpp
@@ -20,6 +20,12 @@
 /// with room.
 constexpr double QueueCost = 0.25;
 constexpr double QueuePart = 0.25;
+/// Cost of a gate whose server fails all its runs: more than being late,
+/// because a run is lost or must be repeated.
+constexpr double FaultCost = 1.5;
+/// Time in which knowledge about faults loses half its weight, so that a server
+/// that gets nothing is tried again.
+constexpr double FaultHalfLifeMillis = 2000;
 /// A round trip to another zone of the region.
 constexpr double OtherZoneMillis = 3.0;
 /// Random part of the cost, so that nodes with the same view spread.
@@ -99,8 +105,11 @@
   const double Leaving =
       Candidate.SameZone ? 0
                          : OtherZoneCost + OtherZoneCostPerByte * Needs.Bytes;
-  return std::pow(RankWeight, Needs.Rank) * Late * Late + QueueCost * Queue +
-         Leaving;
+  const double Fault =
+      Candidate.Status.FaultPart *
+      std::exp2(-Candidate.StatusAge.toMillis() / FaultHalfLifeMillis);
+  const double Risk = Late * Late + FaultCost * Fault;
+  return std::pow(RankWeight, Needs.Rank) * Risk + QueueCost * Queue + Leaving;
 }
 
 std::optional<std::size_t>
--- a/packages/gateway/camphorpin/src/Gateway/PeerSelector.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerSelector.h
@@ -23,6 +23,7 @@
   bool Reconnecting = false;
   bool StatusKnown = false;
   GateStatus Status;
+  Duration StatusAge;
   /// Calls of this node that the gate has not answered.
   std::size_t Outstanding = 0;
   /// Smoothed service time of the request's route there; 0 if not known.
@@ -48,9 +49,11 @@
 /// risk of being late grows with the square of their part of the objective, so
 /// a request with a tight objective goes to a faster server in another
 /// availability zone, and one with time to spare, of a less urgent rank or with
-/// a large answer stays in its own. Gates that are unusable, unavailable or
-/// tried are left out, and one that is reconnecting is chosen only if there is
-/// no other: its calls would wait for a host that may be gone for good.
+/// a large answer stays in its own. A gate whose server fails part of its runs
+/// gets less, and is tried again as that knowledge ages. Gates that are
+/// unusable, unavailable or tried are left out, and one that is reconnecting is
+/// chosen only if there is no other: its calls would wait for a host that may
+/// be gone for good.
 class PeerSelector {
 public:
   explicit PeerSelector(Random &Source) : Source(Source) {}
--- a/packages/gateway/tests/GateDecisionsTest.cpp
+++ b/packages/gateway/tests/GateDecisionsTest.cpp
@@ -213,6 +213,26 @@
   cr_assert_eq(*Selector.choose(Candidates, {}), 0);
 }
 
+// Guards requests against a server that fails part of its runs while its health
+// checks are good, and that server against being left for good.
+Test(PeerSelector, faultyServerIsLeftAndTriedAgain) {
+  SeededRandom Source(20261204);
+  PeerSelector Selector(Source);
+  std::vector<PeerCandidate> Candidates(2);
+  for (PeerCandidate &Item : Candidates) {
+    Item.SameZone = true;
+    Item.StatusKnown = true;
+    Item.Status = {true, false, 0, 0, 10, Duration(), Duration::millis(60)};
+  }
+  Candidates[0].RouteTime = Duration::millis(50);
+  Candidates[1].RouteTime = Duration::millis(80);
+  cr_assert_eq(*Selector.choose(Candidates, {}), 0);
+  Candidates[0].Status.FaultPart = 0.4;
+  cr_assert_eq(*Selector.choose(Candidates, {}), 1);
+  Candidates[0].StatusAge = Duration::seconds(20);
+  cr_assert_eq(*Selector.choose(Candidates, {}), 0);
+}
+
 // Guards requests with a tight objective against a slow server next to them,
 // and the price of bytes between zones against requests with time to spare.
 Test(PeerSelector, onlyTightObjectivesLeaveTheZoneForAFasterServer) {
--- a/tests/model/ModelNode.cpp
+++ b/tests/model/ModelNode.cpp
@@ -43,13 +43,8 @@
 }
 
 GateStatus ModelNode::status() const {
-  GateStatus Result;
+  GateStatus Result = Control.status();
   Result.Available = true;
-  Result.Running = static_cast<std::uint32_t>(Control.running());
-  Result.Queued = static_cast<std::uint32_t>(Control.queued());
-  Result.Limit = Control.slots();
-  Result.Wait = Control.estimatedWait();
-  Result.ServiceTime = Control.serviceTime();
   return Result;
 }
 
@@ -238,6 +233,8 @@
     Candidate.Local = Other == Index;
     Candidate.StatusKnown = Candidate.Local || Views[Other].Known;
     Candidate.Status = Candidate.Local ? status() : Views[Other].Status;
+    Candidate.StatusAge =
+        Candidate.Local ? Duration() : Owner.Events.now() - Views[Other].At;
     Candidate.Outstanding = Views[Other].Outstanding;
     Candidate.RouteTime = Views[Other].RouteTimes[Item.Route->Name];
     Candidate.Tried = std::find(Item.Tried.begin(), Item.Tried.end(), Other) !=
@@ -272,6 +269,7 @@
   View &Seen = Views[From];
   Seen.Status = Answer.Status;
   Seen.Known = true;
+  Seen.At = Owner.Events.now();
   --Seen.Outstanding;
   const auto Found = Requests.find(Id);
   if (Found == Requests.end())
--- a/tests/model/ModelNode.h
+++ b/tests/model/ModelNode.h
@@ -94,6 +94,7 @@
   struct View {
     GateStatus Status;
     bool Known = false;
+    Instant At;
     std::size_t Outstanding = 0;
     std::map<std::string, Duration> RouteTimes;
   };
