Leave more of the retry budget to runs that call no other service

Cause: only a quarter of the budget was used, because the calls of a repeated run count as repeats at the services that it calls. Services at the end of the graph, which the most urgent requests go to, make no such calls and were held to a quarter as well. Ruled out: the whole budget for all runs, which repeats of calling runs would overdraw below. Change: nodes use 0.6 of the budget, and a repeat of a run that calls other services takes three. Tests: RetryAllowance.repeatsOfCallingRunsTakeMore, nodesTogetherKeepToTheBudget.

--- a/packages/gateway/camphorpin/src/Gateway/EntryCalls.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/EntryCalls.cpp
@@ -199,7 +199,8 @@
                         : std::min(Item.RetryAfter, Answer.RetryAfter);
   NextStep Step = AttemptPolicy::next(factsOf(Item), Answer);
   if (Step == NextStep::Retry &&
-      !Budget.tryRetry(Item.Service, Network.nodes(), Time.now()))
+      !Budget.tryRetry(Item.Service, Answer.Status.CallsOthers, Network.nodes(),
+                       Time.now()))
     Step = AttemptPolicy::withoutBudget(Answer);
   act(Id, Item, Step, std::move(Answer));
 }
--- a/packages/gateway/camphorpin/src/Gateway/RetryAllowance.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/RetryAllowance.cpp
@@ -6,10 +6,12 @@
 
 namespace {
 
-/// Part of the budget that is used. The calls of a repeated run count as
-/// repeats at the called services, up to three times as many as the node's own
-/// repeats.
-constexpr double UsedPart = 0.25;
+/// Part of the budget that is used. The rest is for what other nodes count
+/// differently: requests on their way, nodes that have just started or gone.
+constexpr double UsedPart = 0.6;
+/// What a repeated run that calls other services takes from the budget of its
+/// own: its calls, several on each level below, count as repeats there.
+constexpr double CallingRunCost = 3;
 
 } // namespace
 
@@ -31,8 +33,9 @@
   ++current(Services[Service], Now).Requests;
 }
 
-bool RetryAllowance::tryRetry(const std::string &Service, std::size_t Nodes,
-                              Instant Now) {
+bool RetryAllowance::tryRetry(const std::string &Service, bool CallsOthers,
+                              std::size_t Nodes, Instant Now) {
+  const double Cost = CallsOthers ? CallingRunCost : 1;
   Ring &Counts = Services[Service];
   Slice &Latest = current(Counts, Now);
   const std::int64_t Oldest =
@@ -47,9 +50,9 @@
   }
   const double Share =
       Settings.Slack / static_cast<double>(std::max<std::size_t>(1, Nodes));
-  if (Retries + 1 > UsedPart * (Settings.Ratio * Requests + Share))
+  if (Retries + Cost > UsedPart * (Settings.Ratio * Requests + Share))
     return false;
-  ++Latest.Retries;
+  Latest.Retries += Cost;
   return true;
 }
 
--- a/packages/gateway/camphorpin/src/Gateway/RetryAllowance.h
+++ b/packages/gateway/camphorpin/src/Gateway/RetryAllowance.h
@@ -37,16 +37,20 @@
   /// Counts the first send of a request to \p Service.
   void onRequest(const std::string &Service, Instant Now);
 
+  /// \param CallsOthers the run calls other services, where its calls count as
+  /// repeats as well.
   /// \param Nodes the number of nodes that share the slack, at least 1.
   /// \returns true if a repeated send is allowed; it is then counted.
-  bool tryRetry(const std::string &Service, std::size_t Nodes, Instant Now);
+  bool tryRetry(const std::string &Service, bool CallsOthers, std::size_t Nodes,
+                Instant Now);
 
 private:
   static constexpr std::size_t Slices = 10;
   struct Slice {
     std::int64_t Number = -1;
     std::uint32_t Requests = 0;
-    std::uint32_t Retries = 0;
+    /// What repeats have taken.
+    double Retries = 0;
   };
   using Ring = std::array<Slice, Slices>;
 
--- a/packages/gateway/tests/GateDecisionsTest.cpp
+++ b/packages/gateway/tests/GateDecisionsTest.cpp
@@ -161,7 +161,7 @@
     const Instant Now = Instant::fromMillis(50000 + Millis);
     Node.onRequest("s", Now);
     ++Requests;
-    while (Node.tryRetry("s", Nodes, Now))
+    while (Node.tryRetry("s", /*CallsOthers=*/false, Nodes, Now))
       ++Retries;
   }
   cr_assert_leq(Retries, 0.2 * Requests + 49);
@@ -233,6 +233,25 @@
   cr_assert_eq(*Selector.choose(Candidates, {}), 0);
 }
 
+// Guards the services below against the calls of repeated runs: such a repeat
+// takes more of the budget.
+Test(RetryAllowance, repeatsOfCallingRunsTakeMore) {
+  RetryBudgetSettings Settings;
+  Settings.Ratio = 0;
+  Settings.Slack = 50;
+  RetryAllowance Leaf(Settings);
+  RetryAllowance Calling(Settings);
+  const Instant Now = Instant::fromMillis(50000);
+  int LeafRepeats = 0;
+  int CallingRepeats = 0;
+  while (Leaf.tryRetry("s", /*CallsOthers=*/false, 1, Now))
+    ++LeafRepeats;
+  while (Calling.tryRetry("s", /*CallsOthers=*/true, 1, Now))
+    ++CallingRepeats;
+  cr_assert_eq(LeafRepeats, 30);
+  cr_assert_eq(CallingRepeats, 10);
+}
+
 // Guards requests with a tight objective against a slow server next to them,
 // and the price of bytes between zones against requests with time to spare.
 Test(PeerSelector, onlyTightObjectivesLeaveTheZoneForAFasterServer) {
--- a/tests/model/ModelNode.cpp
+++ b/tests/model/ModelNode.cpp
@@ -294,7 +294,8 @@
   Facts.Objective = Item.Route->Objective;
   NextStep Step = AttemptPolicy::next(Facts, Answer);
   if (Step == NextStep::Retry &&
-      !Budget.tryRetry(Item.Route->Service, Owner.Nodes.size(), Now))
+      !Budget.tryRetry(Item.Route->Service, Answer.Status.CallsOthers,
+                       Owner.Nodes.size(), Now))
     Step = AttemptPolicy::withoutBudget(Answer);
   act(Id, Item, Step, std::move(Answer));
 }
