Repeat nothing that has less time than half of a usual run

Ruled out: the whole usual time, because the gate that failed may be the slow one. Change: a retry also needs half of the route's usual service time at the gate. Test: AttemptPolicy.nothingIsRepeatedWithLessTimeThanARunTakes.

--- a/packages/gateway/camphorpin/src/Gateway/AttemptPolicy.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/AttemptPolicy.cpp
@@ -13,6 +13,15 @@
 /// Below this remaining time a repeated send would only waste work.
 constexpr Duration MinTimeForRetry = Duration::millis(30);
 
+/// Part of the route's usual service time that must be left for a repeated
+/// send. Another backend server may be faster than the one that told the time.
+constexpr double UsualTimePart = 0.5;
+
+bool hasTimeForRun(const AttemptFacts &Facts, const PeerAnswer &Answer) {
+  return Facts.TimeLeft > MinTimeForRetry &&
+         Facts.TimeLeft > Answer.RouteTime * UsualTimePart;
+}
+
 /// A failure that another backend server may not have. 504 means that the
 /// deadline has passed; with a reason, a service that the run called has
 /// failed.
@@ -26,8 +35,8 @@
 
 NextStep AttemptPolicy::next(const AttemptFacts &Facts,
                              const PeerAnswer &Answer) {
-  const bool CanRepeat = Facts.BackendSends < Facts.MaxAttempts &&
-                         Facts.TimeLeft > MinTimeForRetry;
+  const bool CanRepeat =
+      Facts.BackendSends < Facts.MaxAttempts && hasTimeForRun(Facts, Answer);
   switch (Answer.Outcome) {
   case CallOutcome::Answered:
     if (Facts.Idempotent && CanRepeat && worthRepeating(Answer))
--- a/packages/gateway/tests/GateDecisionsTest.cpp
+++ b/packages/gateway/tests/GateDecisionsTest.cpp
@@ -118,6 +118,17 @@
                NextStep::Retry);
 }
 
+// Guards backend servers against runs that cannot end in time.
+Test(AttemptPolicy, nothingIsRepeatedWithLessTimeThanARunTakes) {
+  AttemptFacts Late = facts(true);
+  Late.TimeLeft = Duration::millis(80);
+  PeerAnswer Lost = answer(CallOutcome::Failed);
+  Lost.RouteTime = Duration::millis(120);
+  cr_assert_eq(AttemptPolicy::next(Late, Lost), NextStep::Retry);
+  Lost.RouteTime = Duration::millis(400);
+  cr_assert_eq(AttemptPolicy::next(Late, Lost), NextStep::FailMayHaveRun);
+}
+
 // Guards a run against being wasted by one refused call: its caller's own retry
 // would begin from the start, while another gate may have room.
 Test(AttemptPolicy, refusedCallsOfRunsAskAnotherGate) {
