Split the pages of a node from its start, and the model's limit into steps

Change: the handlers of the ready address, of reports and of metrics have files of their own; attainableWorth is split by step. A gauge shows the part of the runs that the backend server failed.

--- a/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
@@ -39,73 +39,6 @@
 
 } // namespace
 
-/// Tells the platform whether callers on the host get answers.
-class Gateway::ReadyHandler final : public HttpRequestHandler {
-public:
-  explicit ReadyHandler(Gateway &Owner) : Owner(Owner) {}
-
-  void onRequest(const std::shared_ptr<HttpExchange> &Exchange) override {
-    if (Exchange->request().target() != Owner.Protocol.readyPath()) {
-      Exchange->reply(detail::plainReply(404, "unknown path"));
-      return;
-    }
-    Exchange->reply(Owner.ready() ? detail::plainReply(200, "ready")
-                                  : detail::plainReply(503, "not ready"));
-  }
-
-private:
-  Gateway &Owner;
-};
-
-/// Takes the reports of the backend server.
-class Gateway::ReportHandler final : public HttpRequestHandler {
-public:
-  explicit ReportHandler(Gateway &Owner) : Owner(Owner) {}
-
-  void onRequest(const std::shared_ptr<HttpExchange> &Exchange) override {
-    const LifecycleCall Call =
-        Owner.Protocol.lifecycleCall(Exchange->request());
-    switch (Call.Type) {
-    case LifecycleCall::Kind::Report:
-      if (Call.Report)
-        Owner.Gate.onReport(*Call.Report);
-      else
-        Owner.Log.write(LogEvent::ReportRejected, {{"backend", Call.Id}});
-      Exchange->reply(Owner.Protocol.lifecycleReply(Call.Report.has_value()));
-      return;
-    case LifecycleCall::Kind::Departure:
-      Owner.Gate.onDeparture(Call.Id);
-      Exchange->reply(Owner.Protocol.lifecycleReply(true));
-      return;
-    case LifecycleCall::Kind::Unknown:
-      Exchange->reply(detail::plainReply(404, "unknown call"));
-      return;
-    }
-  }
-
-private:
-  Gateway &Owner;
-};
-
-/// Serves counters, histograms and what the node believes.
-class Gateway::MetricsHandler final : public HttpRequestHandler {
-public:
-  explicit MetricsHandler(Gateway &Owner) : Owner(Owner) {}
-
-  void onRequest(const std::shared_ptr<HttpExchange> &Exchange) override {
-    if (Exchange->request().target() != "/metrics") {
-      Exchange->reply(detail::plainReply(404, "unknown path"));
-      return;
-    }
-    HttpReply Reply = detail::plainReply(200, "");
-    Reply.Body = Owner.Values.toText(Owner.gauges());
-    Exchange->reply(std::move(Reply));
-  }
-
-private:
-  Gateway &Owner;
-};
-
 std::vector<Gauge> Gateway::gauges() const {
   const GateStatus Status = Gate.status();
   const auto Number = [](auto Value) { return static_cast<double>(Value); };
@@ -128,6 +61,9 @@
        Number(Status.Limit)},
       {"camphorpin_gate_service_ms", "Smoothed service time.",
        Status.ServiceTime.toMillis()},
+      {"camphorpin_gate_fault_part",
+       "Smoothed part of the runs that the backend server failed.",
+       Status.FaultPart},
       {"camphorpin_entry_active", "Requests of callers without an answer.",
        Number(Entry.active())},
       {"camphorpin_draining", "1 while the node stops.", Draining ? 1.0 : 0.0}};
@@ -144,11 +80,11 @@
       Entry(Loop, Time, Source, Settings, Protocol, Network, Gate, Log, Values),
       Peers(Loop, Time, Gate, *this),
       Exchange(Loop, Time, Source, Network, Peers, [this] { return notice(); }),
-      Ready(std::make_unique<ReadyHandler>(*this)),
-      Reports(std::make_unique<ReportHandler>(*this)),
-      MetricsPage(std::make_unique<MetricsHandler>(*this)),
-      CallServer(Loop, Entry), ReadyServer(Loop, *Ready),
-      ReportServer(Loop, *Reports), MetricsServer(Loop, *MetricsPage),
+      ReadyPage(Protocol, [this] { return ready(); }),
+      Reports(Protocol, Gate, Log),
+      MetricsPage(Values, [this] { return gauges(); }), CallServer(Loop, Entry),
+      ReadyServer(Loop, ReadyPage), ReportServer(Loop, Reports),
+      MetricsServer(Loop, MetricsPage),
       ConfigurationReader(Loop, Source, Settings.StoreAddress, Protocol,
                           StoreFeed::Configuration, *this),
       MemberReader(Loop, Source, Settings.StoreAddress, Protocol,
@@ -157,8 +93,6 @@
                    StoreFeed::Members),
       Signals(Loop, SIGTERM, SIGINT, SIGHUP), TickTimer(Loop) {}
 
-Gateway::~Gateway() = default;
-
 std::string Gateway::start() {
   std::string Error = Peers.listen(Settings.PeerAddress);
   if (Error.empty())
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.h
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.h
@@ -2,13 +2,15 @@
 #define CAMPHORPIN_SRC_GATEWAY_GATEWAY_H
 
 #include "camphorpin/src/Gateway/EntryCalls.h"
+#include "camphorpin/src/Gateway/MetricsHandler.h"
 #include "camphorpin/src/Gateway/NewsExchange.h"
+#include "camphorpin/src/Gateway/ReadyHandler.h"
+#include "camphorpin/src/Gateway/ReportHandler.h"
 #include "camphorpin/src/Gateway/SettingsReload.h"
 #include "camphorpin/src/Gateway/StoreReader.h"
 #include "camphorpin/src/Gateway/StoreWriter.h"
 
 #include <boost/asio/signal_set.hpp>
-#include <memory>
 #include <string>
 
 namespace camphorpin {
@@ -22,7 +24,6 @@
   /// \param Source where changed settings come from; may be null.
   Gateway(const GatewaySettings &Settings, const PlatformProtocol &Protocol,
           SettingsSource *Source = nullptr);
-  ~Gateway() override;
 
   /// Binds all addresses.
   /// \returns an empty text, or the address that can't be bound and why.
@@ -35,10 +36,6 @@
   void abort() { Loop.stop(); }
 
 private:
-  class ReadyHandler;
-  class ReportHandler;
-  class MetricsHandler;
-
   PeerHello hello() override;
   void onNotice(const std::string &Node, const PeerNotice &Told) override;
   void onNews(PeerNews News) override;
@@ -79,9 +76,9 @@
   EntryCalls Entry;
   PeerServer Peers;
   NewsExchange Exchange;
-  std::unique_ptr<ReadyHandler> Ready;
-  std::unique_ptr<ReportHandler> Reports;
-  std::unique_ptr<MetricsHandler> MetricsPage;
+  ReadyHandler ReadyPage;
+  ReportHandler Reports;
+  MetricsHandler MetricsPage;
   AsyncHttpServer CallServer;
   AsyncHttpServer ReadyServer;
   AsyncHttpServer ReportServer;
--- /dev/null
+++ b/packages/gateway/camphorpin/src/Gateway/MetricsHandler.cpp
@@ -0,0 +1,15 @@
+#include "camphorpin/src/Gateway/MetricsHandler.h"
+
+namespace camphorpin {
+
+void MetricsHandler::onRequest(const std::shared_ptr<HttpExchange> &Exchange) {
+  if (Exchange->request().target() != "/metrics") {
+    Exchange->reply(detail::plainReply(404, "unknown path"));
+    return;
+  }
+  HttpReply Reply = detail::plainReply(200, "");
+  Reply.Body = Values.toText(Gauges());
+  Exchange->reply(std::move(Reply));
+}
+
+} // namespace camphorpin
--- /dev/null
+++ b/packages/gateway/camphorpin/src/Gateway/MetricsHandler.h
@@ -0,0 +1,29 @@
+#ifndef CAMPHORPIN_SRC_GATEWAY_METRICSHANDLER_H
+#define CAMPHORPIN_SRC_GATEWAY_METRICSHANDLER_H
+
+#include "camphorpin/src/Daemon/Metrics.h"
+#include "camphorpin/src/Gateway/AsyncHttpServer.h"
+
+#include <functional>
+#include <vector>
+
+namespace camphorpin {
+
+/// \class MetricsHandler
+/// \brief Serves counters, histograms and what the node believes.
+class MetricsHandler final : public HttpRequestHandler {
+public:
+  /// \param Gauges returns what the node believes at the moment.
+  MetricsHandler(Metrics &Values, std::function<std::vector<Gauge>()> Gauges)
+      : Values(Values), Gauges(std::move(Gauges)) {}
+
+  void onRequest(const std::shared_ptr<HttpExchange> &Exchange) override;
+
+private:
+  Metrics &Values;
+  std::function<std::vector<Gauge>()> Gauges;
+};
+
+} // namespace camphorpin
+
+#endif
--- /dev/null
+++ b/packages/gateway/camphorpin/src/Gateway/ReportHandler.cpp
@@ -0,0 +1,25 @@
+#include "camphorpin/src/Gateway/ReportHandler.h"
+
+namespace camphorpin {
+
+void ReportHandler::onRequest(const std::shared_ptr<HttpExchange> &Exchange) {
+  const LifecycleCall Call = Protocol.lifecycleCall(Exchange->request());
+  switch (Call.Type) {
+  case LifecycleCall::Kind::Report:
+    if (Call.Report)
+      Gate.onReport(*Call.Report);
+    else
+      Log.write(LogEvent::ReportRejected, {{"backend", Call.Id}});
+    Exchange->reply(Protocol.lifecycleReply(Call.Report.has_value()));
+    return;
+  case LifecycleCall::Kind::Departure:
+    Gate.onDeparture(Call.Id);
+    Exchange->reply(Protocol.lifecycleReply(true));
+    return;
+  case LifecycleCall::Kind::Unknown:
+    Exchange->reply(detail::plainReply(404, "unknown call"));
+    return;
+  }
+}
+
+} // namespace camphorpin
--- /dev/null
+++ b/packages/gateway/camphorpin/src/Gateway/ReportHandler.h
@@ -0,0 +1,27 @@
+#ifndef CAMPHORPIN_SRC_GATEWAY_REPORTHANDLER_H
+#define CAMPHORPIN_SRC_GATEWAY_REPORTHANDLER_H
+
+#include "camphorpin/src/Gateway/AsyncHttpServer.h"
+#include "camphorpin/src/Gateway/LocalGate.h"
+
+namespace camphorpin {
+
+/// \class ReportHandler
+/// \brief Takes the reports of the backend server.
+class ReportHandler final : public HttpRequestHandler {
+public:
+  ReportHandler(const PlatformProtocol &Protocol, LocalGate &Gate,
+                EventLog &Log)
+      : Protocol(Protocol), Gate(Gate), Log(Log) {}
+
+  void onRequest(const std::shared_ptr<HttpExchange> &Exchange) override;
+
+private:
+  const PlatformProtocol &Protocol;
+  LocalGate &Gate;
+  EventLog &Log;
+};
+
+} // namespace camphorpin
+
+#endif
--- a/tests/model/LoadModel.cpp
+++ b/tests/model/LoadModel.cpp
@@ -79,6 +79,36 @@
     addNeed(System, System.route(Call.Route), Times * Call.Times, Sum);
 }
 
+/// \returns the work that each service can do in one second, in milliseconds.
+Need roomAt(const Scenario &System, Duration At) {
+  Need Result;
+  for (const ServiceSpec &Service : System.Services)
+    for (const double Speed : Service.Speeds)
+      Result[Service.Name] += 1000.0 * Service.Slots * Speed;
+  for (const EventSpec &Event : System.Events)
+    if (Event.Kind != EventKind::Burst && At >= Event.At &&
+        At < Event.At + Event.For)
+      Result[Event.Target] *=
+          Event.Kind == EventKind::Shed ? 1 - Event.Factor : 1 / Event.Factor;
+  return Result;
+}
+
+/// Takes from \p Room what \p Rate requests of \p Route and their calls need,
+/// as far as it goes.
+/// \returns the part of the requests that fit.
+double takeRoom(const Scenario &System, const std::string &Route, double Rate,
+                Need &Room) {
+  Need PerRequest;
+  addNeed(System, System.route(Route), 1, PerRequest);
+  double Part = 1;
+  for (const auto &[Service, Millis] : PerRequest)
+    Part = std::min(Part, Room[Service] / (Millis * Rate));
+  Part = std::max(0.0, Part);
+  for (const auto &[Service, Millis] : PerRequest)
+    Room[Service] -= Millis * Rate * Part;
+  return Part;
+}
+
 } // namespace
 
 double ModelResult::worth() const {
@@ -117,32 +147,13 @@
   double Owed = 0;
   const std::int64_t Seconds = System.Length.wholeMillis() / 1000;
   for (std::int64_t Second = 0; Second < Seconds; ++Second) {
-    Need Room;
-    for (const ServiceSpec &Service : System.Services)
-      for (const double Speed : Service.Speeds)
-        Room[Service.Name] += 1000.0 * Service.Slots * Speed;
-    for (const EventSpec &Event : System.Events) {
-      const Duration At = Duration::seconds(Second);
-      if (Event.Kind != EventKind::Burst && At >= Event.At &&
-          At < Event.At + Event.For)
-        Room[Event.Target] *=
-            Event.Kind == EventKind::Shed ? 1 - Event.Factor : 1 / Event.Factor;
-    }
+    const Duration At = Duration::seconds(Second);
+    Need Room = roomAt(System, At);
     for (const FlowSpec &Flow : Flows) {
-      const RouteSpec &Route = System.route(Flow.Route);
-      const double Rate =
-          Flow.PerSecond *
-          burstFactor(System, Flow.Route, Duration::seconds(Second));
-      Need PerRequest;
-      addNeed(System, Route, 1, PerRequest);
-      double Part = 1;
-      for (const auto &[Service, Millis] : PerRequest)
-        Part = std::min(Part, Room[Service] / (Millis * Rate));
-      Part = std::max(0.0, Part);
-      for (const auto &[Service, Millis] : PerRequest)
-        Room[Service] -= Millis * Rate * Part;
-      Got += Route.Worth * Rate * Part;
-      Owed += Route.Worth * Rate;
+      const double Rate = Flow.PerSecond * burstFactor(System, Flow.Route, At);
+      const double Worth = System.route(Flow.Route).Worth * Rate;
+      Got += Worth * takeRoom(System, Flow.Route, Rate, Room);
+      Owed += Worth;
     }
   }
   return Owed > 0 ? Got / Owed : 1;
