Count failed requests of a host as calls until its runs are known

Ruled out: the pace of store reads, which changed in the same tree. Change: the counts decide only after ten recent runs. Test: GateControl.failureAmongFewRunsMayBeThatOfACall fails on the code before.

--- a/packages/gateway/camphorpin/src/Gateway/GateControl.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/GateControl.cpp
@@ -11,6 +11,8 @@
 /// to make calls. Where they make none, a late run has waited for this server
 /// only, and the queue deals with that.
 constexpr double CallsPerRun = 0.8;
+/// Recent runs that show whether runs make calls.
+constexpr double EnoughRuns = 10;
 /// Factor by which the counts of requests and runs fade at each tick.
 constexpr double CountDecay = 0.8;
 
@@ -119,8 +121,8 @@
 
 void GateControl::onOutboundFailure(bool Nested, CallFailure Cause,
                                     Instant Now) {
-  const bool OfARun = Nested || (!Tracker.recognizesCalls() && runsMakeCalls());
-  if (!OfARun)
+  const bool RunsCallNothing = RecentRuns >= EnoughRuns && !runsMakeCalls();
+  if (!Nested && (Tracker.recognizesCalls() || RunsCallNothing))
     return;
   if (Cause == CallFailure::Overload)
     LastOverload = Now;
--- a/packages/gateway/camphorpin/src/Gateway/GateControl.h
+++ b/packages/gateway/camphorpin/src/Gateway/GateControl.h
@@ -66,8 +66,8 @@
 
   /// A request that began on this host has failed.
   /// \param Nested it is a call of a run. Requests of callers say nothing about
-  /// the runs; without any recognized call, all count on a host where enough
-  /// requests begin for each run to have made one.
+  /// the runs; without any recognized call, all count unless fewer requests
+  /// begin on the host than runs.
   void onOutboundFailure(bool Nested, CallFailure Cause, Instant Now);
 
   /// Periodic work, twice a second.
--- a/packages/gateway/tests/GateControlTest.cpp
+++ b/packages/gateway/tests/GateControlTest.cpp
@@ -77,3 +77,12 @@
   cr_assert_eq(Host.play(50, 500), RefusalReason::Shed);
   cr_assert_gt(Host.bound(), 0);
 }
+
+// Guards the first runs of a host: a failed run may be that of a call before
+// its calls are recognized.
+Test(GateControl, failureAmongFewRunsMayBeThatOfACall) {
+  HostModel Host(/*Calling=*/true);
+  cr_assert_eq(Host.play(3, 500), RefusalReason::Shed);
+  HostModel Restarted(/*Calling=*/false);
+  cr_assert_eq(Restarted.play(6, 500), RefusalReason::Shed);
+}
