Read changes of the members less often in a large fleet

Change: the pause after a change of the members is 20 ms for each node of the fleet, between 0.4 and 2 s. The decisions about reading are a class of their own (StorePacing).

--- a/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
@@ -14,14 +14,6 @@
 constexpr Duration TickInterval = Duration::millis(500);
 /// How often the settings are read again: they may change without a signal.
 constexpr Duration ReloadInterval = Duration::seconds(5);
-/// How long the store holds a read of a feed open at most. Each costs a call.
-constexpr Duration LongestWait = Duration::seconds(25);
-/// A read may go silent without an error, and only its end shows it. The reads
-/// of the configuration end as often in the whole fleet as one node's would
-/// every 400 ms, so that one soon finds the store back and tells the others.
-constexpr Duration WaitPerNode = Duration::millis(400);
-constexpr Duration ShortestWait = Duration::seconds(4);
-constexpr double WaitSpread = 0.3;
 /// While draining, callers still come until the platform has seen twice that
 /// the node is not ready. Until then the gate serves as before, so that a
 /// rolling restart takes the backend server's capacity away only briefly.
@@ -217,13 +209,12 @@
     MemberReader.readAgain();
 }
 
-Duration Gateway::waitSpan(StoreFeed Feed) {
-  if (Feed != StoreFeed::Configuration)
-    return LongestWait;
-  const Duration Fair = WaitPerNode * static_cast<double>(Network.nodes());
-  const Duration Bounded = std::clamp(Fair, ShortestWait, LongestWait);
-  // Reads that began together must not end together.
-  return Bounded * (1 - WaitSpread * Source.unit());
+Duration Gateway::readSpan(StoreFeed Feed) {
+  return StorePacing::readSpan(Feed, Network.nodes(), Source);
+}
+
+Duration Gateway::batchPause(StoreFeed Feed) {
+  return StorePacing::batchPause(Feed, Network.nodes());
 }
 
 void Gateway::adopt(FleetConfiguration Next, std::string_view Origin) {
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.h
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.h
@@ -7,6 +7,7 @@
 #include "camphorpin/src/Gateway/ReadyHandler.h"
 #include "camphorpin/src/Gateway/ReportHandler.h"
 #include "camphorpin/src/Gateway/SettingsReload.h"
+#include "camphorpin/src/Gateway/StorePacing.h"
 #include "camphorpin/src/Gateway/StoreReader.h"
 #include "camphorpin/src/Gateway/StoreWriter.h"
 
@@ -45,7 +46,8 @@
   void onRecords(StoreFeed Feed,
                  const std::vector<StoreRecord> &Records) override;
   void onReachable(StoreFeed Feed, bool Reachable) override;
-  Duration waitSpan(StoreFeed Feed) override;
+  Duration readSpan(StoreFeed Feed) override;
+  Duration batchPause(StoreFeed Feed) override;
 
   void learn(const NodeRecord &Record);
   void adopt(FleetConfiguration Next, std::string_view Origin);
--- /dev/null
+++ b/packages/gateway/camphorpin/src/Gateway/StorePacing.h
@@ -0,0 +1,30 @@
+#ifndef CAMPHORPIN_SRC_GATEWAY_STOREPACING_H
+#define CAMPHORPIN_SRC_GATEWAY_STOREPACING_H
+
+#include "camphorpin/Core.h"
+#include "camphorpin/src/Gateway/PlatformProtocol.h"
+
+#include <cstddef>
+
+namespace camphorpin {
+
+/// \class StorePacing
+/// \brief Decides how often a node reads the platform's store.
+///
+/// Answers the load of a fleet that shares the store's rate of calls: every
+/// node reads every change, so the calls grow with the square of the fleet
+/// unless each node reads less often in a larger one.
+class StorePacing {
+public:
+  /// \param Nodes the size of the fleet.
+  /// \returns how long the store may hold a read of \p Feed open.
+  static Duration readSpan(StoreFeed Feed, std::size_t Nodes, Random &Source);
+
+  /// \returns the pause after records have come, so that a burst of changes is
+  /// read with a few calls. It delays only what follows a change.
+  static Duration batchPause(StoreFeed Feed, std::size_t Nodes);
+};
+
+} // namespace camphorpin
+
+#endif
--- a/packages/gateway/camphorpin/src/Gateway/StoreReader.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/StoreReader.cpp
@@ -8,10 +8,6 @@
 
 /// How long the store may take beyond the time for which it holds a read open.
 constexpr Duration AnswerWithin = Duration::millis(1500);
-/// Pause after records have come, so that a burst of changes is read with a few
-/// calls. It delays only what follows a change, by much less than the time in
-/// which a change must be in force.
-constexpr Duration BatchPause = Duration::millis(400);
 constexpr Duration FirstPause = Duration::millis(150);
 constexpr Duration LongestPause = Duration::millis(1200);
 
@@ -37,7 +33,7 @@
 }
 
 void StoreReader::readNext() {
-  const Duration Wait = Owner.waitSpan(Feed);
+  const Duration Wait = Owner.readSpan(Feed);
   call(Protocol.readCall(Feed, Position, Wait), Wait + AnswerWithin,
        /*Newest=*/false);
 }
@@ -105,7 +101,7 @@
     readNext();
     return;
   }
-  continueAfter(BatchPause);
+  continueAfter(Owner.batchPause(Feed));
 }
 
 void StoreReader::onFault(StoreFault Fault) {
--- a/packages/gateway/camphorpin/src/Gateway/StoreReader.h
+++ b/packages/gateway/camphorpin/src/Gateway/StoreReader.h
@@ -19,7 +19,9 @@
   /// The store became reachable or unreachable for this feed.
   virtual void onReachable(StoreFeed Feed, bool Reachable) = 0;
   /// \returns how long the store may hold the next read of \p Feed open.
-  virtual Duration waitSpan(StoreFeed Feed) = 0;
+  virtual Duration readSpan(StoreFeed Feed) = 0;
+  /// \returns the pause before the next read of \p Feed after records came.
+  virtual Duration batchPause(StoreFeed Feed) = 0;
 };
 
 /// \class StoreReader
@@ -27,7 +29,7 @@
 ///
 /// Reads the newest record of each key, then waits for later records. One call
 /// is outstanding at any time; an idle feed costs one call per
-/// StoreReaderListener::waitSpan().
+/// StoreReaderListener::readSpan().
 class StoreReader {
 public:
   StoreReader(EventLoop &Loop, Random &Source, const HostAddress &Address,
