--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -2,7 +2,8 @@
 # Runs clang-tidy on the sources of the packages and of the test tree. With
 # arguments, only on the sources whose path matches one of them. A source that
 # was clean is checked again only if its preprocessed text, the checks or the
-# version of clang-tidy have changed.
+# version of clang-tidy have changed. LINT_JOBS bounds the sources that are checked
+# at the same time (default: one per core).
 set -euo pipefail
 cd "$(dirname "$0")/.."
 [ -f build/compile_commands.json ] || tools/build.sh
@@ -38,7 +39,7 @@
 OUTPUT=$(mktemp)
 trap 'rm -f "$OUTPUT"' EXIT
 STATUS=0
-xargs -P "$(nproc)" -I{} bash -c 'lint {}' <<<"$FILES" >"$OUTPUT" 2>&1 || STATUS=$?
+xargs -P "${LINT_JOBS:-$(nproc)}" -I{} bash -c 'lint {}' <<<"$FILES" >"$OUTPUT" 2>&1 || STATUS=$?
 grep -vE '^[0-9]+ warnings? (generated|and)|^Suppressed|^Use -header-filter' "$OUTPUT" || true
 if [ "$STATUS" -ne 0 ]; then
   echo "lint: failed"
