--- a/packages/gateway/camphorpin/src/Gateway/PeerCodec.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerCodec.cpp
@@ -14,9 +14,9 @@
 namespace {
 
 /// Largest frame: the largest body with its headers and some room.
+constexpr std::size_t MaxFrameBytes = 72U << 20U;
 /// Parts of a whole are sent in thousandths.
 constexpr double PartUnit = 1000.0;
-constexpr std::size_t MaxFrameBytes = 72U << 20U;
 /// Bytes of the length in front of each message.
 constexpr std::size_t LengthBytes = 4;
 
--- a/packages/gateway/camphorpin/src/Gateway/PeerMessages.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerMessages.h
@@ -24,10 +24,9 @@
   Duration Wait;
   /// Smoothed service time.
   Duration ServiceTime;
-  /// Smoothed part of the runs that the backend server refused or did not
-  /// answer.
+  /// Smoothed part of the runs that the backend server refused, lost or failed.
   double FaultPart = 0;
-  /// Its runs call other services.
+  /// As many requests begin on its host as if its runs called other services.
   bool CallsOthers = false;
 };
 
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -18,9 +18,9 @@
   local COMMAND
   COMMAND=$(sed -n "s|^  \"command\": \"\(.*\) -o .* -c .*/$1\",\$|\1|p" build/compile_commands.json | head -1)
   [ -n "$COMMAND" ] || return 0
-  # Comments are kept, because they may switch checks off. Errors are clang-tidy's
-  # to report.
-  { echo "$CHECKS $1"; eval "${COMMAND//\\\"/\"}" -E -C "$1" 2>/dev/null; } | sha256sum | cut -d' ' -f1
+  # Comments are kept, because they may switch checks off, and macros, because
+  # some checks look at them. Errors are clang-tidy's to report.
+  { echo "$CHECKS $COMMAND $1"; eval "${COMMAND//\\\"/\"}" -E -C -dD "$1" 2>/dev/null; } | sha256sum | cut -d' ' -f1
 }
 
 lint() {
