Count log lines that the standard output does not take

Cause: a node whose standard output is a full pipe lost lines without saying how many (trial with log4cxx's console appender: 4,280 of 5,000 lines, none told); a stand-alone node would have blocked. Two gaps showed when the new process test looked for the cause of a request by its id: `request-failed` named no node when no other gate could be asked, and a node that had never reached the store wrote no `store-unreachable`. Change: LineAppender writes each line with one call that never waits, and the next line says in `lost` how many were not taken. Counts of written, left out and lost lines are metrics. `logging.level` and `logging.file` are settings of a hosted node; the level can change while it runs.

--- a/packages/camphorpind/main.cpp
+++ b/packages/camphorpind/main.cpp
@@ -5,16 +5,13 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
-#include <fcntl.h>
 #include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
 #include <optional>
 #include <sstream>
 #include <string>
-#include <sys/stat.h>
 #include <thread>
-#include <unistd.h>
 #include <variant>
 #include <vector>
 
@@ -66,16 +63,6 @@
   std::_Exit(EXIT_SUCCESS);
 }
 
-/// A full pipe on the standard output costs log lines, never requests.
-void neverBlockOnOutput() {
-  struct stat Kind {};
-  if (::fstat(STDOUT_FILENO, &Kind) != 0 || !S_ISFIFO(Kind.st_mode))
-    return;
-  const int Flags = ::fcntl(STDOUT_FILENO, F_GETFL);
-  if (Flags >= 0)
-    (void)::fcntl(STDOUT_FILENO, F_SETFL, Flags | O_NONBLOCK);
-}
-
 /// \returns the content of the settings file, or nothing if it can't be read.
 std::optional<std::string> readSettingsFile() {
   std::ifstream File(FLAGS_settings);
@@ -112,7 +99,6 @@
     return EXIT_SUCCESS;
   const GatewaySettings &Options = std::get<GatewaySettings>(Result);
   std::signal(SIGPIPE, SIG_IGN);
-  neverBlockOnOutput();
   const camphorpin::HostedProtocol Protocol(Options.StoreAddress.toString());
   camphorpin::Gateway Node(Options, Protocol, &File);
   const std::string Error = Node.start();
--- a/packages/daemon/camphorpin/src/Daemon/EventLog.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/EventLog.cpp
@@ -1,13 +1,15 @@
 #include "camphorpin/src/Daemon/EventLog.h"
 
+#include "camphorpin/src/Daemon/LineAppender.h"
+
 #include <algorithm>
-#include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
 #include <log4cxx/level.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
 #include <memory>
 #include <string_view>
+#include <unistd.h>
 #include <utility>
 
 namespace camphorpin {
@@ -52,12 +54,19 @@
       std::make_shared<log4cxx::PatternLayout>(Pattern);
   Logger->removeAllAppenders();
   Logger->setAdditivity(false);
-  if (Settings.File.empty())
-    Logger->addAppender(std::make_shared<log4cxx::ConsoleAppender>(Layout));
-  else
+  if (Settings.File.empty()) {
+    Console = std::make_shared<LineAppender>(Layout, STDOUT_FILENO);
+    Logger->addAppender(Console);
+  } else {
     Logger->addAppender(std::make_shared<log4cxx::FileAppender>(
         Layout, Settings.File, /*append=*/true));
-  Logger->setLevel(log4cxx::Level::toLevel(Settings.Level));
+  }
+  setLevel(Settings.Level);
+}
+
+void EventLog::setLevel(const std::string &Level) {
+  log4cxx::Logger::getLogger(LoggerName)
+      ->setLevel(log4cxx::Level::toLevel(Level));
 }
 
 void EventLog::write(LogEvent Event, const LogFields &Fields) {
@@ -69,6 +78,17 @@
   Logger->forcedLog(Level, format(Event, Fields, LeftOut));
 }
 
+LogCounts EventLog::counts() const {
+  LogCounts Result;
+  if (Console) {
+    Result.Written = Console->written();
+    Result.Lost = Console->lost();
+  }
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  Result.LeftOut = TotalLeftOut;
+  return Result;
+}
+
 std::string EventLog::format(LogEvent Event, const LogFields &Fields,
                              std::uint32_t LeftOut) {
   std::string Line =
@@ -95,6 +115,7 @@
   }
   if (Entry.Written >= Limit) {
     ++Entry.LeftOut;
+    ++TotalLeftOut;
     return false;
   }
   ++Entry.Written;
--- a/packages/daemon/camphorpin/src/Daemon/Settings.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/Settings.cpp
@@ -88,21 +88,6 @@
       Fields.number("httpThreads", 1, MaxHttpThreads, Limits.Threads);
 }
 
-void readLogging(JsonFields &Root, Settings &Target,
-                 std::vector<SettingsError> &Errors) {
-  const nlohmann::json *Value = Root.object("logging");
-  if (Value == nullptr)
-    return;
-  JsonFields Fields(*Value, Root.path("logging"), Errors);
-  if (Fields.has("level")) {
-    Target.Logging.Level = Fields.text("level");
-    if (std::find(Levels.begin(), Levels.end(), Target.Logging.Level) ==
-        Levels.end())
-      Fields.report("level", "must be trace, debug, info, warn or error");
-  }
-  Target.Logging.File = Fields.text("file");
-}
-
 void readLog(JsonFields &Root, Settings &Target,
              std::vector<SettingsError> &Errors) {
   const nlohmann::json *Value = Root.object("log");
@@ -134,11 +119,25 @@
   Target.ConnectionSilence = Duration::millis(static_cast<std::int64_t>(
       Root.number("connectionSilenceMs", 10, MaxWaitMillis,
                   Target.ConnectionSilence.wholeMillis())));
-  readLogging(Root, Target, Errors);
+  detail::readLogging(Root, Target.Logging, Errors);
 }
 
 } // namespace
 
+void detail::readLogging(JsonFields &Root, LoggingSettings &Target,
+                         std::vector<SettingsError> &Errors) {
+  const nlohmann::json *Value = Root.object("logging");
+  if (Value == nullptr)
+    return;
+  JsonFields Fields(*Value, Root.path("logging"), Errors);
+  if (Fields.has("level")) {
+    Target.Level = Fields.text("level");
+    if (std::find(Levels.begin(), Levels.end(), Target.Level) == Levels.end())
+      Fields.report("level", "must be trace, debug, info, warn or error");
+  }
+  Target.File = Fields.text("file");
+}
+
 std::variant<Settings, std::vector<SettingsError>>
 parseSettings(std::string_view Json) {
   std::vector<SettingsError> Errors;
--- a/packages/daemon/camphorpin/src/Daemon/Settings.h
+++ b/packages/daemon/camphorpin/src/Daemon/Settings.h
@@ -41,6 +41,8 @@
   std::string Level = "info";
   /// Empty for the console.
   std::string File;
+
+  bool operator==(const LoggingSettings &) const = default;
 };
 
 /// \class Settings
@@ -69,6 +71,14 @@
 std::variant<Settings, std::vector<SettingsError>>
 parseSettings(std::string_view Json);
 
+namespace detail {
+
+/// Reads the object "logging", which all kinds of nodes share.
+void readLogging(JsonFields &Root, LoggingSettings &Target,
+                 std::vector<SettingsError> &Errors);
+
+} // namespace detail
+
 } // namespace camphorpin
 
 #endif
--- a/packages/gateway/camphorpin/src/Gateway/EntryCalls.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/EntryCalls.cpp
@@ -157,9 +157,10 @@
 }
 
 bool EntryCalls::attempt(std::uint64_t Id, EntryCall &Item) {
-  Item.Node = Network.choose(Item.Service, *Item.Route, Item.Tried);
-  if (Item.Node.empty())
+  std::string Node = Network.choose(Item.Service, *Item.Route, Item.Tried);
+  if (Node.empty())
     return false;
+  Item.Node = std::move(Node);
   Item.Tried.push_back(Item.Node);
   Network.call(Item.Node, makeCall(Id, Item), [this, Id](PeerAnswer Answer) {
     onAnswer(Id, std::move(Answer));
--- a/packages/gateway/camphorpin/src/Gateway/EntryCalls.h
+++ b/packages/gateway/camphorpin/src/Gateway/EntryCalls.h
@@ -55,6 +55,7 @@
     /// A run of the local backend server waits for it.
     bool Nested = false;
     std::vector<std::string> Tried;
+    /// The gate that was asked last.
     std::string Node;
     Duration RetryAfter;
     /// A failure of a backend server that is delivered if no retry succeeds.
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
@@ -33,6 +33,7 @@
 
 std::vector<Gauge> Gateway::gauges() const {
   const GateStatus Status = Gate.status();
+  const LogCounts Lines = Log.counts();
   const auto Number = [](auto Value) { return static_cast<double>(Value); };
   return {
       {"camphorpin_configuration_version", "Version in force.",
@@ -58,7 +59,13 @@
        Status.FaultPart},
       {"camphorpin_entry_active", "Requests of callers without an answer.",
        Number(Entry.active())},
-      {"camphorpin_draining", "1 while the node stops.", Draining ? 1.0 : 0.0}};
+      {"camphorpin_draining", "1 while the node stops.", Draining ? 1.0 : 0.0},
+      {"camphorpin_log_lines_written", "Log lines since the start.",
+       Number(Lines.Written)},
+      {"camphorpin_log_lines_left_out",
+       "Log lines over the bound of their event.", Number(Lines.LeftOut)},
+      {"camphorpin_log_lines_lost",
+       "Log lines that the standard output did not take.", Number(Lines.Lost)}};
 }
 
 Gateway::Gateway(const GatewaySettings &Options,
@@ -285,6 +292,7 @@
   SettingsFault.clear();
   const SettingsChange Change =
       adoptSettings(Settings, std::get<GatewaySettings>(Result));
+  Log.setLevel(Settings.Logging.Level);
   // What needs a restart stays different and is told once per signal.
   if (Asked || !Change.Applied.empty())
     Log.write(LogEvent::SettingsReloaded,
--- a/packages/gateway/camphorpin/src/Gateway/GatewaySettings.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/GatewaySettings.cpp
@@ -69,6 +69,7 @@
   Target.StopGrace = readMillis(Root, "stopGraceMs", Target.StopGrace);
   readBudget(Root, Target, Errors);
   readBounds(Root, Target);
+  detail::readLogging(Root, Target.Logging, Errors);
 }
 
 } // namespace
--- a/packages/gateway/camphorpin/src/Gateway/SettingsReload.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/SettingsReload.cpp
@@ -29,6 +29,8 @@
                  Read.BackendAddress);
   noteDifference(Fields, "storeAddress", InForce.StoreAddress,
                  Read.StoreAddress);
+  noteDifference(Fields, "logging.file", InForce.Logging.File,
+                 Read.Logging.File);
   return Fields;
 }
 
@@ -49,6 +51,9 @@
                  Read.RetryBudget);
   noteDifference(Result.Applied, "stopGraceMs", InForce.StopGrace,
                  Read.StopGrace);
+  noteDifference(Result.Applied, "logging.level", InForce.Logging.Level,
+                 Read.Logging.Level);
+  InForce.Logging.Level = Read.Logging.Level;
   InForce.RetryBudget = Read.RetryBudget;
   InForce.StopGrace = Read.StopGrace;
   return Result;
--- a/packages/gateway/camphorpin/src/Gateway/StoreReader.h
+++ b/packages/gateway/camphorpin/src/Gateway/StoreReader.h
@@ -5,6 +5,7 @@
 #include "camphorpin/src/Gateway/PlatformProtocol.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace camphorpin {
@@ -43,7 +44,7 @@
   void readAgain();
 
   /// \returns true if the last call succeeded and the waiting one isn't late.
-  bool reachable() const { return Reachable; }
+  bool reachable() const { return Reachable.value_or(false); }
 
 private:
   void readNewest();
@@ -66,7 +67,8 @@
   std::string After;
   std::uint64_t Position = 0;
   bool PositionKnown = false;
-  bool Reachable = false;
+  /// Unknown until the first call has ended.
+  std::optional<bool> Reachable;
   bool Stopped = false;
   /// A read is open that ends when a record comes.
   bool Waiting = false;
--- a/packages/gateway/tests/SettingsReloadTest.cpp
+++ b/packages/gateway/tests/SettingsReloadTest.cpp
@@ -23,13 +23,15 @@
   GatewaySettings Read = settings();
   Read.RetryBudget.Ratio = 0.1;
   Read.StopGrace = Duration::seconds(9);
+  Read.Logging.Level = "debug";
   Read.Zone = "b";
   const SettingsChange Change = adoptSettings(InForce, Read);
   cr_assert_eq(detail::commaSeparated(Change.Applied),
-               std::string("retryBudget,stopGraceMs"));
+               std::string("retryBudget,stopGraceMs,logging.level"));
   cr_assert_eq(detail::commaSeparated(Change.NeedRestart), std::string("zone"));
   cr_assert_eq(InForce.RetryBudget.Ratio, 0.1);
   cr_assert_eq(InForce.StopGrace, Duration::seconds(9));
+  cr_assert_eq(InForce.Logging.Level, std::string("debug"));
   cr_assert_eq(InForce.Zone, std::string("a"));
 }
 
--- /dev/null
+++ b/tests/process/HostedProcess.h
@@ -0,0 +1,64 @@
+#ifndef CAMPHORPIN_TESTS_PROCESS_HOSTEDPROCESS_H
+#define CAMPHORPIN_TESTS_PROCESS_HOSTEDPROCESS_H
+
+#include "ChildProcess.h"
+#include "FreeAddress.h"
+
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace camphorpin::process {
+
+/// \class HostedProcess
+/// \brief A node of a hosted platform in a process of its own. Its log is the
+/// file NODE-<name>.log in the directory of the test.
+class HostedProcess {
+public:
+  /// \param Directory exists and outlives the process.
+  HostedProcess(std::filesystem::path Directory, std::string Name,
+                const std::string &Service, const HostAddress &Backend,
+                const HostAddress &Store)
+      : Directory(std::move(Directory)), Name(std::move(Name)) {
+    const nlohmann::json Gateway = {
+        {"node", this->Name},
+        {"zone", "z"},
+        {"service", Service},
+        {"callAddress", CallAddress.toString()},
+        {"readyAddress", test::freeAddress().toString()},
+        {"reportAddress", test::freeAddress().toString()},
+        {"peerAddress", test::freeAddress().toString()},
+        {"backendAddress", Backend.toString()},
+        {"storeAddress", Store.toString()},
+    };
+    std::ofstream(settingsFile())
+        << nlohmann::json{{"gateway", Gateway}}.dump(2) << "\n";
+    start();
+  }
+
+  void start() {
+    Process = std::make_unique<ChildProcess>(
+        std::vector<std::string>{CAMPHORPIN_BIN_DIR "/camphorpind",
+                                 "--settings", settingsFile()},
+        (Directory / ("NODE-" + Name + ".log")).string());
+  }
+
+  ChildProcess &process() { return *Process; }
+
+  const HostAddress CallAddress = test::freeAddress();
+
+private:
+  std::string settingsFile() const {
+    return (Directory / (Name + ".json")).string();
+  }
+
+  std::filesystem::path Directory;
+  std::string Name;
+  std::unique_ptr<ChildProcess> Process;
+};
+
+} // namespace camphorpin::process
+
+#endif
