Find the number of runs with which a full server serves most

Cause: a backend server that works slower when nearly all of its slots are in use was filled to the last slot under overload, so that all its runs were slow. Change: SlotLimit alternates between the best known limit and another level while all allowed slots are in use, and takes over the level with the higher throughput. Only runs that make no calls count.

--- a/packages/gateway/camphorpin/src/Gateway/GateControl.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/GateControl.cpp
@@ -59,7 +59,7 @@
   if (Found == Calls.end())
     return;
   Queue.remove(Id);
-  Queue.finish(Id, Now, /*Completed=*/false);
+  Queue.finish(Id, Now, DurationTells::Nothing);
   Limiter.end(Found->second.Route, RunEnd::Unknown, Now);
   Tracker.onRunEnd(Id);
   Calls.erase(Found);
@@ -73,7 +73,7 @@
   const Active Run = std::move(Found->second);
   Calls.erase(Found);
   Tracker.onRunEnd(Id);
-  Queue.finish(Id, Now, Answer.Outcome == CallOutcome::Answered);
+  Queue.finish(Id, Now, tellsOf(Answer));
   const RunEnd End = endOf(Run, Answer);
   Limiter.end(Run.Route, End, Now);
   const RefusalReason Cause = sharedCause(Run, Answer, End);
@@ -82,6 +82,12 @@
   return Cause;
 }
 
+DurationTells GateControl::tellsOf(const PeerAnswer &Answer) const {
+  if (Answer.Outcome != CallOutcome::Answered)
+    return DurationTells::Nothing;
+  return runsMakeCalls() ? DurationTells::ServiceTime : DurationTells::OwnWork;
+}
+
 bool GateControl::faulty(const PeerAnswer &Answer, RefusalReason Cause) {
   if (Answer.Outcome == CallOutcome::Answered)
     return Answer.StatusCode == 500 && Cause == RefusalReason::None;
--- a/packages/gateway/camphorpin/src/Gateway/GateQueue.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/GateQueue.cpp
@@ -8,6 +8,8 @@
 
 /// Weight of the latest service time in the smoothed one.
 constexpr double SmoothingWeight = 0.1;
+/// Smallest weight of the latest service time in the usual one.
+constexpr double UsualWeight = 0.005;
 /// Part of the latency objective that a request may spend waiting for a slot.
 /// The callers' own retry needs the rest.
 constexpr double WaitPart = 0.3;
@@ -22,8 +24,8 @@
 } // namespace
 
 double GateQueue::expectedMillis(const std::string &Route) const {
-  const auto Found = RouteMillis.find(Route);
-  return Found == RouteMillis.end() ? MeanMillis : Found->second;
+  const auto Found = RouteTimes.find(Route);
+  return Found == RouteTimes.end() ? MeanMillis : Found->second.Recent;
 }
 
 Instant GateQueue::latestStart(const GateTicket &Ticket, Instant Now) const {
@@ -35,7 +37,7 @@
 }
 
 Duration GateQueue::estimatedWait(std::uint8_t Rank) const {
-  if (Running.size() < Limit && Waiting.empty())
+  if (Running.size() < limit() && Waiting.empty())
     return Duration();
   std::size_t Ahead = 1;
   for (const Entry &Item : Waiting) {
@@ -43,14 +45,14 @@
       break;
     ++Ahead;
   }
-  const double PerSlot = MeanMillis / std::max<std::uint32_t>(1, Limit);
+  const double PerSlot = MeanMillis / limit();
   return Duration::fromMillis(PerSlot * static_cast<double>(Ahead));
 }
 
 GateDecision GateQueue::offer(const GateTicket &Ticket, Instant Now) {
   GateDecision Result;
-  if (Running.size() < Limit && Waiting.empty()) {
-    Running[Ticket.Id] = Run{Now, Ticket.Route};
+  if (Running.size() < limit() && Waiting.empty()) {
+    begin(Ticket, Now);
     return Result;
   }
   Result.EstimatedWait = estimatedWait(Ticket.Rank);
@@ -66,25 +68,41 @@
   return Result;
 }
 
-void GateQueue::finish(std::uint64_t Id, Instant Now, bool Completed) {
+void GateQueue::begin(const GateTicket &Ticket, Instant Now) {
+  Running[Ticket.Id] =
+      Run{Now, Ticket.Route, Limit.onStart(Running.size() + 1)};
+}
+
+void GateQueue::finish(std::uint64_t Id, Instant Now, DurationTells Tells) {
   const auto Found = Running.find(Id);
   if (Found == Running.end())
     return;
-  if (Completed) {
-    const double Sample = (Now - Found->second.Started).toMillis();
-    smooth(MeanMillis, Sample);
-    smooth(RouteMillis[Found->second.Route], Sample);
-  }
+  const Run Ended = std::move(Found->second);
   Running.erase(Found);
+  if (Tells != DurationTells::Nothing)
+    noteTime(Ended, Now, Tells);
+}
+
+void GateQueue::noteTime(const Run &Ended, Instant Now, DurationTells Tells) {
+  const double Sample = (Now - Ended.Started).toMillis();
+  RouteTime &Time = RouteTimes[Ended.Route];
+  smooth(MeanMillis, Sample);
+  smooth(Time.Recent, Sample);
+  ++Time.Runs;
+  const double Weight =
+      std::max(UsualWeight, 1 / static_cast<double>(Time.Runs));
+  Time.Usual += Weight * (Sample - Time.Usual);
+  if (Tells == DurationTells::OwnWork && Time.Usual > 0)
+    Limit.onFinished(Ended.Mark, Sample / Time.Usual);
 }
 
 std::optional<GateTicket> GateQueue::takeNext(Instant Now) {
-  if (Running.size() >= Limit || Waiting.empty())
+  if (Running.size() >= limit() || Waiting.empty())
     return std::nullopt;
   GateTicket Result = Waiting.begin()->Ticket;
   Index.erase(Result.Id);
   Waiting.erase(Waiting.begin());
-  Running[Result.Id] = Run{Now, Result.Route};
+  begin(Result, Now);
   return Result;
 }
 
--- a/packages/gateway/camphorpin/src/Gateway/GateQueue.h
+++ b/packages/gateway/camphorpin/src/Gateway/GateQueue.h
@@ -2,6 +2,7 @@
 #define CAMPHORPIN_SRC_GATEWAY_GATEQUEUE_H
 
 #include "camphorpin/Core.h"
+#include "camphorpin/src/Gateway/SlotLimit.h"
 
 #include <cstdint>
 #include <map>
@@ -30,6 +31,17 @@
 /// \brief What becomes of a request at the gate.
 enum class GateChoice : std::uint8_t { Start, Queue, Refuse };
 
+/// \brief What the duration of a run tells about the backend server.
+enum class DurationTells : std::uint8_t {
+  /// Nothing, for example because the run was cancelled.
+  Nothing,
+  /// How long runs take, with their calls to other services.
+  ServiceTime,
+  /// Besides, how the number of runs slows the backend server: they make no
+  /// calls.
+  OwnWork,
+};
+
 /// \class GateDecision
 /// \brief The choice for one request and the inputs that decided it.
 struct GateDecision {
@@ -44,9 +56,9 @@
 ///
 /// The node beside a backend server is the only one that reaches it, so the
 /// queue knows exactly what runs. It never starts more requests than there are
-/// slots, starts the most urgent rank first, and refuses a request at once when
-/// it could only start after the part of its latency objective that may be
-/// spent on waiting.
+/// slots, or than the backend server serves best (SlotLimit), starts the most
+/// urgent rank first, and refuses a request at once when it could only start
+/// after the part of its latency objective that may be spent on waiting.
 ///
 /// Bounds: MaxQueued waiting requests.
 class GateQueue {
@@ -54,15 +66,14 @@
   static constexpr std::size_t MaxQueued = 2000;
 
   /// \param Slots the requests that the backend server runs at the same time.
-  void setSlots(std::uint32_t Slots) { Limit = Slots; }
+  void setSlots(std::uint32_t Slots) { Limit.setSlots(Slots); }
 
   /// Asks for a slot. With GateChoice::Start the request counts as running.
   GateDecision offer(const GateTicket &Ticket, Instant Now);
 
   /// A running request has ended.
-  /// \param Completed false if its duration says nothing about the backend
-  /// server, for example because it was cancelled.
-  void finish(std::uint64_t Id, Instant Now, bool Completed);
+  /// \param Tells what its duration tells.
+  void finish(std::uint64_t Id, Instant Now, DurationTells Tells);
 
   /// \returns the next waiting request that may start; it counts as running.
   std::optional<GateTicket> takeNext(Instant Now);
@@ -90,7 +101,7 @@
 
   std::size_t running() const { return Running.size(); }
   std::size_t queued() const { return Waiting.size(); }
-  std::uint32_t limit() const { return Limit; }
+  std::uint32_t limit() const { return Limit.value(); }
 
 private:
   struct Entry {
@@ -102,6 +113,15 @@
   struct Run {
     Instant Started;
     std::string Route;
+    SlotLimit::Mark Mark;
+  };
+  /// Smoothed service times of a route, in milliseconds.
+  struct RouteTime {
+    /// Follows the present state of the backend server.
+    double Recent = 0;
+    /// Changes slowly, so that runs under different limits can be compared.
+    double Usual = 0;
+    std::uint64_t Runs = 0;
   };
   struct Before {
     bool operator()(const Entry &A, const Entry &B) const {
@@ -113,11 +133,13 @@
 
   Instant latestStart(const GateTicket &Ticket, Instant Now) const;
   double expectedMillis(const std::string &Route) const;
+  void begin(const GateTicket &Ticket, Instant Now);
+  void noteTime(const Run &Ended, Instant Now, DurationTells Tells);
 
-  std::uint32_t Limit = 1;
+  SlotLimit Limit;
   std::uint64_t NextOrder = 0;
   double MeanMillis = 0;
-  std::map<std::string, double> RouteMillis;
+  std::map<std::string, RouteTime> RouteTimes;
   std::map<std::uint64_t, Run> Running;
   std::multiset<Entry, Before> Waiting;
   std::map<std::uint64_t, std::multiset<Entry, Before>::iterator> Index;
--- /dev/null
+++ b/packages/gateway/camphorpin/src/Gateway/SlotLimit.cpp
@@ -0,0 +1,119 @@
+#include "camphorpin/src/Gateway/SlotLimit.h"
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <cmath>
+#include <utility>
+
+namespace camphorpin {
+
+namespace {
+
+/// Parts of the slots that may be the best limit.
+constexpr std::array<double, 4> LevelParts = {1.0, 0.95, 0.9, 0.8};
+/// Runs in a window: enough that the mean duration differs from that of another
+/// window by a tenth at most times.
+constexpr std::uint32_t MinWindowRuns = 192;
+constexpr std::uint32_t WindowRunsPerSlot = 4;
+/// Logarithm of the ratio of two windows of the same level from which something
+/// else than the number of runs has changed.
+constexpr double SteadyRatio = 0.3;
+/// Mean logarithm of the gain from which a level is taken over: the second part
+/// stands for chance and falls with the number of comparisons.
+constexpr double MinGain = 0.02;
+constexpr double ChanceGain = 0.2;
+/// Comparisons after which a trial ends in any case.
+constexpr int MaxComparisons = 6;
+/// Windows between two rounds of trials: each trial costs a few slots for a
+/// moment.
+constexpr int FirstPause = 16;
+constexpr int LongestPause = 256;
+
+} // namespace
+
+void SlotLimit::setSlots(std::uint32_t Value) {
+  assert(Value > 0 && "a backend server has at least one slot");
+  if (Value == Slots)
+    return;
+  *this = SlotLimit();
+  Slots = Value;
+}
+
+std::uint32_t SlotLimit::limitAt(int Index) const {
+  const double Part = LevelParts[static_cast<std::size_t>(Index)];
+  return std::max(1U, static_cast<std::uint32_t>(Slots * Part));
+}
+
+SlotLimit::SlotLimit() : NextPause(FirstPause) {}
+
+SlotLimit::Mark SlotLimit::onStart(std::size_t Running) const {
+  return Running >= value() ? Mark{Window} : Mark{};
+}
+
+void SlotLimit::onFinished(Mark Started, double Slowdown) {
+  if (Started.Window != Window)
+    return;
+  SlowdownSum += Slowdown;
+  if (++Samples >= std::max(MinWindowRuns, WindowRunsPerSlot * value()))
+    closeWindow();
+}
+
+void SlotLimit::closeWindow() {
+  const double Throughput = value() * Samples / SlowdownSum;
+  ++Window;
+  Samples = 0;
+  SlowdownSum = 0;
+  if (Trying) {
+    TrialThroughput = Throughput;
+    Trying = false;
+    return;
+  }
+  const double Before = std::exchange(BaseThroughput, Throughput);
+  if (TrialLevel != Level)
+    compare(Before, Throughput);
+  else if (--Pause <= 0)
+    beginTrial();
+  Trying = TrialLevel != Level;
+}
+
+void SlotLimit::compare(double Before, double After) {
+  if (std::abs(std::log(After / Before)) > SteadyRatio)
+    return;
+  ++Comparisons;
+  GainSum += std::log(TrialThroughput / std::sqrt(Before * After));
+  judge();
+}
+
+void SlotLimit::judge() {
+  const double Gain = GainSum / Comparisons;
+  if (Gain > MinGain + ChanceGain / Comparisons) {
+    Level = TrialLevel;
+    NextPause = FirstPause;
+    endTrial();
+    return;
+  }
+  if (Gain < 0 || Comparisons >= MaxComparisons)
+    endTrial();
+}
+
+void SlotLimit::endTrial() {
+  TrialLevel = Level;
+  Comparisons = 0;
+  GainSum = 0;
+}
+
+void SlotLimit::beginTrial() {
+  while (NextLevel < Levels && limitAt(NextLevel) == limitAt(Level))
+    ++NextLevel;
+  if (NextLevel < Levels) {
+    TrialLevel = NextLevel++;
+    return;
+  }
+  // All levels have been tried.
+  NextLevel = 0;
+  Pause = NextPause;
+  NextPause = std::min(NextPause * 2, LongestPause);
+}
+
+} // namespace camphorpin
--- a/packages/gateway/tests/GateDecisionsTest.cpp
+++ b/packages/gateway/tests/GateDecisionsTest.cpp
@@ -52,7 +52,7 @@
     for (const std::uint8_t Step : Steps) {
       Now = Now + Duration::millis(Step % 7);
       if (Step % 3 == 0 && !Running.empty()) {
-        Queue.finish(Running.back(), Now, true);
+        Queue.finish(Running.back(), Now, DurationTells::OwnWork);
         Running.pop_back();
         while (const std::optional<GateTicket> Next = Queue.takeNext(Now))
           Running.push_back(Next->Id);
@@ -76,7 +76,7 @@
   Queue.offer(ticket(1, 2), Now);
   Queue.offer(ticket(2, 2), Now);
   Queue.offer(ticket(3, 0), Now);
-  Queue.finish(1, Now + Duration::millis(10), true);
+  Queue.finish(1, Now + Duration::millis(10), DurationTells::OwnWork);
   cr_assert_eq(Queue.takeNext(Now)->Id, 3);
 }
 
@@ -88,7 +88,7 @@
   Instant Now = Instant::fromMillis(1000);
   Queue.offer(ticket(1, 1), Now);
   Now = Now + Duration::millis(400);
-  Queue.finish(1, Now, true);
+  Queue.finish(1, Now, DurationTells::OwnWork);
   Queue.offer(ticket(2, 1), Now);
   const GateDecision Decision = Queue.offer(ticket(3, 1), Now);
   cr_assert_eq(Decision.Choice, GateChoice::Refuse);
--- /dev/null
+++ b/packages/gateway/tests/SlotLimitTest.cpp
@@ -0,0 +1,143 @@
+// Guards callers against a full backend server that serves less because all of
+// its slots are in use, and against slots that are left empty for nothing.
+#include "camphorpin/src/Gateway/SlotLimit.h"
+#include "camphorpin/Core.h"
+
+#include <cmath>
+#include <criterion/criterion.h>
+#include <functional>
+#include <numbers>
+#include <queue>
+#include <vector>
+
+using namespace camphorpin;
+
+namespace {
+
+/// A backend server with more demand than it can serve.
+struct Server {
+  std::uint32_t Slots = 63;
+  double WorkMillis = 40;
+  /// Standard deviation of the work's logarithm.
+  double Spread = 0.5;
+  /// Part of the slots above which work takes longer by Factor.
+  double FullFrom = 1;
+  double Factor = 1;
+  /// Slows all work, by the time in milliseconds.
+  std::function<double(double)> Slow = [](double) { return 1.0; };
+
+  double work(double Now, std::size_t Running, Random &Source) const {
+    const double Radius = std::sqrt(-2 * std::log(1 - Source.unit()));
+    const double Normal =
+        Radius * std::cos(2 * std::numbers::pi * Source.unit());
+    const double Crowded =
+        static_cast<double>(Running) > FullFrom * Slots ? Factor : 1;
+    return WorkMillis * Crowded * Slow(Now) *
+           std::exp(Spread * Normal - Spread * Spread / 2);
+  }
+};
+
+/// \returns how much work per second \p Of does under a limit, as a part of
+/// what all slots would do if their number did not matter.
+/// \param From start of the time that counts; the play ends 20 s later.
+double throughput(const Server &Of, SlotLimit *Limit, std::uint64_t Seed,
+                  double From = 2000) {
+  struct Run {
+    double End;
+    double Started;
+    SlotLimit::Mark Mark;
+    bool operator<(const Run &Other) const { return End > Other.End; }
+  };
+  SeededRandom Source(Seed);
+  std::priority_queue<Run> Running;
+  double Now = 0;
+  double Served = 0;
+  while (Now < From + 20000) {
+    const std::uint32_t Allowed = Limit ? Limit->value() : Of.Slots;
+    while (Running.size() < Allowed) {
+      const std::size_t Count = Running.size() + 1;
+      Running.push({Now + Of.work(Now, Count, Source), Now,
+                    Limit ? Limit->onStart(Count) : SlotLimit::Mark()});
+    }
+    const Run Ended = Running.top();
+    Running.pop();
+    Now = Ended.End;
+    if (Limit)
+      Limit->onFinished(Ended.Mark, (Now - Ended.Started) / Of.WorkMillis);
+    if (Now > From)
+      ++Served;
+  }
+  return Served / 20000 * Of.WorkMillis / Of.Slots;
+}
+
+double learnt(const Server &Of, std::uint64_t Seed, double From = 2000) {
+  SlotLimit Limit;
+  Limit.setSlots(Of.Slots);
+  return throughput(Of, &Limit, Seed, From);
+}
+
+constexpr int Seeds = 5;
+
+} // namespace
+
+Test(SlotLimit, leavesSlotsEmptyWhereAFullServerIsSlow) {
+  for (const std::uint32_t Slots : {21U, 63U}) {
+    const Server Of{.Slots = Slots, .FullFrom = 0.95, .Factor = 1.3};
+    for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+      const double Naive = throughput(Of, nullptr, Seed);
+      const double Found = learnt(Of, Seed);
+      cr_assert_gt(Found, Naive * 1.1,
+                   "%u slots, seed %lu: %.3f, all slots %.3f", Slots, Seed,
+                   Found, Naive);
+    }
+  }
+}
+
+Test(SlotLimit, findsALowPoint) {
+  const Server Of{.Slots = 40, .FullFrom = 0.8, .Factor = 2};
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    const double Naive = throughput(Of, nullptr, Seed);
+    const double Found = learnt(Of, Seed);
+    cr_assert_gt(Found, Naive * 1.3, "seed %lu: %.3f, all slots %.3f", Seed,
+                 Found, Naive);
+  }
+}
+
+Test(SlotLimit, usesAllSlotsWhereTheirNumberDoesNotMatter) {
+  for (const double Spread : {0.5, 0.8})
+    for (const std::uint32_t Slots : {19U, 63U, 150U}) {
+      const Server Of{.Slots = Slots, .Spread = Spread};
+      for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+        const double Part = learnt(Of, Seed) / throughput(Of, nullptr, Seed);
+        cr_assert_gt(Part, 0.96, "%u slots, spread %.1f, seed %lu: %.3f", Slots,
+                     Spread, Seed, Part);
+      }
+    }
+}
+
+// A server that turns slow for another reason must not lose slots as well.
+Test(SlotLimit, slownessThatSlotsDoNotCauseCostsNone) {
+  const Server Of{.Slow = [](double Now) {
+    return std::fmod(Now, 4000) < 2000 ? 1.0 : 5.0;
+  }};
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    const double Part = learnt(Of, Seed) / throughput(Of, nullptr, Seed);
+    cr_assert_gt(Part, 0.96, "seed %lu: %.3f", Seed, Part);
+  }
+}
+
+Test(SlotLimit, unusedSlotsTellNothing) {
+  SlotLimit Limit;
+  Limit.setSlots(10);
+  for (int Count = 0; Count < 10000; ++Count)
+    Limit.onFinished(Limit.onStart(9), 1 + Count % 5);
+  cr_assert_eq(Limit.value(), 10U);
+}
+
+Test(SlotLimit, aSingleSlotStays) {
+  SlotLimit Limit;
+  Limit.setSlots(1);
+  for (int Count = 0; Count < 10000; ++Count)
+    Limit.onFinished(Limit.onStart(1), 1 + Count % 5);
+  cr_assert_eq(Limit.value(), 1U);
+}
--- a/tests/model/tests/LoadModelTest.cpp
+++ b/tests/model/tests/LoadModelTest.cpp
@@ -40,3 +40,9 @@
   checkScenario("rucicka-busy");
   checkScenario("rucicka-overload");
 }
+
+// Guards everybody's throughput against servers that work slower when nearly
+// all of their slots are in use.
+Test(LoadModel, fullServersAreNotFilledUntilTheyAreSlow) {
+  checkScenario("rucicka-full");
+}
