Exchange only the parts of directories that differ

Cause: a node whose member directory differed from a peer's got the peer's whole directory. Change: a directory has digests of 128 parts. A request for news carries them, and the answer holds only the records of parts that differ. Tests: NodeDirectoryTest (new), PeerCodecTest.

--- a/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
@@ -169,8 +169,8 @@
     Result.Document = Configuration.Document;
   if (Request.Members == Network.directory().digest())
     return Result;
-  for (const auto &[Node, Record] : Network.directory().all())
-    Result.Members.push_back({Node, Record.toJson()});
+  for (const NodeRecord *Record : Network.directory().differing(Request.Parts))
+    Result.Members.push_back({Record->Node, Record->toJson()});
   return Result;
 }
 
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.h
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.h
@@ -42,6 +42,7 @@
   void onNews(PeerNews News) override;
   void onCrashes(const PeerCrashes &Crashes) override;
   PeerNotice notice() const override;
+  PeerNewsRequest newsRequest() const override { return Exchange.request(); }
   PeerNews news(const PeerNewsRequest &Request) override;
   void onRecords(StoreFeed Feed,
                  const std::vector<StoreRecord> &Records) override;
--- a/packages/gateway/camphorpin/src/Gateway/NewsExchange.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/NewsExchange.cpp
@@ -26,7 +26,8 @@
 
 PeerNewsRequest NewsExchange::request() const {
   const PeerNotice Known = State();
-  return {Known.Configuration, Known.Members};
+  const DirectoryParts &Parts = Network.directory().parts();
+  return {Known.Configuration, Known.Members, {Parts.begin(), Parts.end()}};
 }
 
 bool NewsExchange::lacks(const PeerNotice &Told) const {
--- a/packages/gateway/camphorpin/src/Gateway/NewsExchange.h
+++ b/packages/gateway/camphorpin/src/Gateway/NewsExchange.h
@@ -37,11 +37,13 @@
   /// \param StoreAway this node can't read the store at present.
   void tick(bool StoreAway);
 
+  /// \returns a request for what this node lacks.
+  PeerNewsRequest request() const;
+
 private:
   void announce();
   void askWanted();
   bool lacks(const PeerNotice &Told) const;
-  PeerNewsRequest request() const;
 
   const Clock &Time;
   Random &Source;
--- a/packages/gateway/camphorpin/src/Gateway/NodeDirectory.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/NodeDirectory.cpp
@@ -35,6 +35,16 @@
   }
 }
 
+std::size_t NodeDirectory::partOf(std::string_view Node) {
+  return stableHash(Node) % std::tuple_size_v<DirectoryParts>;
+}
+
+void NodeDirectory::toggle(const NodeRecord &Record) {
+  const std::uint64_t Hash = stableHash(Record.toJson());
+  Digest ^= Hash;
+  Parts[partOf(Record.Node)] ^= static_cast<std::uint32_t>(Hash);
+}
+
 bool NodeDirectory::add(const NodeRecord &Record) {
   const auto Found = Nodes.find(Record.Node);
   if (Found != Nodes.end()) {
@@ -44,13 +54,25 @@
                         Record.Departed && !Known.Departed);
     if (!Newer)
       return false;
-    Digest ^= stableHash(Known.toJson());
+    toggle(Known);
   }
-  Digest ^= stableHash(Record.toJson());
+  toggle(Record);
   Nodes[Record.Node] = Record;
   return true;
 }
 
+std::vector<const NodeRecord *>
+NodeDirectory::differing(std::span<const std::uint32_t> Known) const {
+  const bool Comparable = Known.size() == Parts.size();
+  std::vector<const NodeRecord *> Result;
+  for (const auto &[Name, Record] : Nodes) {
+    const std::size_t Part = partOf(Name);
+    if (!Comparable || Known[Part] != Parts[Part])
+      Result.push_back(&Record);
+  }
+  return Result;
+}
+
 std::vector<const NodeRecord *>
 NodeDirectory::nodesOf(std::string_view Service) const {
   std::vector<const NodeRecord *> Result;
--- a/packages/gateway/camphorpin/src/Gateway/NodeDirectory.h
+++ b/packages/gateway/camphorpin/src/Gateway/NodeDirectory.h
@@ -4,9 +4,11 @@
 #include "camphorpin/Core.h"
 #include "camphorpin/src/Gateway/PeerMessages.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,6 +35,10 @@
   static std::optional<NodeRecord> parse(std::string_view Json);
 };
 
+/// Digests of the parts of a directory. Two directories that differ in a few
+/// records differ in as many parts at most, so that only these are exchanged.
+using DirectoryParts = std::array<std::uint32_t, 128>;
+
 /// \class NodeDirectory
 /// \brief All nodes that are known, from the platform's store and from peers.
 ///
@@ -54,13 +60,26 @@
   /// \returns a number that is equal for directories with the same records.
   std::uint64_t digest() const { return Digest; }
 
+  const DirectoryParts &parts() const { return Parts; }
+
+  /// \param Known the parts of another directory; of any other length than this
+  /// one's if nothing is known of it.
+  /// \returns the records in parts that differ.
+  std::vector<const NodeRecord *>
+  differing(std::span<const std::uint32_t> Known) const;
+
   /// \returns the number of nodes that have not departed.
   std::size_t present() const;
 
 private:
+  static std::size_t partOf(std::string_view Node);
+  /// Adds a record to the digests, or takes it out again.
+  void toggle(const NodeRecord &Record);
+
   std::map<std::string, NodeRecord, std::less<>> Nodes;
   /// The hashes of all records, combined so that their order doesn't count.
   std::uint64_t Digest = 0;
+  DirectoryParts Parts{};
 };
 
 } // namespace camphorpin
--- a/packages/gateway/camphorpin/src/Gateway/PeerCodec.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerCodec.cpp
@@ -127,6 +127,9 @@
     peer::NewsRequest::Builder Target = Root.initNewsRequest();
     Target.setConfiguration(Value.Configuration);
     Target.setMembers(Value.Members);
+    auto Parts = Target.initParts(static_cast<unsigned>(Value.Parts.size()));
+    for (unsigned Index = 0; Index < Parts.size(); ++Index)
+      Parts.set(Index, Value.Parts[Index]);
   }
   void operator()(const PeerNews &Value) {
     peer::News::Builder Target = Root.initNews();
@@ -207,6 +210,15 @@
   return Result;
 }
 
+PeerNewsRequest readNewsRequest(peer::NewsRequest::Reader Source) {
+  PeerNewsRequest Result;
+  Result.Configuration = Source.getConfiguration();
+  Result.Members = Source.getMembers();
+  for (const std::uint32_t Part : Source.getParts())
+    Result.Parts.push_back(Part);
+  return Result;
+}
+
 PeerNews readNews(peer::News::Reader Source) {
   PeerNews Result;
   Result.Configuration = Source.getConfiguration();
@@ -248,8 +260,7 @@
   case peer::PeerFrame::STATE:
     return read(Root.getState());
   case peer::PeerFrame::NEWS_REQUEST:
-    return PeerNewsRequest{Root.getNewsRequest().getConfiguration(),
-                           Root.getNewsRequest().getMembers()};
+    return readNewsRequest(Root.getNewsRequest());
   case peer::PeerFrame::NEWS:
     return readNews(Root.getNews());
   case peer::PeerFrame::ACKNOWLEDGED:
--- a/packages/gateway/camphorpin/src/Gateway/PeerMessages.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerMessages.h
@@ -126,6 +126,8 @@
   /// What the sender knows, as in PeerNotice.
   std::uint64_t Configuration = 0;
   std::uint64_t Members = 0;
+  /// Digests of the parts of its member directory (NodeDirectory::parts()).
+  std::vector<std::uint32_t> Parts;
 };
 
 /// \class MemberNews
@@ -141,7 +143,7 @@
   std::uint64_t Configuration = 0;
   /// Empty if the receiver's configuration is not older.
   std::string Document;
-  /// Empty if the receiver's directory is the same.
+  /// The records of the parts in which the receiver's directory differs.
   std::vector<MemberNews> Members;
 };
 
--- a/packages/gateway/camphorpin/src/Gateway/PeerServer.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerServer.cpp
@@ -64,7 +64,7 @@
   void onNotice(const PeerNotice &Told) {
     const PeerNotice Known = Server.Owner.notice();
     if (Known.Configuration == 0 && Told.Configuration != 0)
-      send(PeerNewsRequest{Known.Configuration, Known.Members});
+      send(Server.Owner.newsRequest());
     else
       Server.Owner.onNotice(Node, Told);
   }
--- a/packages/gateway/camphorpin/src/Gateway/PeerServer.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerServer.h
@@ -20,6 +20,8 @@
   virtual ~PeerServerListener() = default;
   virtual PeerHello hello() = 0;
   virtual PeerNotice notice() const = 0;
+  /// \returns a request for what this node lacks.
+  virtual PeerNewsRequest newsRequest() const = 0;
   /// The peer \p Node has told what it knows.
   virtual void onNotice(const std::string &Node, const PeerNotice &Told) = 0;
   virtual PeerNews news(const PeerNewsRequest &Request) = 0;
--- /dev/null
+++ b/packages/gateway/tests/NodeDirectoryTest.cpp
@@ -0,0 +1,63 @@
+#include "camphorpin/src/Gateway/NodeDirectory.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace camphorpin;
+
+namespace {
+
+NodeRecord record(int Number, std::uint64_t Incarnation = 1) {
+  NodeRecord Result;
+  Result.Node = "node-" + std::to_string(Number);
+  Result.Address = *HostAddress::parse("10.0.0.1:7000");
+  Result.Service = "s";
+  Result.Zone = "z";
+  Result.Incarnation = Incarnation;
+  return Result;
+}
+
+NodeDirectory directoryOf(int Nodes) {
+  NodeDirectory Result;
+  for (int Number = 0; Number < Nodes; ++Number)
+    Result.add(record(Number));
+  return Result;
+}
+
+} // namespace
+
+// Guards the traffic between nodes: a change of one record must not cost the
+// transfer of the whole directory.
+Test(NodeDirectory, oneChangeCostsFewRecords) {
+  const NodeDirectory Before = directoryOf(300);
+  NodeDirectory After = Before;
+  After.add(record(7, 2));
+  const auto Sent = After.differing(Before.parts());
+  cr_assert_lt(Sent.size(), 15U);
+  cr_assert_gt(Sent.size(), 0U);
+  cr_assert(Before.differing(Before.parts()).empty());
+}
+
+Test(NodeDirectory, nodeThatTellsNothingGetsAll) {
+  cr_assert_eq(directoryOf(40).differing({}).size(), 40U);
+}
+
+// Guards the agreement of nodes: whatever order records come in, exchanging the
+// parts that differ makes two directories equal.
+Test(NodeDirectory, exchangeOfPartsMakesDirectoriesEqual) {
+  cr_assert(rc::check([](const std::vector<std::pair<std::uint8_t, bool>> &Of) {
+    NodeDirectory A;
+    NodeDirectory B;
+    for (std::size_t Index = 0; Index < Of.size(); ++Index)
+      (Of[Index].second ? A : B)
+          .add(record(Of[Index].first % 50, Of[Index].first / 50 + 1));
+    const NodeDirectory Sender = A;
+    for (const NodeRecord *Item : Sender.differing(B.parts()))
+      B.add(*Item);
+    for (const NodeRecord *Item : B.differing(A.parts()))
+      A.add(*Item);
+    RC_ASSERT(A.digest() == B.digest());
+    RC_ASSERT(A.parts() == B.parts());
+    RC_ASSERT(A.differing(B.parts()).empty());
+  }));
+}
--- a/packages/gateway/tests/PeerServerTest.cpp
+++ b/packages/gateway/tests/PeerServerTest.cpp
@@ -14,6 +14,7 @@
 public:
   PeerHello hello() override { return {"gate", 1, "shop", "a", "", {}, {}}; }
   PeerNotice notice() const override { return {}; }
+  PeerNewsRequest newsRequest() const override { return {}; }
   void onNotice(const std::string &, const PeerNotice &) override {}
   PeerNews news(const PeerNewsRequest &) override { return {}; }
   void onNews(PeerNews) override {}
