Let two nodes of each zone read the store, and the others follow them

Nodes whose directories differed in a restart exchanged them across zones while the store was already telling them. Change: FollowPlan orders the nodes of a zone by a hash; the first two read the store, each other node follows two before it. A node polls those that it follows twice a second, and reads the store itself if none has said for 1.1 s that it is current. NewsExchange, which decides when to tell and to ask, no longer knows the network; NewsCarrier carries out what it decides. Members are only asked for from nodes that are followed, or while nothing else answers. Failed reads of a node that follows others are repeated less often. The reads of the configuration end once a second in the whole fleet.

--- /dev/null
+++ b/packages/gateway/camphorpin/src/Gateway/FollowPlan.cpp
@@ -0,0 +1,95 @@
+#include "camphorpin/src/Gateway/FollowPlan.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorpin {
+
+namespace {
+
+/// Followers of a node at most: with polls twice a second they cost a node much
+/// less than the calls that it carries.
+constexpr std::size_t FollowersPerNode = 16;
+/// How long a word of a followed node counts. Polls are 0.5 s apart, so one may
+/// be lost, and a change is still in force within the two seconds that the
+/// platform allows.
+constexpr Duration CurrentFor = Duration::millis(1100);
+/// Time after the start in which nodes that started together find each other,
+/// before any of them reads the store for the others.
+constexpr Duration FindOthers = Duration::millis(700);
+/// Where the followed nodes answer but can't reach the store either, a node
+/// waits the longer the later it is in the order, so that an outage isn't met
+/// by all nodes at once.
+constexpr Duration PatiencePerRank = Duration::millis(50);
+constexpr Duration LongestPatience = Duration::seconds(2);
+
+} // namespace
+
+FollowPlan::FollowPlan(std::string Self, std::string Zone, Instant Started)
+    : Self(std::move(Self)), Zone(std::move(Zone)), Started(Started),
+      LastAnswer(Started), LastCurrent(Started + FindOthers) {}
+
+void FollowPlan::order(const NodeDirectory &Directory) {
+  std::map<std::string_view, std::vector<std::pair<std::uint64_t, std::string>>>
+      Zones;
+  for (const auto &[Node, Record] : Directory.all())
+    if (!Record.Departed)
+      Zones[Record.Zone].emplace_back(stableHash(Node), Node);
+  Readers.clear();
+  Before.clear();
+  for (auto &[Name, Nodes] : Zones) {
+    std::sort(Nodes.begin(), Nodes.end());
+    const std::size_t Count = std::min(ReadersPerZone, Nodes.size());
+    for (std::size_t Index = 0; Index < Count; ++Index)
+      Readers.push_back(Nodes[Index].second);
+    if (Name != Zone)
+      continue;
+    for (auto &[Hash, Node] : Nodes) {
+      if (Node == Self)
+        break;
+      Before.push_back(std::move(Node));
+    }
+  }
+}
+
+void FollowPlan::arrange(
+    const NodeDirectory &Directory,
+    const std::function<bool(const std::string &)> &Reachable) {
+  if (Directory.digest() != OrderedDigest) {
+    OrderedDigest = Directory.digest();
+    order(Directory);
+  }
+  std::vector<std::string> Alive;
+  std::copy_if(Before.begin(), Before.end(), std::back_inserter(Alive),
+               Reachable);
+  Rank = Alive.size();
+  Followed.clear();
+  if (Rank < ReadersPerZone)
+    return;
+  const std::size_t First = Rank / FollowersPerNode;
+  const std::size_t Second = First ^ 1U;
+  Followed = {Alive[First], Alive[Second]};
+}
+
+void FollowPlan::onAnswer(std::string_view Node, bool Current, Instant Now) {
+  if (std::find(Followed.begin(), Followed.end(), Node) == Followed.end())
+    return;
+  LastAnswer = Now;
+  if (Current)
+    LastCurrent = Now;
+}
+
+bool FollowPlan::followsCurrent(Instant Now) const {
+  return !Followed.empty() && Now - LastCurrent < CurrentFor;
+}
+
+Instant FollowPlan::readsFrom(Instant Now) const {
+  if (Followed.empty())
+    return Started + FindOthers;
+  const bool Answered = Now - LastAnswer < CurrentFor;
+  const Duration Patience =
+      Answered ? PatiencePerRank * static_cast<double>(Rank) : Duration();
+  return LastCurrent + CurrentFor + std::min(LongestPatience, Patience);
+}
+
+} // namespace camphorpin
--- a/packages/gateway/camphorpin/src/Gateway/GateLink.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/GateLink.cpp
@@ -151,6 +151,10 @@
     send(Owner.news(*Request));
   else if (const auto *Told = std::get_if<PeerNotice>(&Frame))
     Owner.onNotice(Node, *Told);
+  else if (const auto *Poll = std::get_if<PeerPoll>(&Frame))
+    send(Owner.onPoll(Node, Poll->Known));
+  else if (const auto *Polled = std::get_if<PeerPollAnswer>(&Frame))
+    Owner.onPollAnswer(Node, *Polled);
   else if (const auto *Crashes = std::get_if<PeerCrashes>(&Frame))
     Owner.onCrashes(*Crashes);
 }
@@ -213,6 +217,25 @@
     Channel->send(Frame);
 }
 
+void GateLink::poll(const PeerPoll &Frame) {
+  LastUse = Time.now();
+  if (State != LinkState::Open) {
+    open();
+    return;
+  }
+  Channel->send(Frame);
+  expectFrame();
+}
+
+void GateLink::expectFrame() {
+  if (PingOutstanding)
+    return;
+  PingOutstanding = true;
+  Pinged = Time.now();
+  if (Calls.empty())
+    armTimer(CheckInterval);
+}
+
 void GateLink::failCalls(bool PeerEnded) {
   std::vector<std::pair<Reply, PeerAnswer>> Ended;
   for (auto Item = Calls.begin(); Item != Calls.end();) {
@@ -307,7 +330,7 @@
 }
 
 void GateLink::onOpenTimer() {
-  if (Calls.empty())
+  if (Calls.empty() && !PingOutstanding)
     return;
   const Instant Now = Time.now();
   if (PingOutstanding && Now - Pinged >= PongWithin) {
@@ -315,9 +338,8 @@
     return;
   }
   if (!PingOutstanding && Now - LastHeard >= PingAfter) {
-    PingOutstanding = true;
-    Pinged = Now;
     Channel->send(PeerPing{static_cast<std::uint64_t>(Now.wholeMillis())});
+    expectFrame();
   }
   armTimer(CheckInterval);
 }
--- a/packages/gateway/camphorpin/src/Gateway/GateLink.h
+++ b/packages/gateway/camphorpin/src/Gateway/GateLink.h
@@ -23,6 +23,10 @@
   virtual void onNotice(const std::string &Node, const PeerNotice &Told) = 0;
   virtual PeerNews news(const PeerNewsRequest &Request) = 0;
   virtual void onNews(PeerNews News) = 0;
+  virtual PeerPollAnswer onPoll(const std::string &Node,
+                                const PeerNotice &Told) = 0;
+  virtual void onPollAnswer(const std::string &Node,
+                            const PeerPollAnswer &Answer) = 0;
   virtual void onCrashes(const PeerCrashes &Crashes) = 0;
 };
 
@@ -68,6 +72,9 @@
   void cancel(std::uint64_t Id);
   /// Sends \p Frame if the link is open.
   void send(const PeerFrame &Frame);
+  /// Sends \p Frame, or opens the link, whose hellos tell as much. A peer that
+  /// doesn't answer is noticed as with a call.
+  void poll(const PeerPoll &Frame);
 
 private:
   enum class LinkState : std::uint8_t { Idle, Connecting, Open, Waiting };
@@ -97,6 +104,7 @@
   void onConnectingTimer();
   void onOpenTimer();
   void replaceSilent();
+  void expectFrame();
   void armTimer(Duration Span);
   void onTimer();
 
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <csignal>
 #include <random>
+#include <utility>
 
 namespace camphorpin {
 
@@ -11,7 +12,7 @@
 /// Lines of one event in a second. A refusal or failure has a line of its own
 /// up to a rate at which a node's share of the fleet's load fails as a whole.
 constexpr std::uint32_t LinesPerSecond = 200;
-constexpr Duration TickInterval = Duration::millis(500);
+constexpr Duration TickInterval = NewsExchange::PollInterval;
 /// How often the settings are read again: they may change without a signal.
 constexpr Duration ReloadInterval = Duration::seconds(5);
 /// While draining, callers still come until the platform has seen twice that
@@ -38,8 +39,13 @@
   return {
       {"camphorpin_configuration_version", "Version in force.",
        Number(Configuration.Version)},
-      {"camphorpin_store_reachable", "1 if both feeds can be read.",
+      {"camphorpin_store_reachable", "1 if both feeds could be read last.",
        ConfigurationReader.reachable() && MemberReader.reachable() ? 1.0 : 0.0},
+      {"camphorpin_store_read", "1 if this node reads the store itself.",
+       Exchange.reads() ? 1.0 : 0.0},
+      {"camphorpin_current",
+       "1 if the store, or a node that this one follows, answers.",
+       Exchange.current() ? 1.0 : 0.0},
       {"camphorpin_nodes", "Nodes that are known and have not departed.",
        Number(Network.nodes())},
       {"camphorpin_connected_peers", "Gates to which a connection is open.",
@@ -78,7 +84,13 @@
       Network(Loop, Time, Source, Settings, Gate, *this),
       Entry(Loop, Time, Source, Settings, Protocol, Network, Gate, Log, Values),
       Peers(Loop, Time, Gate, *this),
-      Exchange(Loop, Time, Source, Network, Peers, [this] { return notice(); }),
+      Carrier(
+          Loop, Source, Network, Peers, [this] { return notice(); },
+          [this] {
+            Exchange.onTimer();
+            followStore();
+          }),
+      Exchange(Time, Source, Carrier, Settings.Node, Settings.Zone),
       ReadyPage(Protocol, [this] { return ready(); }),
       Reports(Protocol, Gate, Log),
       MetricsPage(Values, [this] { return gauges(); }), CallServer(Loop, Entry),
@@ -167,7 +179,7 @@
   Result.Configuration = Configuration.Version;
   if (Request.Configuration < Configuration.Version)
     Result.Document = Configuration.Document;
-  if (Request.Members == Network.directory().digest())
+  if (Request.Members == 0 || Request.Members == Network.directory().digest())
     return Result;
   for (const NodeRecord *Record : Network.directory().differing(Request.Parts))
     Result.Members.push_back({Record->Node, Record->toJson()});
@@ -188,6 +200,16 @@
     adopt(std::move(*Next), "peer");
 }
 
+PeerPollAnswer Gateway::onPoll(const std::string &Node,
+                               const PeerNotice &Told) {
+  return Exchange.onPoll(Node, Told);
+}
+
+void Gateway::onPollAnswer(const std::string &Node,
+                           const PeerPollAnswer &Answer) {
+  Exchange.onPollAnswer(Node, Answer);
+}
+
 void Gateway::onCrashes(const PeerCrashes &Crashes) {
   Gate.learnCrashes(Crashes);
 }
@@ -205,6 +227,8 @@
     if (Record && Record->Node == Item.Key)
       learn(*Record);
   }
+  if (Feed == StoreFeed::Members && !std::exchange(MembersRead, true))
+    Exchange.onFirstMembers();
 }
 
 void Gateway::onReachable(StoreFeed Feed, bool Reachable) {
@@ -214,14 +238,27 @@
   // The open read of the other feed may have gone silent at the same time.
   if (Feed == StoreFeed::Configuration && Reachable)
     MemberReader.readAgain();
+  followStore();
+}
+
+void Gateway::followStore() {
+  if (Exchange.reads()) {
+    ConfigurationReader.resume();
+    MemberReader.resume();
+  }
+  Exchange.onStore(ConfigurationReader.follows() && MemberReader.follows());
+}
+
+Duration Gateway::retryPause(unsigned Failures) {
+  return StorePacing::retryPause(Exchange.leads(), Failures, Source);
 }
 
 Duration Gateway::readSpan(StoreFeed Feed) {
-  return StorePacing::readSpan(Feed, Network.nodes(), Source);
+  return StorePacing::readSpan(Feed, Exchange.readers(), Source);
 }
 
 Duration Gateway::batchPause(StoreFeed Feed) {
-  return StorePacing::batchPause(Feed, Network.nodes());
+  return StorePacing::batchPause(Feed, Exchange.readers());
 }
 
 void Gateway::adopt(FleetConfiguration Next, std::string_view Origin) {
@@ -256,9 +293,8 @@
   Gate.tick();
   Peers.tick();
   Network.tick();
-  const bool StoreAway =
-      !ConfigurationReader.reachable() || !MemberReader.reachable();
-  Exchange.tick(StoreAway);
+  followStore();
+  Exchange.tick();
   if (Time.now() - LastReload >= ReloadInterval)
     reload(/*Asked=*/false);
 }
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.h
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.h
@@ -3,7 +3,7 @@
 
 #include "camphorpin/src/Gateway/EntryCalls.h"
 #include "camphorpin/src/Gateway/MetricsHandler.h"
-#include "camphorpin/src/Gateway/NewsExchange.h"
+#include "camphorpin/src/Gateway/NewsCarrier.h"
 #include "camphorpin/src/Gateway/ReadyHandler.h"
 #include "camphorpin/src/Gateway/ReportHandler.h"
 #include "camphorpin/src/Gateway/SettingsReload.h"
@@ -40,6 +40,10 @@
   PeerHello hello() override;
   void onNotice(const std::string &Node, const PeerNotice &Told) override;
   void onNews(PeerNews News) override;
+  PeerPollAnswer onPoll(const std::string &Node,
+                        const PeerNotice &Told) override;
+  void onPollAnswer(const std::string &Node,
+                    const PeerPollAnswer &Answer) override;
   void onCrashes(const PeerCrashes &Crashes) override;
   PeerNotice notice() const override;
   PeerNewsRequest newsRequest() const override { return Exchange.request(); }
@@ -49,8 +53,13 @@
   void onReachable(StoreFeed Feed, bool Reachable) override;
   Duration readSpan(StoreFeed Feed) override;
   Duration batchPause(StoreFeed Feed) override;
+  Duration retryPause(unsigned Failures) override;
+  bool keepsReading() override { return Exchange.reads(); }
 
   void learn(const NodeRecord &Record);
+  /// Reads the store if this node is to, and tells the exchange whether it
+  /// answers.
+  void followStore();
   void adopt(FleetConfiguration Next, std::string_view Origin);
   void publish(bool Departed);
   void armTick();
@@ -78,6 +87,7 @@
   PeerNetwork Network;
   EntryCalls Entry;
   PeerServer Peers;
+  NewsCarrier Carrier;
   NewsExchange Exchange;
   ReadyHandler ReadyPage;
   ReportHandler Reports;
@@ -92,6 +102,7 @@
   FleetConfiguration Configuration;
   boost::asio::signal_set Signals;
   boost::asio::steady_timer TickTimer;
+  bool MembersRead = false;
   Instant DrainStarted;
   Instant LastReload;
   /// The first fault of the settings that were read last, if they had any.
--- /dev/null
+++ b/packages/gateway/camphorpin/src/Gateway/NewsCarrier.cpp
@@ -0,0 +1,13 @@
+#include "camphorpin/src/Gateway/NewsCarrier.h"
+
+namespace camphorpin {
+
+void NewsCarrier::wakeAfter(Duration Span) {
+  Timer.expires_after(detail::timerSpan(Span));
+  Timer.async_wait([this](const boost::system::error_code &Error) {
+    if (!Error)
+      Wake();
+  });
+}
+
+} // namespace camphorpin
--- /dev/null
+++ b/packages/gateway/camphorpin/src/Gateway/NewsCarrier.h
@@ -0,0 +1,56 @@
+#ifndef CAMPHORPIN_SRC_GATEWAY_NEWSCARRIER_H
+#define CAMPHORPIN_SRC_GATEWAY_NEWSCARRIER_H
+
+#include "camphorpin/src/Gateway/EventLoop.h"
+#include "camphorpin/src/Gateway/NewsExchange.h"
+#include "camphorpin/src/Gateway/PeerNetwork.h"
+#include "camphorpin/src/Gateway/PeerServer.h"
+
+#include <functional>
+#include <string>
+
+namespace camphorpin {
+
+/// \class NewsCarrier
+/// \brief Carries out what a NewsExchange decides, over the connections of the
+/// node.
+class NewsCarrier final : public NewsActions {
+public:
+  /// \param State returns what this node knows.
+  /// \param Wake is called when the time of wakeAfter() has passed.
+  NewsCarrier(EventLoop &Loop, Random &Source, PeerNetwork &Network,
+              PeerServer &Peers, std::function<PeerNotice()> State,
+              std::function<void()> Wake)
+      : Source(Source), Network(Network), Peers(Peers), State(std::move(State)),
+        Wake(std::move(Wake)), Timer(Loop) {}
+
+  PeerNotice known() const override { return State(); }
+  const NodeDirectory &directory() const override {
+    return Network.directory();
+  }
+  bool reachable(const std::string &Node) const override {
+    return Network.reachable(Node);
+  }
+  void send(const std::string &Node, const PeerFrame &Frame) override {
+    Network.send(Node, Frame);
+  }
+  void sendToCaller(const std::string &Node, const PeerFrame &Frame) override {
+    Peers.send(Node, Frame);
+  }
+  void sendToAnyCaller(const PeerFrame &Frame) override {
+    Peers.sendToAny(Frame, Source);
+  }
+  void wakeAfter(Duration Span) override;
+
+private:
+  Random &Source;
+  PeerNetwork &Network;
+  PeerServer &Peers;
+  std::function<PeerNotice()> State;
+  std::function<void()> Wake;
+  boost::asio::steady_timer Timer;
+};
+
+} // namespace camphorpin
+
+#endif
--- a/packages/gateway/camphorpin/src/Gateway/NewsExchange.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/NewsExchange.cpp
@@ -1,97 +1,232 @@
 #include "camphorpin/src/Gateway/NewsExchange.h"
 
+#include <algorithm>
+#include <utility>
+#include <vector>
+
 namespace camphorpin {
 
 namespace {
 
-/// Nodes that are told of something new. With four, a few rounds reach every
-/// node of a fleet of thousands with near certainty.
-constexpr int Fanout = 4;
-/// How long a node waits before it tells others, plus a random part of the same
-/// length. In this time the store itself reaches nearly all nodes.
-constexpr Duration AnnounceDelay = Duration::millis(100);
-/// How long a node that a peer has told of something new waits for the store
-/// before it asks the peer.
-constexpr Duration AskDelay = Duration::millis(250);
-/// How often a node without the store asks a peer.
-constexpr Duration AskInterval = Duration::millis(400);
+/// Changes within this time are told to followers together.
+constexpr Duration TellFollowersAfter = Duration::millis(20);
+/// How long a node that reads the store waits before it tells the others, plus
+/// a random part of the same length: nearly all have read it themselves by
+/// then.
+constexpr Duration TellReadersAfter = Duration::millis(100);
+/// How long a node that reads the store waits for it when a peer has told of a
+/// newer configuration.
+constexpr Duration AwaitConfiguration = Duration::millis(250);
+/// The same for members, which are read with pauses.
+constexpr Duration AwaitMembers = Duration::seconds(1);
+/// Changes of members within this time are asked for together.
+constexpr Duration CollectMembers = Duration::millis(50);
+/// An answer takes less, so nothing is asked for twice.
+constexpr Duration AskAgainAfter = Duration::millis(200);
+/// A node that has not polled for so long is no follower any more.
+constexpr Duration FollowerFor = Duration::seconds(2);
 
 } // namespace
 
-NewsExchange::NewsExchange(EventLoop &Loop, const Clock &Time, Random &Source,
-                           PeerNetwork &Network, PeerServer &Peers,
-                           std::function<PeerNotice()> State)
-    : Time(Time), Source(Source), Network(Network), Peers(Peers),
-      State(std::move(State)), AnnounceTimer(Loop), AskTimer(Loop) {}
+NewsExchange::NewsExchange(const Clock &Time, Random &Source,
+                           NewsActions &Actions, std::string Self,
+                           std::string Zone)
+    : Time(Time), Source(Source), Actions(Actions), Self(Self),
+      Plan(std::move(Self), std::move(Zone), Time.now()),
+      AskedForConfiguration(Time.now() - AskAgainAfter) {}
 
 PeerNewsRequest NewsExchange::request() const {
-  const PeerNotice Known = State();
-  const DirectoryParts &Parts = Network.directory().parts();
+  const PeerNotice Known = Actions.known();
+  const DirectoryParts &Parts = Actions.directory().parts();
   return {Known.Configuration, Known.Members, {Parts.begin(), Parts.end()}};
 }
 
-bool NewsExchange::lacks(const PeerNotice &Told) const {
-  const PeerNotice Known = State();
-  return Told.Configuration > Known.Configuration ||
-         (Told.Members != 0 && Told.Members != Known.Members);
+PeerNewsRequest NewsExchange::configurationRequest() const {
+  return {Actions.known().Configuration, 0, {}};
 }
 
-void NewsExchange::onLearned() {
-  if (Announcing)
-    return;
-  Announcing = true;
-  AnnounceTimer.expires_after(
-      detail::timerSpan(AnnounceDelay * (1 + Source.unit())));
-  AnnounceTimer.async_wait([this](const boost::system::error_code &Error) {
-    Announcing = false;
-    if (!Error)
-      announce();
-  });
+bool NewsExchange::current() const {
+  const Instant Now = Time.now();
+  return (StoreAnswers && Plan.reads(Now)) || Plan.followsCurrent(Now);
 }
 
-void NewsExchange::announce() {
-  const PeerNotice Known = State();
-  for (int Count = 0; Count < Fanout; ++Count)
-    Network.sendToAny(Known);
+bool NewsExchange::isolated() const {
+  return Plan.reads(Time.now()) && !current();
+}
+
+void NewsExchange::onStore(bool Answers) { StoreAnswers = Answers; }
+
+void NewsExchange::onLearned() {
+  const Instant Now = Time.now();
+  if (!AnnounceToFollowers)
+    AnnounceToFollowers = Now + TellFollowersAfter;
+  if (!AnnounceToReaders && Plan.reads(Now))
+    AnnounceToReaders = Now + TellReadersAfter * (1 + Source.unit());
+  arm();
 }
 
 void NewsExchange::onNotice(const std::string &Node, const PeerNotice &Told) {
-  if (!lacks(Told))
+  const PeerNotice Known = Actions.known();
+  if (Told.Configuration > Known.Configuration)
+    wantConfiguration(Node, Told);
+  if (Told.Members != 0 && Told.Members != Known.Members)
+    wantMembers(Node, Told);
+}
+
+void NewsExchange::wantConfiguration(const std::string &Node,
+                                     const PeerNotice &Told) {
+  if (Configuration)
     return;
-  Wanted = Told;
-  WantedFrom = Node;
-  // A node that knows no configuration refuses all requests, so it doesn't
-  // wait for the store.
-  const bool Urgent = State().Configuration == 0;
-  if (Urgent && Time.now() - LastRequest >= AnnounceDelay) {
-    askWanted();
+  const Instant Now = Time.now();
+  // A node without a configuration refuses all requests, so it doesn't wait.
+  const bool Waits = Plan.reads(Now) && Actions.known().Configuration != 0;
+  Configuration =
+      Want{Node, Told, Now + (Waits ? AwaitConfiguration : Duration())};
+  arm();
+}
+
+void NewsExchange::wantMembers(const std::string &Node,
+                               const PeerNotice &Told) {
+  const std::optional<Duration> Delay = membersDelay(Node);
+  if (Members || !Delay)
     return;
+  Members = Want{Node, Told, Time.now() + *Delay};
+  arm();
+}
+
+std::optional<Duration>
+NewsExchange::membersDelay(const std::string &Node) const {
+  const std::vector<std::string> &Followed = Plan.followed();
+  if (std::find(Followed.begin(), Followed.end(), Node) != Followed.end())
+    return CollectMembers;
+  if (isolated())
+    return CollectMembers;
+  // A follower usually asks for what it lacks; the rest is what it has itself
+  // and the store has not.
+  if (Followers.contains(Node) || (Followed.empty() && isReader(Node)))
+    return AwaitMembers;
+  return std::nullopt;
+}
+
+bool NewsExchange::isReader(const std::string &Node) const {
+  const std::vector<std::string> &Readers = Plan.readers();
+  return std::find(Readers.begin(), Readers.end(), Node) != Readers.end();
+}
+
+PeerPollAnswer NewsExchange::onPoll(const std::string &Node,
+                                    const PeerNotice &Told) {
+  Followers[Node] = Time.now();
+  onNotice(Node, Told);
+  return {Actions.known(), current()};
+}
+
+void NewsExchange::onPollAnswer(const std::string &Node,
+                                const PeerPollAnswer &Answer) {
+  Plan.onAnswer(Node, Answer.Current, Time.now());
+  onNotice(Node, Answer.Known);
+  arm();
+}
+
+void NewsExchange::onTimer() {
+  const Instant Now = Time.now();
+  askWanted(Now);
+  announce(Now);
+  arm();
+}
+
+void NewsExchange::askWanted(Instant Now) {
+  const PeerNotice Known = Actions.known();
+  const auto TakeDue = [Now](std::optional<Want> &Item) {
+    if (!Item || Item->Due > Now)
+      return std::optional<Want>();
+    return std::exchange(Item, std::nullopt);
+  };
+  std::optional<Want> DueMembers = TakeDue(Members);
+  if (DueMembers && DueMembers->Told.Members != Known.Members) {
+    // The answer brings a newer configuration as well.
+    if (DueMembers->Told.Configuration > Known.Configuration)
+      AskedForConfiguration = Now;
+    Actions.send(DueMembers->From, request());
   }
-  if (Asking)
+  std::optional<Want> DueConfiguration = TakeDue(Configuration);
+  if (!DueConfiguration ||
+      DueConfiguration->Told.Configuration <= Known.Configuration)
     return;
-  Asking = true;
-  AskTimer.expires_after(detail::timerSpan(AskDelay));
-  AskTimer.async_wait([this](const boost::system::error_code &Error) {
-    Asking = false;
-    if (!Error && lacks(Wanted))
-      askWanted();
-  });
+  if (Now - AskedForConfiguration < AskAgainAfter) {
+    DueConfiguration->Due = AskedForConfiguration + AskAgainAfter;
+    Configuration = std::move(DueConfiguration);
+    return;
+  }
+  AskedForConfiguration = Now;
+  Actions.send(DueConfiguration->From, configurationRequest());
 }
 
-void NewsExchange::askWanted() {
-  LastRequest = Time.now();
-  Network.send(WantedFrom, request());
+void NewsExchange::announce(Instant Now) {
+  const PeerNotice Known = Actions.known();
+  if (AnnounceToFollowers && *AnnounceToFollowers <= Now) {
+    AnnounceToFollowers.reset();
+    for (const auto &[Node, Polled] : Followers)
+      Actions.sendToCaller(Node, Known);
+  }
+  if (AnnounceToReaders && *AnnounceToReaders <= Now) {
+    AnnounceToReaders.reset();
+    for (const std::string &Node : Plan.readers())
+      if (Node != Self && Actions.reachable(Node))
+        Actions.send(Node, Known);
+  }
 }
 
-void NewsExchange::tick(bool StoreAway) {
+void NewsExchange::arm() {
   const Instant Now = Time.now();
-  if (!StoreAway || Now - LastRequest < AskInterval)
-    return;
-  LastRequest = Now;
-  const PeerNewsRequest Request = request();
-  Network.sendToAny(Request);
+  Instant Next = Instant::never();
+  const auto Consider = [&Next](const std::optional<Instant> &Due) {
+    if (Due)
+      Next = std::min(Next, *Due);
+  };
+  Consider(AnnounceToFollowers);
+  Consider(AnnounceToReaders);
+  if (Configuration)
+    Consider(Configuration->Due);
+  if (Members)
+    Consider(Members->Due);
+  const Instant Reads = Plan.readsFrom(Now);
+  if (Reads > Now)
+    Consider(Reads);
+  if (Next != Instant::never())
+    Actions.wakeAfter(std::max(Duration(), Next - Now));
+}
+
+void NewsExchange::poll() {
+  Plan.arrange(Actions.directory(), [this](const std::string &Node) {
+    return Actions.reachable(Node);
+  });
+  const PeerPoll Poll{Actions.known()};
+  for (const std::string &Node : Plan.followed())
+    Actions.send(Node, Poll);
+}
+
+void NewsExchange::askAnybody() {
+  const PeerNewsRequest Request =
+      isolated() ? request() : configurationRequest();
+  std::vector<const std::string *> Others;
+  for (const auto &[Node, Record] : Actions.directory().all())
+    if (!Record.Departed && Node != Self)
+      Others.push_back(&Node);
+  if (!Others.empty())
+    Actions.send(*Others[Source.below(Others.size())], Request);
   // A node that has just started knows no other, but others call it.
-  Peers.sendToAny(Request, Source);
+  Actions.sendToAnyCaller(Request);
+}
+
+void NewsExchange::tick() {
+  const Instant Now = Time.now();
+  std::erase_if(Followers, [Now](const auto &Entry) {
+    return Now - Entry.second > FollowerFor;
+  });
+  poll();
+  if (isolated() || Actions.known().Configuration == 0)
+    askAnybody();
+  arm();
 }
 
 } // namespace camphorpin
--- a/packages/gateway/camphorpin/src/Gateway/NewsExchange.h
+++ b/packages/gateway/camphorpin/src/Gateway/NewsExchange.h
@@ -1,63 +1,132 @@
 #ifndef CAMPHORPIN_SRC_GATEWAY_NEWSEXCHANGE_H
 #define CAMPHORPIN_SRC_GATEWAY_NEWSEXCHANGE_H
 
-#include "camphorpin/src/Gateway/EventLoop.h"
-#include "camphorpin/src/Gateway/PeerNetwork.h"
-#include "camphorpin/src/Gateway/PeerServer.h"
+#include "camphorpin/src/Gateway/FollowPlan.h"
+#include "camphorpin/src/Gateway/PeerMessages.h"
 
-#include <functional>
+#include <map>
+#include <optional>
 #include <string>
 
 namespace camphorpin {
 
+/// \class NewsActions
+/// \brief What a NewsExchange asks of its node.
+class NewsActions {
+public:
+  virtual ~NewsActions() = default;
+
+  /// \returns what this node knows.
+  virtual PeerNotice known() const = 0;
+  virtual const NodeDirectory &directory() const = 0;
+  /// \returns false if connections to \p Node fail.
+  virtual bool reachable(const std::string &Node) const = 0;
+
+  /// Sends to \p Node, after connecting if need be.
+  virtual void send(const std::string &Node, const PeerFrame &Frame) = 0;
+  /// Sends to \p Node on the connection that it has opened, if there is one.
+  virtual void sendToCaller(const std::string &Node,
+                            const PeerFrame &Frame) = 0;
+  /// Sends to one of the nodes that have connected to this one.
+  virtual void sendToAnyCaller(const PeerFrame &Frame) = 0;
+  /// Asks for a call of NewsExchange::onTimer() after \p Span. A later request
+  /// replaces an earlier one.
+  virtual void wakeAfter(Duration Span) = 0;
+};
+
 /// \class NewsExchange
-/// \brief Decides when a node tells its peers what it knows from the platform's
-/// store, and when it asks them.
+/// \brief Spreads what is read from the platform's store among the nodes.
 ///
-/// Every node reads the store itself. The exchange is for nodes that the store
-/// turns away, and for those whose open read has gone silent without an error:
-/// a node that learns something new tells a few random nodes, which ask for it
-/// if the store has not told them soon after, and tell others in turn. So news
-/// reaches all nodes in about log(n) steps, also where requests stay within an
-/// availability zone and no answers carry it.
+/// A few nodes of each availability zone read the store (FollowPlan). A node
+/// that learns something tells its followers at once, and those who read the
+/// store tell each other, so that one whose open read has gone silent without
+/// an error, or whom the store turns away, learns it as well. Who is told of
+/// something that it lacks asks for it. A node that is not current, because
+/// neither the store nor those whom it follows answer, asks random nodes.
 class NewsExchange {
 public:
-  /// \param State returns what this node knows.
-  NewsExchange(EventLoop &Loop, const Clock &Time, Random &Source,
-               PeerNetwork &Network, PeerServer &Peers,
-               std::function<PeerNotice()> State);
+  /// How often tick() is to be called: a node polls those whom it follows.
+  static constexpr Duration PollInterval = Duration::millis(500);
+
+  /// \param Self and \p Zone the name of this node and its availability zone.
+  NewsExchange(const Clock &Time, Random &Source, NewsActions &Actions,
+               std::string Self, std::string Zone);
+
+  /// The store answers this node, or not.
+  void onStore(bool Answers);
 
   /// This node has learned something that it did not know.
   void onLearned();
 
+  /// The member directory was read for the first time.
+  void onFirstMembers() { poll(); }
+
   /// A peer has told what it knows.
   void onNotice(const std::string &Node, const PeerNotice &Told);
 
-  /// Periodic work, every half second.
-  /// \param StoreAway this node can't read the store at present.
-  void tick(bool StoreAway);
+  /// A peer follows this node.
+  PeerPollAnswer onPoll(const std::string &Node, const PeerNotice &Told);
 
-  /// \returns a request for what this node lacks.
+  void onPollAnswer(const std::string &Node, const PeerPollAnswer &Answer);
+
+  void onTimer();
+
+  /// Periodic work, every PollInterval.
+  void tick();
+
+  /// \returns true if this node is to read the store itself.
+  bool reads() const { return Plan.reads(Time.now()); }
+
+  /// \returns true if a failed read of the store should soon be repeated:
+  /// nobody else does it for this node.
+  bool leads() const { return Plan.followed().empty(); }
+
+  /// \returns true if what this node knows is current: the store answers it, or
+  /// it follows a node for which that holds.
+  bool current() const;
+
+  /// \returns the number of nodes that read the store if all is well.
+  std::size_t readers() const { return Plan.readers().size(); }
+
+  /// \returns a request for all that this node lacks.
   PeerNewsRequest request() const;
 
 private:
-  void announce();
-  void askWanted();
-  bool lacks(const PeerNotice &Told) const;
+  /// What a peer has told and this node lacks.
+  struct Want {
+    std::string From;
+    PeerNotice Told;
+    Instant Due;
+  };
+
+  /// \returns true if neither the store nor a followed node answers.
+  bool isolated() const;
+  void poll();
+  void wantConfiguration(const std::string &Node, const PeerNotice &Told);
+  void wantMembers(const std::string &Node, const PeerNotice &Told);
+  /// \returns how long to wait for the own sources before \p Node is asked for
+  /// its members, or nothing if it is not to be asked.
+  std::optional<Duration> membersDelay(const std::string &Node) const;
+  bool isReader(const std::string &Node) const;
+  PeerNewsRequest configurationRequest() const;
+  void askWanted(Instant Now);
+  void announce(Instant Now);
+  void askAnybody();
+  void arm();
 
   const Clock &Time;
   Random &Source;
-  PeerNetwork &Network;
-  PeerServer &Peers;
-  std::function<PeerNotice()> State;
-  boost::asio::steady_timer AnnounceTimer;
-  boost::asio::steady_timer AskTimer;
-  bool Announcing = false;
-  bool Asking = false;
-  /// The newest state that a peer has told and this node lacks.
-  PeerNotice Wanted;
-  std::string WantedFrom;
-  Instant LastRequest;
+  NewsActions &Actions;
+  std::string Self;
+  FollowPlan Plan;
+  bool StoreAnswers = false;
+  /// When nodes have polled this one.
+  std::map<std::string, Instant, std::less<>> Followers;
+  std::optional<Want> Configuration;
+  std::optional<Want> Members;
+  Instant AskedForConfiguration;
+  std::optional<Instant> AnnounceToFollowers;
+  std::optional<Instant> AnnounceToReaders;
 };
 
 } // namespace camphorpin
--- a/packages/gateway/camphorpin/src/Gateway/PeerCodec.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerCodec.cpp
@@ -148,6 +148,14 @@
       Ids.set(Index, Value.Ids[Index]);
   }
   void operator()(const PeerNotice &Value) { write(Root.initNotice(), Value); }
+  void operator()(const PeerPoll &Value) {
+    write(Root.initPoll(), Value.Known);
+  }
+  void operator()(const PeerPollAnswer &Value) {
+    peer::PollAnswer::Builder Target = Root.initPollAnswer();
+    write(Target.initKnown(), Value.Known);
+    Target.setCurrent(Value.Current);
+  }
   void operator()(const PeerCrashes &Value) {
     auto Notices =
         Root.initCrashes(static_cast<unsigned>(Value.Notices.size()));
@@ -269,6 +277,11 @@
     return readCrashes(Root);
   case peer::PeerFrame::NOTICE:
     return read(Root.getNotice());
+  case peer::PeerFrame::POLL:
+    return PeerPoll{read(Root.getPoll())};
+  case peer::PeerFrame::POLL_ANSWER:
+    return PeerPollAnswer{read(Root.getPollAnswer().getKnown()),
+                          Root.getPollAnswer().getCurrent()};
   }
   // A frame of a later version is ignored.
   return PeerPong{0};
--- a/packages/gateway/camphorpin/src/Gateway/PeerMessages.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerMessages.h
@@ -120,11 +120,27 @@
   std::uint64_t Number = 0;
 };
 
+/// \class PeerPoll
+/// \brief Sent by a node that follows the receiver; answered at once.
+struct PeerPoll {
+  PeerNotice Known;
+};
+
+/// \class PeerPollAnswer
+/// \brief What a followed node knows.
+struct PeerPollAnswer {
+  PeerNotice Known;
+  /// What it knows is current: the platform's store answers it, or a node that
+  /// it follows.
+  bool Current = false;
+};
+
 /// \class PeerNewsRequest
 /// \brief Asks for what the receiver knows and the sender lacks.
 struct PeerNewsRequest {
   /// What the sender knows, as in PeerNotice.
   std::uint64_t Configuration = 0;
+  /// 0 if members are not asked for.
   std::uint64_t Members = 0;
   /// Digests of the parts of its member directory (NodeDirectory::parts()).
   std::vector<std::uint32_t> Parts;
@@ -166,10 +182,10 @@
 };
 
 /// A frame of the protocol between gateways.
-using PeerFrame =
-    std::variant<PeerHello, PeerCall, PeerAnswer, PeerCancel, PeerPing,
-                 PeerPong, GateStatus, PeerNewsRequest, PeerNews,
-                 PeerAcknowledged, PeerCrashes, PeerNotice>;
+using PeerFrame = std::variant<PeerHello, PeerCall, PeerAnswer, PeerCancel,
+                               PeerPing, PeerPong, GateStatus, PeerNewsRequest,
+                               PeerNews, PeerAcknowledged, PeerCrashes,
+                               PeerNotice, PeerPoll, PeerPollAnswer>;
 
 inline Verdict PeerAnswer::verdict() const {
   switch (Outcome) {
--- a/packages/gateway/camphorpin/src/Gateway/PeerNetwork.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerNetwork.cpp
@@ -147,19 +147,17 @@
   if (Found == Directory.all().end() || Node == Settings.Node)
     return;
   GateLink &Target = link(Found->second);
-  if (Target.connected())
+  if (const auto *Poll = std::get_if<PeerPoll>(&Frame))
+    Target.poll(*Poll);
+  else if (Target.connected())
     Target.send(Frame);
   else
     Target.open();
 }
 
-void PeerNetwork::sendToAny(const PeerFrame &Frame) {
-  std::vector<const std::string *> Others;
-  for (const auto &[Node, Record] : Directory.all())
-    if (!Record.Departed && Node != Settings.Node)
-      Others.push_back(&Node);
-  if (!Others.empty())
-    send(*Others[Source.below(Others.size())], Frame);
+bool PeerNetwork::reachable(const std::string &Node) const {
+  const auto Found = Links.find(Node);
+  return Found == Links.end() || !Found->second->reconnecting();
 }
 
 void PeerNetwork::tick() {
--- a/packages/gateway/camphorpin/src/Gateway/PeerNetwork.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerNetwork.h
@@ -50,8 +50,8 @@
   /// whose hellos tell what each side knows.
   void send(const std::string &Node, const PeerFrame &Frame);
 
-  /// Does the same with a random other node.
-  void sendToAny(const PeerFrame &Frame);
+  /// \returns false if connections to \p Node fail.
+  bool reachable(const std::string &Node) const;
 
   /// Closes connections that have not been used for long. Periodic work.
   void tick();
--- a/packages/gateway/camphorpin/src/Gateway/PeerServer.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerServer.cpp
@@ -31,6 +31,7 @@
   void send(const PeerFrame &Frame) { Channel->send(Frame); }
   void close() { Channel->close(); }
   std::uint64_t sender() const { return Sender; }
+  const std::string &node() const { return Node; }
 
   void onFrame(PeerFrame Frame) override {
     if (auto *Call = std::get_if<PeerCall>(&Frame)) {
@@ -55,6 +56,8 @@
         Server.Calls.erase({Sender, Id});
     } else if (const auto *Told = std::get_if<PeerNotice>(&Frame)) {
       onNotice(*Told);
+    } else if (const auto *Poll = std::get_if<PeerPoll>(&Frame)) {
+      send(Server.Owner.onPoll(Node, Poll->Known));
     } else if (const auto *Crashes = std::get_if<PeerCrashes>(&Frame)) {
       Server.Owner.onCrashes(*Crashes);
     }
@@ -203,6 +206,12 @@
       Item->send(Frame);
 }
 
+void PeerServer::send(const std::string &Node, const PeerFrame &Frame) {
+  for (const std::shared_ptr<Session> &Item : Sessions)
+    if (Item->node() == Node)
+      Item->send(Frame);
+}
+
 void PeerServer::sendToAny(const PeerFrame &Frame, Random &Source) {
   if (Sessions.empty())
     return;
--- a/packages/gateway/camphorpin/src/Gateway/PeerServer.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerServer.h
@@ -26,6 +26,8 @@
   virtual void onNotice(const std::string &Node, const PeerNotice &Told) = 0;
   virtual PeerNews news(const PeerNewsRequest &Request) = 0;
   virtual void onNews(PeerNews News) = 0;
+  virtual PeerPollAnswer onPoll(const std::string &Node,
+                                const PeerNotice &Told) = 0;
   virtual void onCrashes(const PeerCrashes &Crashes) = 0;
 };
 
@@ -47,6 +49,9 @@
   void announce();
   void broadcast(const PeerFrame &Frame);
 
+  /// Sends \p Frame on the connections that \p Node has opened.
+  void send(const std::string &Node, const PeerFrame &Frame);
+
   /// Sends \p Frame to one of the connected peers.
   void sendToAny(const PeerFrame &Frame, Random &Source);
 
--- a/packages/gateway/camphorpin/src/Gateway/StorePacing.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/StorePacing.cpp
@@ -1,6 +1,7 @@
 #include "camphorpin/src/Gateway/StorePacing.h"
 
 #include <algorithm>
+#include <cassert>
 
 namespace camphorpin {
 
@@ -8,10 +9,10 @@
 
 /// How long the store holds a read of a feed open at most. Each costs a call.
 constexpr Duration LongestRead = Duration::seconds(25);
-/// A read may go silent without an error, and only its end shows it. The reads
-/// of the configuration end as often in the whole fleet as one node's would
-/// every 400 ms, so that one soon finds the store back and tells the others.
-constexpr Duration ReadPerNode = Duration::millis(400);
+/// A read may go silent without an error, and only its end shows it. In the
+/// whole fleet a read of the configuration ends every second, so that one node
+/// soon finds out what it has missed and tells the others.
+constexpr Duration ReadPerReader = Duration::seconds(1);
 constexpr Duration ShortestRead = Duration::seconds(4);
 /// Random part of a read, because reads that began together must not end
 /// together.
@@ -21,24 +22,47 @@
 constexpr Duration ShortestPause = Duration::millis(400);
 /// A restart of a fleet changes a record of every node. While hosts come and
 /// go, their links tell whether they answer, so a record may come later.
-constexpr Duration PausePerNode = Duration::millis(20);
+constexpr Duration PausePerReader = Duration::millis(20);
 constexpr Duration LongestPause = Duration::seconds(2);
+/// First and longest pause before a failed read is repeated.
+struct RetryPauses {
+  Duration First;
+  Duration Longest;
+};
+/// Others wait for a node that leads, so it finds the store back soon. Those
+/// who follow it are told, so they try for themselves less often.
+constexpr RetryPauses LeaderPauses = {Duration::millis(150),
+                                      Duration::millis(1200)};
+constexpr RetryPauses FollowerPauses = {Duration::seconds(2),
+                                        Duration::seconds(4)};
+/// Doublings of the first pause.
+constexpr unsigned MaxDoublings = 4;
 
 } // namespace
 
-Duration StorePacing::readSpan(StoreFeed Feed, std::size_t Nodes,
+Duration StorePacing::readSpan(StoreFeed Feed, std::size_t Readers,
                                Random &Source) {
   if (Feed != StoreFeed::Configuration)
     return LongestRead;
-  const Duration Fair = ReadPerNode * static_cast<double>(Nodes);
+  const Duration Fair = ReadPerReader * static_cast<double>(Readers);
   const Duration Bounded = std::clamp(Fair, ShortestRead, LongestRead);
   return Bounded * (1 - ReadSpread * Source.unit());
 }
 
-Duration StorePacing::batchPause(StoreFeed Feed, std::size_t Nodes) {
+Duration StorePacing::retryPause(bool Leads, unsigned Failures,
+                                 Random &Source) {
+  assert(Failures > 0 && "a read has failed");
+  const RetryPauses &Pauses = Leads ? LeaderPauses : FollowerPauses;
+  const unsigned Doublings = std::min(Failures - 1, MaxDoublings);
+  const Duration Pause = std::min(
+      Pauses.Longest, Pauses.First * static_cast<double>(1U << Doublings));
+  return Pause * (0.5 + Source.unit());
+}
+
+Duration StorePacing::batchPause(StoreFeed Feed, std::size_t Readers) {
   if (Feed != StoreFeed::Members)
     return ShortestPause;
-  const Duration Fair = PausePerNode * static_cast<double>(Nodes);
+  const Duration Fair = PausePerReader * static_cast<double>(Readers);
   return std::clamp(Fair, ShortestPause, LongestPause);
 }
 
--- a/packages/gateway/camphorpin/src/Gateway/StorePacing.h
+++ b/packages/gateway/camphorpin/src/Gateway/StorePacing.h
@@ -16,13 +16,18 @@
 /// unless each node reads less often in a larger one.
 class StorePacing {
 public:
-  /// \param Nodes the size of the fleet.
+  /// \param Readers the number of nodes that read the store.
   /// \returns how long the store may hold a read of \p Feed open.
-  static Duration readSpan(StoreFeed Feed, std::size_t Nodes, Random &Source);
+  static Duration readSpan(StoreFeed Feed, std::size_t Readers, Random &Source);
 
   /// \returns the pause after records have come, so that a burst of changes is
   /// read with a few calls. It delays only what follows a change.
-  static Duration batchPause(StoreFeed Feed, std::size_t Nodes);
+  static Duration batchPause(StoreFeed Feed, std::size_t Readers);
+
+  /// \param Leads nobody else reads the store for this node.
+  /// \param Failures the reads that have failed since one succeeded.
+  /// \returns the pause before a failed read is repeated.
+  static Duration retryPause(bool Leads, unsigned Failures, Random &Source);
 };
 
 } // namespace camphorpin
--- a/packages/gateway/camphorpin/src/Gateway/StoreReader.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/StoreReader.cpp
@@ -8,8 +8,6 @@
 
 /// How long the store may take beyond the time for which it holds a read open.
 constexpr Duration AnswerWithin = Duration::millis(1500);
-constexpr Duration FirstPause = Duration::millis(150);
-constexpr Duration LongestPause = Duration::millis(1200);
 
 } // namespace
 
@@ -45,6 +43,13 @@
   readNext();
 }
 
+void StoreReader::resume() {
+  if (!Resting || Stopped)
+    return;
+  Resting = false;
+  readOn();
+}
+
 void StoreReader::call(std::string Bytes, Duration Within, bool Newest) {
   if (Stopped)
     return;
@@ -98,7 +103,7 @@
   }
   After.clear();
   if (Newest || Reply.Page.Records.empty()) {
-    readNext();
+    readOn();
     return;
   }
   continueAfter(Owner.batchPause(Feed));
@@ -123,22 +128,28 @@
 }
 
 void StoreReader::retryLater() {
-  const double Factor = 1U << std::min(Failures, 4U);
   ++Failures;
-  continueAfter(std::min(LongestPause, FirstPause * Factor) *
-                (0.5 + Source.unit()));
+  continueAfter(Owner.retryPause(Failures));
 }
 
 void StoreReader::continueAfter(Duration Pause) {
   Timer.expires_after(detail::timerSpan(Pause));
   Timer.async_wait([this](const boost::system::error_code &Error) {
-    if (Error || Stopped)
-      return;
-    if (PositionKnown && After.empty())
-      readNext();
-    else
-      readNewest();
+    if (!Error && !Stopped)
+      readOn();
   });
 }
 
+void StoreReader::readOn() {
+  // A reading that has begun is finished.
+  if (After.empty() && !Owner.keepsReading()) {
+    Resting = true;
+    return;
+  }
+  if (PositionKnown && After.empty())
+    readNext();
+  else
+    readNewest();
+}
+
 } // namespace camphorpin
--- a/packages/gateway/camphorpin/src/Gateway/StoreReader.h
+++ b/packages/gateway/camphorpin/src/Gateway/StoreReader.h
@@ -23,6 +23,11 @@
   virtual Duration readSpan(StoreFeed Feed) = 0;
   /// \returns the pause before the next read of \p Feed after records came.
   virtual Duration batchPause(StoreFeed Feed) = 0;
+  /// \param Failures the reads that have failed since one succeeded.
+  /// \returns the pause before a failed read is repeated.
+  virtual Duration retryPause(unsigned Failures) = 0;
+  /// \returns false if the node gets news from others and is not to read on.
+  virtual bool keepsReading() = 0;
 };
 
 /// \class StoreReader
@@ -30,7 +35,7 @@
 ///
 /// Reads the newest record of each key, then waits for later records. One call
 /// is outstanding at any time; an idle feed costs one call per
-/// StoreReaderListener::readSpan().
+/// StoreReaderListener::readSpan(). Rests while the listener says so.
 class StoreReader {
 public:
   StoreReader(EventLoop &Loop, Random &Source, const HostAddress &Address,
@@ -43,9 +48,15 @@
   /// Replaces the waiting read, which may have gone silent.
   void readAgain();
 
+  /// Reads on if it rests.
+  void resume();
+
   /// \returns true if the last call succeeded and the waiting one isn't late.
   bool reachable() const { return Reachable.value_or(false); }
 
+  /// \returns true if it is reachable and does not rest.
+  bool follows() const { return reachable() && !Resting; }
+
 private:
   void readNewest();
   void readNext();
@@ -55,6 +66,7 @@
   void setReachable(bool Value);
   void retryLater();
   void continueAfter(Duration Pause);
+  void readOn();
 
   EventLoop &Loop;
   Random &Source;
@@ -70,6 +82,8 @@
   /// Unknown until the first call has ended.
   std::optional<bool> Reachable;
   bool Stopped = false;
+  /// No call is outstanding and none is planned.
+  bool Resting = false;
   /// A read is open that ends when a record comes.
   bool Waiting = false;
   unsigned Failures = 0;
--- a/packages/gateway/tests/PeerServerTest.cpp
+++ b/packages/gateway/tests/PeerServerTest.cpp
@@ -18,6 +18,9 @@
   void onNotice(const std::string &, const PeerNotice &) override {}
   PeerNews news(const PeerNewsRequest &) override { return {}; }
   void onNews(PeerNews) override {}
+  PeerPollAnswer onPoll(const std::string &, const PeerNotice &) override {
+    return {};
+  }
   void onCrashes(const PeerCrashes &) override {}
 };
 
@@ -29,6 +32,10 @@
   void onNotice(const std::string &, const PeerNotice &) override {}
   PeerNews news(const PeerNewsRequest &) override { return {}; }
   void onNews(PeerNews) override {}
+  void onPollAnswer(const std::string &, const PeerPollAnswer &) override {}
+  PeerPollAnswer onPoll(const std::string &, const PeerNotice &) override {
+    return {};
+  }
   void onCrashes(const PeerCrashes &) override {}
 
 private:
--- a/tests/model/ModelWorker.h
+++ b/tests/model/ModelWorker.h
@@ -11,6 +11,8 @@
 
 namespace camphorpin::model {
 
+using test::EventQueue;
+
 /// \class CallPort
 /// \brief Where the runs of a backend server send their calls.
 class CallPort {
