Reject unknown transfer codings, and wait for whole chunk ends

Cause: two findings of the new HttpFuzzTest. A chunked body whose last chunk came in pieces stopped a node that is built with assertions (Beast 1.81 asserts that it sees five bytes once it has seen a part of them; without assertions the message is parsed as it should). A request in a transfer coding other than chunked was taken to have no body, so that its body would have been read as the next request. Change: bytes are given to the parser once five are there while a chunked body is read, which each such body has at its end. Such requests get 400 and their connection ends; such answers count as malformed.

--- a/packages/gateway/camphorpin/src/Gateway/BackendReport.h
+++ b/packages/gateway/camphorpin/src/Gateway/BackendReport.h
@@ -26,6 +26,13 @@
   std::uint64_t Sequence = 0;
   /// Unix time in milliseconds of its start; 0 if it isn't told.
   std::int64_t StartedMillis = 0;
+
+  /// \returns true unless it is known that the reports are of different starts.
+  bool sameIncarnation(const BackendReport &Other) const {
+    const bool StartsKnown = StartedMillis != 0 && Other.StartedMillis != 0;
+    return Id == Other.Id &&
+           (!StartsKnown || StartedMillis == Other.StartedMillis);
+  }
 };
 
 /// \class BackendProbe
--- a/packages/gateway/camphorpin/src/Gateway/GateControl.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/GateControl.cpp
@@ -21,6 +21,11 @@
 
 } // namespace
 
+void GateControl::onNewBackend() {
+  FaultPart = 0;
+  Queue.resetLimit();
+}
+
 GateAdmission GateControl::offer(const GateTicket &Ticket, Instant Now) {
   GateAdmission Result;
   if (!Limiter.admit(Ticket.Route, Ticket.Rank, Ticket.Nested))
--- a/packages/gateway/camphorpin/src/Gateway/GateControl.h
+++ b/packages/gateway/camphorpin/src/Gateway/GateControl.h
@@ -35,6 +35,11 @@
   /// \param Slots the requests that the backend server runs at the same time.
   void setSlots(std::uint32_t Slots) { Queue.setSlots(Slots); }
 
+  /// Another backend server, or a new incarnation, has taken the place of the
+  /// one before. What was learnt about its faults and slots is forgotten; its
+  /// service times are smoothed and follow by themselves.
+  void onNewBackend();
+
   /// Asks for a slot. With GateChoice::Start the call counts as running.
   GateAdmission offer(const GateTicket &Ticket, Instant Now);
 
--- a/packages/gateway/camphorpin/src/Gateway/GateQueue.h
+++ b/packages/gateway/camphorpin/src/Gateway/GateQueue.h
@@ -68,6 +68,9 @@
   /// \param Slots the requests that the backend server runs at the same time.
   void setSlots(std::uint32_t Slots) { Limit.setSlots(Slots); }
 
+  /// Allows all slots again, until it is known how many are best.
+  void resetLimit() { Limit.reset(); }
+
   /// Asks for a slot. With GateChoice::Start the request counts as running.
   GateDecision offer(const GateTicket &Ticket, Instant Now);
 
--- a/packages/gateway/camphorpin/src/Gateway/HttpConnection.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/HttpConnection.cpp
@@ -121,7 +121,8 @@
   if (Error == boost::asio::error::eof && Current->got_some()) {
     ErrorCode EndError;
     Current->put_eof(EndError);
-    if (!EndError && Current->is_done() && accept(Current->get())) {
+    if (!EndError && Current->is_done() && accept(Current->get()) &&
+        !detail::unknownCoding(Current->get())) {
       finish(ExchangeEnd::Whole, Current->release());
       return;
     }
@@ -130,7 +131,7 @@
 }
 
 void HttpConnection::parse() {
-  while (Done && Buffer.size() > 0) {
+  while (Done && detail::canParse(*Current, Buffer.size())) {
     ErrorCode Error;
     const std::size_t Used = Current->put(Buffer.data(), Error);
     Buffer.consume(Used);
@@ -151,6 +152,11 @@
       newParser();
       continue;
     }
+    if (detail::unknownCoding(Response)) {
+      KeepAlive = false;
+      finish(ExchangeEnd::Malformed, {});
+      return;
+    }
     noteKeepAlive(Response);
     // Surplus bytes belong to no request.
     if (Buffer.size() > 0)
--- a/packages/gateway/camphorpin/src/Gateway/HttpMessages.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/HttpMessages.cpp
@@ -50,8 +50,23 @@
   return Result;
 }
 
+/// Only the plain chunked coding is understood.
+template <typename Message> bool hasUnknownCoding(const Message &Source) {
+  const auto Coding = Source.find(http::field::transfer_encoding);
+  return Coding != Source.end() &&
+         !boost::beast::iequals(Coding->value(), "chunked");
+}
+
 } // namespace
 
+bool unknownCoding(const HttpRequest &Message) {
+  return hasUnknownCoding(Message);
+}
+
+bool unknownCoding(const HttpResponse &Message) {
+  return hasUnknownCoding(Message);
+}
+
 std::string headerLine(std::string_view Name, std::string_view Value) {
   std::string Result;
   Result.reserve(Name.size() + Value.size() + 4);
--- a/packages/gateway/camphorpin/src/Gateway/HttpMessages.h
+++ b/packages/gateway/camphorpin/src/Gateway/HttpMessages.h
@@ -3,6 +3,7 @@
 
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <cstddef>
 #include <span>
 #include <string>
 #include <string_view>
@@ -42,6 +43,21 @@
 std::string_view headerOf(const HttpRequest &Message, std::string_view Name);
 std::string_view headerOf(const HttpResponse &Message, std::string_view Name);
 
+/// \returns true if \p Parser can go on with \p Bytes unread bytes. The end of
+/// a chunked message has at least five bytes; once Beast 1.81 has seen a part
+/// of it, it asserts that the next part completes these.
+template <typename HttpParser>
+bool canParse(const HttpParser &Parser, std::size_t Bytes) {
+  constexpr std::size_t ChunkedEndBytes = 5;
+  const bool InChunks = Parser.is_header_done() && Parser.chunked();
+  return Bytes >= (InChunks ? ChunkedEndBytes : 1);
+}
+
+/// \returns true if the body of \p Message is in a transfer coding that is not
+/// understood, so that it is not known where the message ends.
+bool unknownCoding(const HttpRequest &Message);
+bool unknownCoding(const HttpResponse &Message);
+
 /// \returns a reply of the node's own with a short plain text as its body.
 HttpReply plainReply(unsigned Status, std::string_view Text);
 
--- a/packages/gateway/camphorpin/src/Gateway/HttpSession.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/HttpSession.cpp
@@ -101,6 +101,8 @@
 void HttpSession::parse() {
   while (!Closed && !LastRequest && Buffer.size() > 0 &&
          Pending.size() < MaxPipelined && Outbox.size() < MaxUnsent) {
+    if (Current && !canParse(*Current, Buffer.size()))
+      break;
     if (!Current) {
       Current.emplace();
       Current->eager(true);
@@ -120,6 +122,10 @@
     if (Current->is_done()) {
       HttpRequest Request = Current->release();
       Current.reset();
+      if (unknownCoding(Request)) {
+        reject(http::make_error_code(http::error::bad_transfer_encoding));
+        return;
+      }
       dispatch(std::move(Request));
     } else if (Used == 0) {
       break;
--- a/packages/gateway/camphorpin/src/Gateway/LocalGate.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/LocalGate.cpp
@@ -82,10 +82,12 @@
 }
 
 void LocalGate::onReport(const BackendReport &Report) {
-  const std::string Before = Ledger.current().Id;
+  const BackendReport Before = Ledger.current();
   const bool Changed = Ledger.onReport(Report, Time.now());
-  if (Ledger.current().Id != Before)
+  if (Ledger.current().Id != Before.Id)
     Pool.clear();
+  if (!Ledger.current().sameIncarnation(Before))
+    Control.onNewBackend();
   if (Report.Id == Ledger.current().Id)
     UnreachableUntil = Instant();
   afterLedgerChange(Changed);
--- a/packages/gateway/camphorpin/src/Gateway/SlotLimit.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/SlotLimit.cpp
@@ -36,8 +36,17 @@
   assert(Value > 0 && "a backend server has at least one slot");
   if (Value == Slots)
     return;
-  *this = SlotLimit();
   Slots = Value;
+  reset();
+}
+
+void SlotLimit::reset() {
+  const std::uint32_t Kept = Slots;
+  // Runs that are marked with an earlier window tell nothing about the new one.
+  const std::uint64_t NextWindow = Window + 1;
+  *this = SlotLimit();
+  Slots = Kept;
+  Window = NextWindow;
 }
 
 std::uint32_t SlotLimit::limitAt(int Index) const {
--- a/packages/gateway/camphorpin/src/Gateway/SlotLimit.h
+++ b/packages/gateway/camphorpin/src/Gateway/SlotLimit.h
@@ -30,6 +30,9 @@
   /// \param Value the slots of the backend server, at least 1.
   void setSlots(std::uint32_t Value);
 
+  /// Forgets what was measured.
+  void reset();
+
   /// \returns how many runs are allowed at present; at least 1.
   std::uint32_t value() const { return limitAt(Trying ? TrialLevel : Level); }
 
--- a/packages/gateway/tests/BackendLedgerTest.cpp
+++ b/packages/gateway/tests/BackendLedgerTest.cpp
@@ -140,3 +140,12 @@
   cr_assert(Ledger.accepting());
   cr_assert_eq(Ledger.current().StartedMillis, 100);
 }
+
+// Guards what was learnt about a backend server against being forgotten at each
+// report, and against being kept for the next one.
+Test(BackendReport, incarnationsAreToldApart) {
+  cr_assert(report("a", 100, 1).sameIncarnation(report("a", 100, 2)));
+  cr_assert(report("a", 0, 1).sameIncarnation(report("a", 100, 2)));
+  cr_assert_not(report("a", 100, 1).sameIncarnation(report("a", 200, 1)));
+  cr_assert_not(report("a", 100, 1).sameIncarnation(report("b", 100, 1)));
+}
--- a/packages/gateway/tests/GateControlTest.cpp
+++ b/packages/gateway/tests/GateControlTest.cpp
@@ -86,3 +86,22 @@
   HostModel Restarted(/*Calling=*/false);
   cr_assert_eq(Restarted.play(6, 500), RefusalReason::Shed);
 }
+
+// Guards a new backend server against getting less because the one before it
+// failed its runs.
+Test(GateControl, newBackendServerStartsWithoutTheFaultsOfTheLast) {
+  GateControl Control;
+  Control.setSlots(4);
+  PeerAnswer Failed;
+  Failed.Reason = RefusalReason::BackendFailed;
+  for (std::uint64_t Id = 1; Id <= 50; ++Id) {
+    GateTicket Ticket;
+    Ticket.Id = Id;
+    Ticket.Route = "r";
+    Control.offer(Ticket, Instant());
+    Control.end(Id, Failed, Instant());
+  }
+  cr_assert_gt(Control.status().FaultPart, 0.8);
+  Control.onNewBackend();
+  cr_assert_eq(Control.status().FaultPart, 0.0);
+}
--- a/packages/gateway/tests/GatewayFixture.h
+++ b/packages/gateway/tests/GatewayFixture.h
@@ -6,9 +6,12 @@
 #include "camphorpin/src/Gateway/AsyncHttpServer.h"
 #include "camphorpin/src/Gateway/PeerServer.h"
 
+#include <array>
+#include <boost/asio/write.hpp>
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace camphorpin::test {
@@ -55,6 +58,52 @@
 constexpr const char *HealthyHead =
     "HTTP/1.1 200 OK\r\nCamphorpin-Backend-Id: b1\r\n";
 
+/// A caller that writes raw bytes and collects what comes back.
+class RawCaller {
+public:
+  RawCaller(EventLoop &Loop, const HostAddress &Address)
+      : Loop(Loop), Socket(Loop) {
+    Socket.connect(detail::endpointOf(Address));
+    read();
+  }
+  ~RawCaller() { *Alive = false; }
+
+  void send(std::string_view Bytes) {
+    boost::asio::write(Socket, boost::asio::buffer(Bytes));
+  }
+  /// Sends what the server still takes.
+  void trySend(std::string_view Bytes) {
+    boost::system::error_code Ignored;
+    boost::asio::write(Socket, boost::asio::buffer(Bytes), Ignored);
+  }
+  void leave() { Socket.close(); }
+
+  std::string Received;
+  bool Ended = false;
+
+private:
+  void read() {
+    Socket.async_read_some(
+        boost::asio::buffer(Chunk),
+        [this, Guard = Alive](const boost::system::error_code &Error,
+                              std::size_t Bytes) {
+          if (!*Guard)
+            return;
+          if (Error) {
+            Ended = true;
+            return;
+          }
+          Received.append(Chunk.data(), Bytes);
+          read();
+        });
+  }
+
+  EventLoop &Loop;
+  TcpSocket Socket;
+  std::array<char, 4096> Chunk{};
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+};
+
 /// A backend server whose answers the test writes.
 class FakeBackend final : public HttpRequestHandler {
 public:
--- /dev/null
+++ b/packages/gateway/tests/HttpFuzzTest.cpp
@@ -0,0 +1,268 @@
+// Guards callers and backend servers against each other's bytes: however they
+// are split, cut or spoiled, no request or answer is taken for another one, a
+// part is not taken for the whole, and the node serves on.
+#include "GatewayFixture.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <criterion/criterion.h>
+#include <optional>
+#include <rapidcheck.h>
+
+using namespace camphorpin;
+using namespace camphorpin::test;
+
+namespace {
+
+/// \returns \p Bytes in pieces whose lengths are drawn.
+std::vector<std::string> split(const std::string &Bytes) {
+  std::vector<std::string> Result;
+  std::size_t At = 0;
+  while (At < Bytes.size()) {
+    const std::size_t Length = *rc::gen::inRange<std::size_t>(1, 80);
+    Result.push_back(Bytes.substr(At, Length));
+    At += Length;
+  }
+  return Result;
+}
+
+/// \returns \p Body in chunks whose lengths are drawn, with the last chunk.
+std::string chunked(const std::string &Body) {
+  std::ostringstream Result;
+  for (const std::string &Part : split(Body))
+    Result << std::hex << Part.size() << "\r\n" << Part << "\r\n";
+  Result << "0\r\n\r\n";
+  return Result.str();
+}
+
+/// \returns \p Bytes with some bytes overwritten, left out or doubled.
+std::string spoil(std::string Bytes) {
+  const int Changes = *rc::gen::inRange(1, 6);
+  for (int Count = 0; Count < Changes && !Bytes.empty(); ++Count) {
+    const std::size_t At = *rc::gen::inRange<std::size_t>(0, Bytes.size());
+    const std::string Noise = *rc::gen::element<std::string>(
+        "", "\r", "\n", "\r\n", "\r\n\r\n", " ", ":", "0", "9", "ffffffff",
+        "-1", "Content-Length: 3\r\n", "Transfer-Encoding: chunked\r\n",
+        std::string(1, '\0'), "\x80\xff", std::string(300, 'x'));
+    Bytes.replace(At, *rc::gen::inRange<std::size_t>(0, 3), Noise);
+  }
+  return Bytes;
+}
+
+struct Message {
+  std::string Id;
+  std::string Body;
+  bool Chunked = false;
+};
+
+std::vector<Message> drawMessages(std::size_t Most) {
+  std::vector<Message> Result(*rc::gen::inRange<std::size_t>(1, Most + 1));
+  for (std::size_t Index = 0; Index < Result.size(); ++Index) {
+    Result[Index].Id = "q" + std::to_string(Index);
+    Result[Index].Body = *rc::gen::container<std::string>(
+        *rc::gen::inRange<std::size_t>(0, 200), rc::gen::arbitrary<char>());
+    Result[Index].Chunked = *rc::gen::arbitrary<bool>();
+  }
+  return Result;
+}
+
+std::string framed(const Message &Item) {
+  if (Item.Chunked)
+    return "Transfer-Encoding: chunked\r\n\r\n" + chunked(Item.Body);
+  return "Content-Length: " + std::to_string(Item.Body.size()) + "\r\n\r\n" +
+         Item.Body;
+}
+
+std::string requestBytes(const Message &Item) {
+  return "POST /" + Item.Id +
+         " HTTP/1.1\r\nHost: h\r\nCamphorpin-Request: " + Item.Id + "\r\n" +
+         framed(Item);
+}
+
+/// Answers each request with its own body.
+struct EchoServer final : HttpRequestHandler {
+  EventLoop Loop;
+  HostAddress Address = freeAddress();
+  AsyncHttpServer Server{Loop, *this};
+  std::vector<std::string> Bodies;
+
+  EchoServer() { Server.listen(Address); }
+  void onRequest(const std::shared_ptr<HttpExchange> &Exchange) override {
+    Bodies.push_back(Exchange->request().body());
+    Exchange->reply(stampedReply(*Exchange, Bodies.back()));
+  }
+};
+
+/// A server that sends the given pieces as soon as a caller connects, and then
+/// closes the connection.
+class PieceServer {
+public:
+  PieceServer(EventLoop &Loop, std::vector<std::string> Pieces)
+      : Acceptor(Loop), Socket(Loop), Pieces(std::move(Pieces)) {
+    cr_assert_eq(detail::openAcceptor(Acceptor, Address), std::string());
+    Acceptor.async_accept(Socket, [this](const boost::system::error_code &E) {
+      if (!E)
+        Socket.async_read_some(
+            boost::asio::buffer(Request),
+            [this](const boost::system::error_code &Error, std::size_t) {
+              if (!Error)
+                sendNext();
+            });
+    });
+  }
+
+  HostAddress Address = freeAddress();
+
+private:
+  void sendNext() {
+    if (Next == Pieces.size()) {
+      Socket.close();
+      return;
+    }
+    boost::asio::async_write(
+        Socket, boost::asio::buffer(Pieces[Next++]),
+        [this](const boost::system::error_code &Error, std::size_t) {
+          if (!Error)
+            sendNext();
+        });
+  }
+
+  boost::asio::ip::tcp::acceptor Acceptor;
+  TcpSocket Socket;
+  std::vector<std::string> Pieces;
+  std::size_t Next = 0;
+  std::array<char, 4096> Request{};
+};
+
+/// \returns the end of an exchange with a server that sends \p Pieces.
+ExchangeResult exchange(std::vector<std::string> Pieces) {
+  EventLoop Loop;
+  PieceServer Server(Loop, std::move(Pieces));
+  const auto Connection =
+      std::make_shared<HttpConnection>(Loop, Server.Address);
+  ExchangeCall Call;
+  Call.Bytes = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  Call.Id = "q0";
+  Call.IdHeader = "Camphorpin-Request";
+  std::optional<ExchangeResult> Result;
+  Connection->exchange(std::move(Call), [&Result](ExchangeResult Value) {
+    Result = std::move(Value);
+  });
+  runUntil(Loop, Duration::seconds(5), [&] { return Result.has_value(); });
+  RC_ASSERT(Result.has_value());
+  Connection->close();
+  return std::move(*Result);
+}
+
+std::string responseBytes(const Message &Item) {
+  return "HTTP/1.1 200 OK\r\nCamphorpin-Stamp: s\r\nCamphorpin-Request: " +
+         Item.Id + "\r\n" + framed(Item);
+}
+
+} // namespace
+
+Test(HttpFuzz, splitRequestsArriveWholeAndInOrder) {
+  cr_assert(rc::check([] {
+    const std::vector<Message> Messages = drawMessages(5);
+    std::string Bytes;
+    for (const Message &Item : Messages)
+      Bytes += requestBytes(Item);
+    EchoServer World;
+    RawCaller Caller(World.Loop, World.Address);
+    for (const std::string &Piece : split(Bytes)) {
+      Caller.send(Piece);
+      World.Loop.poll();
+    }
+    runUntil(World.Loop, Duration::seconds(5),
+             [&] { return World.Bodies.size() >= Messages.size(); });
+    RC_ASSERT(World.Bodies.size() == Messages.size());
+    for (std::size_t Index = 0; Index < Messages.size(); ++Index)
+      RC_ASSERT(World.Bodies[Index] == Messages[Index].Body);
+  }));
+}
+
+Test(HttpFuzz, spoiledRequestsDoNotStopTheServer) {
+  cr_assert(rc::check([] {
+    EchoServer World;
+    std::string Bytes;
+    for (const Message &Item : drawMessages(3))
+      Bytes += requestBytes(Item);
+    {
+      RawCaller Hostile(World.Loop, World.Address);
+      for (const std::string &Piece : split(spoil(Bytes))) {
+        Hostile.trySend(Piece);
+        World.Loop.poll();
+      }
+    }
+    World.Bodies.clear();
+    RawCaller Caller(World.Loop, World.Address);
+    Caller.send(requestBytes({"last", "body", false}));
+    runUntil(World.Loop, Duration::seconds(5), [&] {
+      return Caller.Received.find("Camphorpin-Request: last") !=
+             std::string::npos;
+    });
+    RC_ASSERT(Caller.Received.find("body") != std::string::npos);
+  }));
+}
+
+// A request with two lengths could hide another one from a proxy.
+Test(HttpFuzz, requestWithContradictoryLengthsIsNotPassedOn) {
+  for (const char *Lengths :
+       {"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+        "Content-Length: 4\r\nContent-Length: 30\r\n", "Content-Length: +4\r\n",
+        "Content-Length: 4, 30\r\n", "Transfer-Encoding: gzip\r\n"}) {
+    EchoServer World;
+    RawCaller Caller(World.Loop, World.Address);
+    Caller.send(std::string("POST / HTTP/1.1\r\nHost: h\r\n") + Lengths +
+                "\r\n0\r\n\r\nGET /hidden HTTP/1.1\r\nHost: h\r\n\r\n");
+    runUntil(World.Loop, Duration::seconds(2), [&] { return Caller.Ended; });
+    cr_assert(World.Bodies.empty(), "passed on: %s", Lengths);
+    cr_assert(Caller.Received.starts_with("HTTP/1.1 4"), "%s: %s", Lengths,
+              Caller.Received.c_str());
+  }
+}
+
+Test(HttpFuzz, splitAnswersArriveWhole) {
+  cr_assert(rc::check([] {
+    const Message Item = drawMessages(1).front();
+    const ExchangeResult Result = exchange(split(responseBytes(Item)));
+    RC_ASSERT(Result.End == ExchangeEnd::Whole);
+    RC_ASSERT(Result.Response.body() == Item.Body);
+  }));
+}
+
+Test(HttpFuzz, cutAnswersAreNotWhole) {
+  cr_assert(rc::check([] {
+    const std::string Bytes = responseBytes(drawMessages(1).front());
+    const std::size_t Cut = *rc::gen::inRange<std::size_t>(0, Bytes.size());
+    const ExchangeResult Result = exchange(split(Bytes.substr(0, Cut)));
+    RC_ASSERT(Result.End != ExchangeEnd::Whole);
+  }));
+}
+
+// A second answer to an earlier request may come first.
+Test(HttpFuzz, answersToOtherRequestsAreSkipped) {
+  cr_assert(rc::check([] {
+    Message Own = drawMessages(1).front();
+    std::string Bytes;
+    for (Message &Other : drawMessages(3)) {
+      Other.Id = "earlier";
+      Bytes += responseBytes(Other);
+    }
+    const ExchangeResult Result = exchange(split(Bytes + responseBytes(Own)));
+    RC_ASSERT(Result.End == ExchangeEnd::Whole);
+    RC_ASSERT(Result.Response.body() == Own.Body);
+  }));
+}
+
+Test(HttpFuzz, spoiledAnswersEndTheExchange) {
+  cr_assert(rc::check([] {
+    const Message Item = drawMessages(1).front();
+    const ExchangeResult Result = exchange(split(spoil(responseBytes(Item))));
+    // Whatever it is, it ends, and what is whole has the length it states.
+    if (Result.End == ExchangeEnd::Whole &&
+        Result.Response.has_content_length())
+      RC_ASSERT(std::to_string(Result.Response.body().size()) ==
+                Result.Response["Content-Length"]);
+  }));
+}
--- a/packages/gateway/tests/HttpSessionTest.cpp
+++ b/packages/gateway/tests/HttpSessionTest.cpp
@@ -1,7 +1,5 @@
 #include "GatewayFixture.h"
 
-#include <boost/asio/read.hpp>
-#include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
 
@@ -10,47 +8,6 @@
 
 namespace {
 
-/// A caller that writes raw bytes and collects what comes back.
-class RawCaller {
-public:
-  RawCaller(EventLoop &Loop, const HostAddress &Address)
-      : Loop(Loop), Socket(Loop) {
-    Socket.connect(detail::endpointOf(Address));
-    read();
-  }
-  ~RawCaller() { *Alive = false; }
-
-  void send(std::string_view Bytes) {
-    boost::asio::write(Socket, boost::asio::buffer(Bytes));
-  }
-  void leave() { Socket.close(); }
-
-  std::string Received;
-  bool Ended = false;
-
-private:
-  void read() {
-    Socket.async_read_some(
-        boost::asio::buffer(Chunk),
-        [this, Guard = Alive](const boost::system::error_code &Error,
-                              std::size_t Bytes) {
-          if (!*Guard)
-            return;
-          if (Error) {
-            Ended = true;
-            return;
-          }
-          Received.append(Chunk.data(), Bytes);
-          read();
-        });
-  }
-
-  EventLoop &Loop;
-  TcpSocket Socket;
-  std::array<char, 4096> Chunk{};
-  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
-};
-
 /// A server that keeps the requests for the test to answer.
 struct HeldServer final : HttpRequestHandler {
   EventLoop Loop;
--- a/packages/gateway/tests/SlotLimitTest.cpp
+++ b/packages/gateway/tests/SlotLimitTest.cpp
@@ -141,3 +141,13 @@
     Limit.onFinished(Limit.onStart(1), 1 + Count % 5);
   cr_assert_eq(Limit.value(), 1U);
 }
+
+// A run of a server that has gone must not count for its successor.
+Test(SlotLimit, runsFromBeforeAResetTellNothing) {
+  SlotLimit Limit;
+  Limit.setSlots(10);
+  const SlotLimit::Mark Before = Limit.onStart(10);
+  Limit.reset();
+  cr_assert_neq(Limit.onStart(10).Window, Before.Window);
+  cr_assert_eq(Limit.value(), 10U);
+}
