Refuse what is left in the queue of a node that has stopped

Cause: a request that was pushed between the last pop of the decision thread and the close of the queue was never answered. Its HTTP thread waited for good, and the process did not end. Seen in CombinedFailureTest (shutdownDuringSilentConnections) with the address sanitizer, 2 of 7 runs; a thread dump shows WaitingSink waiting and an event left in the ring. Ruled out: the silent connections themselves (the same dump shows no call in flight). Change: EventQueue::end() closes the ring and refuses each request, call and question that is left; the decision thread calls it when it ends.

--- a/packages/daemon/camphorpin/src/Daemon/DecisionThread.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/DecisionThread.cpp
@@ -55,6 +55,8 @@
     if (Engine.nextWakeup() <= Time.now())
       Engine.tick();
   }
+  // A request may have come since the last look.
+  Ports.Events.end();
   publish();
 }
 
--- a/packages/daemon/camphorpin/src/Daemon/EventQueue.h
+++ b/packages/daemon/camphorpin/src/Daemon/EventQueue.h
@@ -33,7 +33,10 @@
   bool complete(NodeEvent &&Event) { return Ring.push(std::move(Event)); }
 
   std::optional<NodeEvent> pop(Duration Timeout) { return Ring.pop(Timeout); }
-  void close() { Ring.close(); }
+
+  /// Takes nothing more, and refuses the requests and calls that are left: an
+  /// HTTP thread waits for the answer to each.
+  void end();
 
   /// \returns a number for a new request, never the same one twice.
   RequestId nextRequest() { return RequestId{++LastRequest}; }
--- a/packages/daemon/camphorpin/src/Daemon/HttpFront.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/HttpFront.cpp
@@ -3,6 +3,7 @@
 #include "camphorpin/src/Daemon/HttpAnswer.h"
 #include "camphorpin/src/Daemon/HttpHeaders.h"
 #include "camphorpin/src/Daemon/RequestReader.h"
+#include "camphorpin/src/Engine/Refusal.h"
 
 #include <condition_variable>
 #include <mutex>
@@ -58,7 +59,7 @@
     Response.status = 400;
     return;
   }
-  const bool MaySayNotRun = !Info->Key || Info->FirstAttempt;
+  const Answer Refusal = detail::refusal(*Info, RefusalReason::NodeBusy);
   const std::shared_ptr<WaitingSink> Sink = std::make_shared<WaitingSink>();
   RequestArrived Event{
       Events.nextRequest(), *std::move(Info),
@@ -66,10 +67,7 @@
       Sink};
   if (!Events.offer(std::move(Event))) {
     Log.write(LogEvent::NodeOverloaded, {{"ring", "events"}});
-    writeHttpAnswer(
-        {.Verdict = MaySayNotRun ? Verdict::NotRun : Verdict::MayHaveRun,
-         .Reason = RefusalReason::NodeBusy},
-        nullptr, Response);
+    writeHttpAnswer(Refusal, nullptr, Response);
     return;
   }
   Sink->writeTo(Response);
--- a/packages/daemon/camphorpin/src/Daemon/NodeDaemon.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/NodeDaemon.cpp
@@ -110,8 +110,7 @@
 void NodeDaemon::waitForEnd() {
   Decisions->join();
   // Answers that were given are still written out by the threads below. A
-  // request that arrives from now on is refused, because the queue is closed.
-  Events.close();
+  // request that arrives from now on is refused, because the queue has ended.
   Front.stop();
   Rpc->stop();
   Datagrams.stop();
--- a/packages/daemon/tests/LogOutputTest.cpp
+++ b/packages/daemon/tests/LogOutputTest.cpp
@@ -23,13 +23,10 @@
 class OutputPipe {
 public:
   OutputPipe() {
-    std::array<int, 2> Ends{};
-    cr_assert_eq(::pipe(Ends.data()), 0);
+    const std::array<int, 2> Ends = openPipe();
     Reading = Ends[0];
-    std::fflush(stdout);
-    cr_assert_eq(::dup2(Ends[1], STDOUT_FILENO), STDOUT_FILENO);
-    ::close(Ends[1]);
     ::fcntl(Reading, F_SETFL, O_NONBLOCK);
+    replaceOutput(Ends[1]);
   }
   ~OutputPipe() { closeReader(); }
 
@@ -52,6 +49,18 @@
   }
 
 private:
+  static std::array<int, 2> openPipe() {
+    std::array<int, 2> Ends{};
+    cr_assert_eq(::pipe(Ends.data()), 0);
+    return Ends;
+  }
+
+  static void replaceOutput(int Writing) {
+    std::fflush(stdout);
+    cr_assert_eq(::dup2(Writing, STDOUT_FILENO), STDOUT_FILENO);
+    ::close(Writing);
+  }
+
   int Reading = -1;
 };
 
--- a/packages/decision/camphorpin/src/Engine/Refusal.h
+++ b/packages/decision/camphorpin/src/Engine/Refusal.h
@@ -18,6 +18,13 @@
           .RetryAfter = RetryAfterRefusal};
 }
 
+/// \returns the refusal of a request that the engine has not seen.
+inline Answer refusal(const RequestInfo &Info, RefusalReason Reason) {
+  const bool KnownNotRun = !Info.Key || Info.FirstAttempt;
+  return {.Verdict = KnownNotRun ? Verdict::NotRun : Verdict::MayHaveRun,
+          .Reason = Reason};
+}
+
 /// \returns the refusal of a request that names nothing this mesh can run.
 inline Answer badRequest(RefusalReason Reason) {
   return {.Verdict = Verdict::NotRun, .Reason = Reason};
