--- /dev/null
+++ b/packages/gateway/tests/NewsFleet.h
@@ -0,0 +1,290 @@
+#ifndef CAMPHORPIN_TESTS_NEWSFLEET_H
+#define CAMPHORPIN_TESTS_NEWSFLEET_H
+
+#include "EventQueue.h"
+#include "camphorpin/src/Gateway/NewsExchange.h"
+#include "camphorpin/src/Gateway/StorePacing.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+/// A fleet in virtual time whose nodes only exchange news and read a store.
+namespace camphorpin::test {
+
+constexpr Duration NewsHop = Duration::millis(1);
+/// How long a connection to a node that has gone takes to fail.
+constexpr Duration ConnectTime = Duration::millis(700);
+
+class NewsFleet;
+
+/// A node that only exchanges news.
+class NewsNode final : public NewsActions {
+public:
+  NewsNode(NewsFleet &Owner, NodeRecord Record);
+
+  PeerNotice known() const override;
+  const NodeDirectory &directory() const override { return Directory; }
+  bool reachable(const std::string &Name) const override {
+    return !Failing.contains(Name);
+  }
+  void send(const std::string &Name, const PeerFrame &Frame) override;
+  void sendToCaller(const std::string &Name, const PeerFrame &Frame) override {
+    send(Name, Frame);
+  }
+  void sendToAnyCaller(const PeerFrame &) override {}
+  void wakeAfter(Duration Span) override;
+
+  void start();
+  void receive(const std::string &From, const PeerFrame &Frame);
+  void learn(const NodeRecord &Other);
+  void adopt(std::uint64_t Version);
+  void readStore();
+  /// The store turns this node away from now on.
+  void loseStore();
+
+  NodeRecord Record;
+  NodeDirectory Directory;
+  std::uint64_t Version = 0;
+  /// When it has adopted the latest version.
+  Instant Adopted;
+  bool Alive = true;
+  /// The store serves it.
+  bool Served = true;
+  /// Its open read has gone silent: changes don't reach it.
+  bool Silent = false;
+  std::set<std::string> Failing;
+  std::unique_ptr<NewsExchange> Exchange;
+
+private:
+  friend class NewsFleet;
+  void tick();
+  void applyStore();
+
+  NewsFleet &Owner;
+  std::uint64_t Wake = 0;
+  bool Waiting = false;
+  Instant Retry;
+  unsigned Failures = 0;
+};
+
+/// Nodes, the store and the time in which they live.
+class NewsFleet {
+public:
+  NewsFleet(int Nodes, int Zones) {
+    for (int Index = 0; Index < Nodes; ++Index) {
+      NodeRecord Record;
+      Record.Node = "node-" + std::to_string(Index);
+      Record.Address = *HostAddress::parse("10.0.0.1:7000");
+      Record.Service = "s";
+      Record.Zone = "zone-" + std::to_string(Index % Zones);
+      Record.Incarnation = 1;
+      add(std::move(Record));
+    }
+  }
+
+  NewsNode &add(NodeRecord Record) {
+    const std::string Name = Record.Node;
+    Nodes[Name] = std::make_unique<NewsNode>(*this, std::move(Record));
+    NewsNode &Added = *Nodes[Name];
+    Events.after(Duration::millis(300) * Source.unit(),
+                 [&Added] { Added.start(); });
+    return Added;
+  }
+
+  /// The operator writes a configuration.
+  void publish() {
+    ++Version;
+    Published = Events.now();
+    changed();
+  }
+
+  /// Tells the nodes whose reads wait.
+  void changed() {
+    for (auto &[Name, Item] : Nodes) {
+      if (!Item->Waiting || Item->Silent || !Item->Served || !Item->Alive)
+        continue;
+      Item->Waiting = false;
+      Events.after(NewsHop, [Item = Item.get()] {
+        if (!Item->Alive)
+          return;
+        Item->applyStore();
+        Item->readStore();
+      });
+    }
+  }
+
+  void run(Duration Span) { Events.runUntil(Events.now() + Span); }
+
+  /// \returns the longest time that a node took to adopt the version that was
+  /// published last; never if one has not.
+  Duration
+  spreadTime(const std::function<bool(const NewsNode &)> &Counts) const {
+    Duration Result;
+    for (const auto &[Name, Item] : Nodes) {
+      if (!Item->Alive || !Counts(*Item))
+        continue;
+      if (Item->Version != Version)
+        return Duration::seconds(1000);
+      Result = std::max(Result, Item->Adopted - Published);
+    }
+    return Result;
+  }
+  Duration spreadTime() const {
+    return spreadTime([](const NewsNode &) { return true; });
+  }
+
+  /// \returns a node of the zone that reads the store if all is well.
+  NewsNode &reader(const std::string &Zone, std::size_t Index = 0) {
+    std::map<std::uint64_t, NewsNode *> Order;
+    for (auto &[Name, Item] : Nodes)
+      if (Item->Record.Zone == Zone)
+        Order[stableHash(Name)] = Item.get();
+    return *std::next(Order.begin(), static_cast<std::ptrdiff_t>(Index))
+                ->second;
+  }
+
+  EventQueue Events;
+  SeededRandom Source{20261204};
+  std::map<std::string, std::unique_ptr<NewsNode>> Nodes;
+  std::vector<NodeRecord> Records;
+  std::uint64_t Version = 0;
+  Instant Published;
+  int Calls = 0;
+  std::size_t CrossZoneRecords = 0;
+};
+
+inline NewsNode::NewsNode(NewsFleet &Owner, NodeRecord Value)
+    : Record(std::move(Value)), Owner(Owner) {}
+
+inline PeerNotice NewsNode::known() const {
+  return {Version, Directory.digest()};
+}
+
+inline void NewsNode::start() {
+  Exchange = std::make_unique<NewsExchange>(Owner.Events.clock(), Owner.Source,
+                                            *this, Record.Node, Record.Zone);
+  Directory.add(Record);
+  ++Owner.Calls;
+  if (Served) {
+    Owner.Records.push_back(Record);
+    Owner.changed();
+    Owner.Calls += 2;
+    applyStore();
+    Exchange->onFirstMembers();
+  }
+  tick();
+}
+
+inline void NewsNode::applyStore() {
+  adopt(Owner.Version);
+  for (const NodeRecord &Item : Owner.Records)
+    learn(Item);
+}
+
+inline void NewsNode::adopt(std::uint64_t Value) {
+  if (Value <= Version)
+    return;
+  Version = Value;
+  Adopted = Owner.Events.now();
+  Exchange->onLearned();
+}
+
+inline void NewsNode::learn(const NodeRecord &Other) {
+  if (Directory.add(Other))
+    Exchange->onLearned();
+}
+
+inline void NewsNode::readStore() {
+  if (!Alive)
+    return;
+  if (!Exchange->reads() || Waiting) {
+    Exchange->onStore(Waiting && Exchange->reads());
+    return;
+  }
+  if (Owner.Events.now() < Retry)
+    return;
+  ++Owner.Calls;
+  if (!Served) {
+    Exchange->onStore(false);
+    const Duration Pause =
+        StorePacing::retryPause(Exchange->leads(), ++Failures, Owner.Source);
+    Retry = Owner.Events.now() + Pause;
+    Owner.Events.after(Pause, [this] { readStore(); });
+    return;
+  }
+  Failures = 0;
+  applyStore();
+  Waiting = true;
+  Exchange->onStore(true);
+}
+
+inline void NewsNode::loseStore() {
+  Served = false;
+  Waiting = false;
+  Exchange->onStore(false);
+}
+
+inline void NewsNode::tick() {
+  if (!Alive)
+    return;
+  readStore();
+  Exchange->tick();
+  Owner.Events.after(NewsExchange::PollInterval, [this] { tick(); });
+}
+
+inline void NewsNode::wakeAfter(Duration Span) {
+  const std::uint64_t Number = ++Wake;
+  Owner.Events.after(Span, [this, Number] {
+    if (Number != Wake || !Alive)
+      return;
+    Exchange->onTimer();
+    readStore();
+  });
+}
+
+inline void NewsNode::send(const std::string &Name, const PeerFrame &Frame) {
+  const auto Found = Owner.Nodes.find(Name);
+  if (Found == Owner.Nodes.end())
+    return;
+  NewsNode *Target = Found->second.get();
+  if (!Target->Alive || !Target->Exchange) {
+    Owner.Events.after(ConnectTime, [this, Name] { Failing.insert(Name); });
+    return;
+  }
+  if (const auto *News = std::get_if<PeerNews>(&Frame))
+    if (Target->Record.Zone != Record.Zone)
+      Owner.CrossZoneRecords += News->Members.size();
+  Owner.Events.after(NewsHop, [Target, From = Record.Node, Frame] {
+    if (Target->Alive && !Target->Failing.contains(From))
+      Target->receive(From, Frame);
+  });
+}
+
+inline void NewsNode::receive(const std::string &From, const PeerFrame &Frame) {
+  if (const auto *Poll = std::get_if<PeerPoll>(&Frame)) {
+    send(From, Exchange->onPoll(From, Poll->Known));
+  } else if (const auto *Answer = std::get_if<PeerPollAnswer>(&Frame)) {
+    Exchange->onPollAnswer(From, *Answer);
+  } else if (const auto *Told = std::get_if<PeerNotice>(&Frame)) {
+    Exchange->onNotice(From, *Told);
+  } else if (const auto *Request = std::get_if<PeerNewsRequest>(&Frame)) {
+    PeerNews News;
+    News.Configuration = Version;
+    if (Request->Members != 0)
+      for (const NodeRecord *Item : Directory.differing(Request->Parts))
+        News.Members.push_back({Item->Node, Item->toJson()});
+    send(From, News);
+  } else if (const auto *News = std::get_if<PeerNews>(&Frame)) {
+    adopt(News->Configuration);
+    for (const MemberNews &Item : News->Members)
+      learn(*NodeRecord::parse(Item.Record));
+  }
+}
+
+} // namespace camphorpin::test
+
+#endif
