--- a/packages/daemon/camphorpin/src/Daemon/EventQueue.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/EventQueue.cpp
@@ -19,7 +19,7 @@
   void operator()(const ExplainRequested &Event) const {
     Explanation Result;
     Result.Refusal = RefusalReason::Draining;
-    Event.Reply->set_value(std::move(Result));
+    Event.Reply->set_value(Result);
   }
   template <class Other> void operator()(const Other & /*Event*/) const {}
 };
