--- a/packages/gateway/camphorpin/src/Gateway/StorePacing.h
+++ b/packages/gateway/camphorpin/src/Gateway/StorePacing.h
@@ -11,9 +11,9 @@
 /// \class StorePacing
 /// \brief Decides how often a node reads the platform's store.
 ///
-/// Answers the load of a fleet that shares the store's rate of calls: every
-/// node reads every change, so the calls grow with the square of the fleet
-/// unless each node reads less often in a larger one.
+/// Answers the load of a fleet that shares the store's rate of calls: each node
+/// that reads the store reads every change, so each reads less often the more
+/// of them there are.
 class StorePacing {
 public:
   /// \param Readers the number of nodes that read the store.
