Run the process tests on programs with the thread sanitizer

Cause: Criterion's programs fail at their start with the thread sanitizer (its shared memory lies where the sanitizer keeps its own), so no test ran with it. Change: CAMPHORPIN_PROGRAMS names other builds of the programs that a process test starts; tools/sanitize.sh thread builds those with the sanitizer and fails on any report.

--- a/tests/process/HostedProcess.h
+++ b/tests/process/HostedProcess.h
@@ -3,6 +3,7 @@
 
 #include "ChildProcess.h"
 #include "FreeAddress.h"
+#include "Programs.h"
 
 #include <filesystem>
 #include <fstream>
@@ -40,8 +41,8 @@
 
   void start() {
     Process = std::make_unique<ChildProcess>(
-        std::vector<std::string>{CAMPHORPIN_BIN_DIR "/camphorpind",
-                                 "--settings", settingsFile()},
+        std::vector<std::string>{programPath("camphorpind"), "--settings",
+                                 settingsFile()},
         (Directory / ("NODE-" + Name + ".log")).string());
   }
 
--- a/tests/process/Mesh.cpp
+++ b/tests/process/Mesh.cpp
@@ -1,6 +1,7 @@
 #include "Mesh.h"
 
 #include "LoopbackPorts.h"
+#include "Programs.h"
 
 #include <cstdio>
 #include <cstdlib>
@@ -18,7 +19,6 @@
 using test::freePort;
 using test::loopbackIp;
 
-const std::string BinDir = CAMPHORPIN_BIN_DIR;
 constexpr int Zones = 3;
 constexpr int SeedPeers = 3;
 constexpr int BackendSlots = 16;
@@ -100,7 +100,7 @@
       LogIp(loopbackIp(0)), LogPort(freePort(LogIp)),
       Naive(std::getenv("CAMPHORPIN_NAIVE") != nullptr) {
   Log = std::make_unique<ChildProcess>(
-      std::vector<std::string>{BinDir + "/standin-log",
+      std::vector<std::string>{programPath("standin-log"),
                                "--address=" + logAddress()},
       Directory + "/log.out");
   for (const ServiceSpec &Spec : Services)
@@ -135,7 +135,7 @@
   Made.BackendPort = freePort(Made.Ip);
   Made.BackendAddress = Made.address(Made.BackendPort);
   Made.BackendCommand = {
-      BinDir + "/standin-backend",
+      programPath("standin-backend"),
       "--address=" + Made.BackendAddress,
       "--slots=" + std::to_string(BackendSlots),
       "--service_ms=" + std::to_string(Spec.ServiceMs),
@@ -202,9 +202,9 @@
       Settings["backends"][Other.Service].push_back(Other.BackendAddress);
   std::ofstream(Path + ".json") << Settings.dump(2);
   Target.Node = std::make_unique<ChildProcess>(
-      std::vector<std::string>{BinDir +
-                                   (Naive ? "/naive-node" : "/camphorpind"),
-                               "--settings=" + Path + ".json"},
+      std::vector<std::string>{
+          programPath(Naive ? "naive-node" : "camphorpind"),
+          "--settings=" + Path + ".json"},
       Path + ".out");
 }
 
@@ -247,7 +247,7 @@
 }
 
 int Mesh::publishDocuments() const {
-  ChildProcess Publisher({BinDir + "/camphorctl", "publish",
+  ChildProcess Publisher({programPath("camphorctl"), "publish",
                           "--log=" + logAddress(), "--author=demo",
                           CAMPHORPIN_SHOP_DOCUMENTS},
                          Directory + "/publish.out");
@@ -261,7 +261,7 @@
   std::ofstream(Directory + "/plan.json") << Plan.dump(2);
   Load = std::make_unique<ChildProcess>(
       std::vector<std::string>{
-          BinDir + "/standin-load", "--plan=" + Directory + "/plan.json",
+          programPath("standin-load"), "--plan=" + Directory + "/plan.json",
           "--summary=" + Directory + "/summary.json", "--sends=" + sendsPath()},
       Directory + "/load.out");
 }
