Track backend servers whose start times go backwards

Cause: a report with an earlier start time than the current server's was ignored for good. Start times are wall-clock readings, and the time of day may be set back between two starts: the new server then got no requests, or went on to get them after its drain was acknowledged. A departed id was refused for all earlier start times.

Change: such a report belongs to a rival. A health check that names the rival, or two seconds of its reports while the current server is silent, make it the current one. A departed server with a known start is matched by that start.

--- a/packages/gateway/camphorpin/src/Gateway/BackendTracker.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/BackendTracker.cpp
@@ -10,6 +10,10 @@
 /// most of the report interval, so that two reports that were delayed together
 /// don't confirm each other.
 constexpr Duration MinConfirmInterval = Duration::seconds(1);
+/// Period over which a rival reports before it replaces a current incarnation
+/// that has been silent meanwhile. It is longer than the report interval, so
+/// that reports that were delayed together don't suffice.
+constexpr Duration MinRivalPeriod = Duration::seconds(2);
 /// Period in which reports of a departed id with unknown start time are
 /// compared with the wall-clock time of its departure. At the end of this
 /// period the departed server has ended and sends no more reports. The check
@@ -22,8 +26,12 @@
 bool BackendTracker::hasDeparted(const BackendReport &Report,
                                  Instant Now) const {
   const auto Found = Departed.find(Report.Id);
-  return Found != Departed.end() && Now < Found->second.Until &&
-         Report.StartedMillis <= Found->second.LatestStart;
+  if (Found == Departed.end())
+    return false;
+  const Departure &Item = Found->second;
+  if (Item.StartKnown)
+    return Report.StartedMillis == Item.Start || Report.StartedMillis == 0;
+  return Now < Item.Until && Report.StartedMillis <= Item.Start;
 }
 
 bool BackendTracker::onReport(const BackendReport &Report, Instant Now) {
@@ -32,7 +40,7 @@
   if (Report.Phase == BackendPhase::Ready && hasDeparted(Report, Now))
     return false;
   if (Report.StartedMillis < Current.StartedMillis)
-    return false;
+    return onEarlierStart(Report, Now);
   // A backend server identified by a health check takes its start time from its
   // first report.
   const bool StartUnknown =
@@ -43,7 +51,23 @@
   return SameIncarnation ? update(Report, Now) : replaceCurrent(Report, Now);
 }
 
+bool BackendTracker::onEarlierStart(const BackendReport &Report, Instant Now) {
+  if (!Rival || !Rival->Report.sameIncarnation(Report)) {
+    Rival = Contender{Report, Now};
+    return false;
+  }
+  if (Report.Sequence <= Rival->Report.Sequence)
+    return false;
+  Rival->Report = Report;
+  if (Now - Rival->FirstReport < MinRivalPeriod)
+    return false;
+  replaceCurrent(Report, Now);
+  Confirmed = true;
+  return true;
+}
+
 bool BackendTracker::replaceCurrent(const BackendReport &Report, Instant Now) {
+  Rival.reset();
   Current = Report;
   Confirmed = false;
   FirstReport = Now;
@@ -61,6 +85,7 @@
   const bool Changed = Report.Phase != Current.Phase ||
                        Report.Slots != Current.Slots || Confirms;
   Confirmed = Confirmed || Confirms;
+  Rival.reset();
   Current = Report;
   return Changed;
 }
@@ -72,8 +97,9 @@
   const bool IsCurrent = Id == Current.Id;
   const bool StartKnown = IsCurrent && Current.StartedMillis != 0;
   Departure &Item = Departed[std::string(Id)];
-  Item.LatestStart = StartKnown ? Current.StartedMillis : WallNow.wholeMillis();
-  Item.Until = StartKnown ? Instant::never() : Now + WallClockCheckPeriod;
+  Item.StartKnown = StartKnown;
+  Item.Start = StartKnown ? Current.StartedMillis : WallNow.wholeMillis();
+  Item.Until = Now + WallClockCheckPeriod;
   if (!IsCurrent || Current.Phase == BackendPhase::Departed)
     return false;
   Current.Phase = BackendPhase::Departed;
@@ -83,9 +109,17 @@
 bool BackendTracker::onProbe(const BackendProbe &Probe) {
   if (Probe.Id.empty() || !Probe.Healthy || !needsProbe())
     return false;
+  if (Rival && Probe.Id == Rival->Report.Id && Probe.Id != Current.Id) {
+    const BackendReport Report = Rival->Report;
+    replaceCurrent(Report, Rival->FirstReport);
+    Confirmed = true;
+    return true;
+  }
   if (!Current.Id.empty()) {
-    Confirmed = Probe.Id == Current.Id;
-    return Confirmed;
+    Rival.reset();
+    const bool Confirms = !Confirmed && Probe.Id == Current.Id;
+    Confirmed = Confirmed || Confirms;
+    return Confirms;
   }
   if (Probe.Slots == 0 || Departed.contains(Probe.Id))
     return false;
--- a/packages/gateway/camphorpin/src/Gateway/BackendTracker.h
+++ b/packages/gateway/camphorpin/src/Gateway/BackendTracker.h
@@ -4,6 +4,7 @@
 #include "camphorpin/src/Gateway/BackendReport.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -18,6 +19,11 @@
 /// incarnation a higher sequence number supersedes a lower one. A backend
 /// server that has departed never becomes ready again with the same start time.
 ///
+/// Start times are read from the wall clock, which may be set back. A report
+/// with an earlier start time is therefore kept as that of a rival, which
+/// replaces the current incarnation if a health check identifies it or if it
+/// keeps reporting while the current one is silent.
+///
 /// The first report of an incarnation may be a delayed one from before the
 /// server departed, and a previous process of this node may already have
 /// acknowledged the departure. Requests are therefore accepted only after a
@@ -57,9 +63,9 @@
            Confirmed;
   }
 
-  /// \returns true if a health check could make accepting() return true.
+  /// \returns true if a health check could change current() or accepting().
   bool needsProbe() const {
-    return Current.Id.empty() ||
+    return Current.Id.empty() || (Rival && Rival->Report.Id != Current.Id) ||
            (Current.Phase == BackendPhase::Ready && !Confirmed);
   }
 
@@ -69,13 +75,23 @@
   /// \brief Identifies the reports of a departed backend server that must be
   /// ignored.
   struct Departure {
-    /// Latest start time to ignore, in Unix milliseconds.
-    std::int64_t LatestStart = 0;
-    /// Reports are ignored until this instant; never() if the start time was
-    /// known.
+    /// Start time in Unix milliseconds. If it is not known, the latest one that
+    /// the server can have had.
+    std::int64_t Start = 0;
+    bool StartKnown = false;
+    /// Reports are ignored until this instant if the start time is not known.
     Instant Until;
   };
 
+  /// \brief An incarnation with an earlier start time than the current one.
+  struct Contender {
+    BackendReport Report;
+    /// Arrival of its first report.
+    Instant FirstReport;
+  };
+
+  /// Handles a report with an earlier start time than the current one.
+  bool onEarlierStart(const BackendReport &Report, Instant Now);
   /// \returns true if \p Report comes from a departed backend server.
   bool hasDeparted(const BackendReport &Report, Instant Now) const;
   bool replaceCurrent(const BackendReport &Report, Instant Now);
@@ -88,6 +104,8 @@
   bool Confirmed = false;
   /// Arrival of the first report of the current incarnation.
   Instant FirstReport;
+  /// Forgotten when the current incarnation reports again.
+  std::optional<Contender> Rival;
   /// By id; at most MaxDeparted entries.
   std::map<std::string, Departure, std::less<>> Departed;
 };
--- a/packages/gateway/tests/BackendTrackerTest.cpp
+++ b/packages/gateway/tests/BackendTrackerTest.cpp
@@ -145,6 +145,62 @@
   cr_assert_eq(Tracker.current().StartedMillis, 100);
 }
 
+// Guards against ignoring a new server for good because the wall clock was set
+// back between the starts of the earlier server and the new one.
+Test(BackendTracker, serverStartedAfterClockWasSetBackIsUsed) {
+  BackendTracker Tracker(Address, "shop");
+  Tracker.onReport(report("old", 60000, 9), Start);
+  Tracker.onProbe({true, "old", 5});
+  cr_assert_not(Tracker.onReport(report("new", 30000, 1), Start));
+  cr_assert(Tracker.needsProbe());
+  cr_assert(Tracker.onProbe({true, "new", 5}));
+  cr_assert_eq(Tracker.current().Id, std::string("new"));
+  cr_assert(Tracker.accepting());
+}
+
+// Guards against sending requests to a server whose drain was acknowledged: its
+// reports have an earlier start time, because the wall clock was set back.
+Test(BackendTracker, drainIsNoticedAfterClockWasSetBack) {
+  BackendTracker Tracker(Address, "shop");
+  Tracker.onReport(report("a", 60000, 9), Start);
+  Tracker.onProbe({true, "a", 5});
+  Instant Now = Start + ReportInterval;
+  Tracker.onReport(report("a", 30000, 1), Now);
+  Now = Now + ReportInterval;
+  Tracker.onReport(report("a", 30000, 2), Now);
+  Now = Now + ReportInterval;
+  Tracker.onReport(report("a", 30000, 3, BackendPhase::Draining), Now);
+  cr_assert_not(Tracker.accepting());
+}
+
+// Guards the current server against delayed reports of an earlier one that keep
+// arriving.
+Test(BackendTracker, delayedReportsDontReplaceAReportingServer) {
+  BackendTracker Tracker(Address, "shop");
+  Tracker.onReport(report("new", 200, 1), Start);
+  Tracker.onProbe({true, "new", 5});
+  for (std::uint64_t Count = 0; Count < 6; ++Count) {
+    const Instant Now = Start + ReportInterval * static_cast<double>(Count);
+    Tracker.onReport(report("old", 100, 10 + Count), Now);
+    Tracker.onReport(report("new", 200, 2 + Count), Now);
+  }
+  cr_assert_eq(Tracker.current().Id, std::string("new"));
+  cr_assert(Tracker.accepting());
+}
+
+// Guards against a departed server that stays out of use after its restart,
+// because the wall clock was set back meanwhile.
+Test(BackendTracker, restartAfterDepartureAndClockSetBackIsUsed) {
+  BackendTracker Tracker(Address, "shop");
+  Tracker.onReport(report("a", 60000, 9), Start);
+  Tracker.onDeparture("a", Start, Start);
+  cr_assert_not(Tracker.onReport(report("a", 60000, 10), Start));
+  for (std::uint64_t Count = 1; Count <= 3; ++Count)
+    Tracker.onReport(report("a", 30000, Count),
+                     Start + ReportInterval * static_cast<double>(Count));
+  cr_assert(Tracker.accepting());
+}
+
 // Guards against discarding measurements of a backend server at each report,
 // and against keeping them for the next incarnation.
 Test(BackendReport, distinguishesIncarnations) {
