Bound the bytes held for responses, and check their ids on reused connections

Cause, by reading: a response could grow to 64 MB for each slot; the parser does not limit chunk extensions, trailers and skipped responses at all, so a faulty server could exhaust the memory of a node. A response without an id on a connection that had carried another request was taken for the answer: a late 503 of a health check would have said "not run" of a request that ran, and a late answer to a request could pass for a health check.

Change: heads and unparsed bytes are limited to 64 KB, bodies to 16 MB, skipped responses to 16, and all responses in transit together to a sixth of the node's memory (setting memoryMb), of which one may take half of what is free. What does not fit ends its exchange as "may have run" and closes the connection. A response without the expected id is malformed on a reused connection. A very large Keep-Alive timeout no longer overflows.

BackendProxyTest: the fake servers of two cases now echo the request id, as the protocol says that servers do; their checks are unchanged.

--- a/packages/gateway/camphorpin/src/Gateway/BackendProxy.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/BackendProxy.cpp
@@ -21,6 +21,12 @@
 /// Retry-After of a request that is suspected to crash backend servers.
 constexpr Duration SuspectRetryAfter = Duration::seconds(5);
 
+/// Part of the node's memory for responses that are being received. Each is
+/// copied two or three times until it has been forwarded.
+constexpr std::size_t ResponseMemoryDivisor = 6;
+/// Largest accepted body of the answer to a health check.
+constexpr std::uint64_t MaxProbeBytes = 64U << 10U;
+
 /// \returns true if HTTP clients take \p Status as a statement that the request
 /// did not run. 421 means that the id of the backend server differs from the
 /// one in the header HeaderNames::ExpectedBackend.
@@ -40,7 +46,10 @@
           ProcessId{Settings.PeerAddress,
                     static_cast<std::uint64_t>(Time.wallNow().wholeMillis())},
           Settings.BackendAddress),
-      Pool(Loop, Settings.BackendAddress), QueueTimer(Loop) {
+      Pool(Loop, Settings.BackendAddress,
+           std::make_shared<ByteBudget>(Settings.MemoryBytes /
+                                        ResponseMemoryDivisor)),
+      QueueTimer(Loop) {
   Detector.setCrashListener(
       [this](std::size_t LostRuns, const PeerCrashes &Crashes) {
         onBackendCrash(LostRuns, Crashes);
@@ -67,6 +76,8 @@
   Request.Bytes = "GET " + HealthPath +
                   " HTTP/1.1\r\nHost: " + Settings.BackendAddress.toString() +
                   "\r\n\r\n";
+  Request.IdHeader = Protocol.headers().RequestId;
+  Request.MaxBodyBytes = MaxProbeBytes;
   ProbeConnection->exchange(
       std::move(Request), [this](const ExchangeResult &Result) {
         const std::shared_ptr<HttpConnection> Connection =
--- a/packages/gateway/camphorpin/src/Gateway/GatewaySettings.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/GatewaySettings.cpp
@@ -11,6 +11,9 @@
 constexpr double RatioUnit = 1000.0;
 constexpr std::uint64_t MaxRatio = 10000;
 constexpr std::uint64_t MaxSlack = 1000000;
+constexpr std::uint64_t MinMemoryMegabytes = 32;
+constexpr std::uint64_t MaxMemoryMegabytes = 1U << 20U;
+constexpr unsigned MegabyteBits = 20;
 
 nlohmann::json parseJson(std::string_view Json) {
   return nlohmann::json::parse(Json, nullptr, /*allow_exceptions=*/false,
@@ -67,6 +70,10 @@
   Target.StoreAddress = Address("storeAddress");
   Target.MetricsAddress = Root.address("metricsAddress", false);
   Target.StopGrace = readMillis(Root, "stopGraceMs", Target.StopGrace);
+  Target.MemoryBytes = static_cast<std::size_t>(Root.number(
+                           "memoryMb", MinMemoryMegabytes, MaxMemoryMegabytes,
+                           Target.MemoryBytes >> MegabyteBits))
+                       << MegabyteBits;
   readBudget(Root, Target, Errors);
   readBounds(Root, Target);
   detail::readLogging(Root, Target.Logging, Errors);
--- a/packages/gateway/camphorpin/src/Gateway/GatewaySettings.h
+++ b/packages/gateway/camphorpin/src/Gateway/GatewaySettings.h
@@ -33,6 +33,8 @@
   RetryBudgetSettings RetryBudget;
   /// Time between SIGTERM and SIGKILL.
   Duration StopGrace = Duration::seconds(6);
+  /// Memory that the process may use.
+  std::size_t MemoryBytes = std::size_t(256) << 20U;
   LoggingSettings Logging;
   /// Limits set by the platform, in its own notation ("name=value").
   std::vector<std::string> PlatformBounds;
--- a/packages/gateway/camphorpin/src/Gateway/HttpConnection.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/HttpConnection.cpp
@@ -1,5 +1,6 @@
 #include "camphorpin/src/Gateway/HttpConnection.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
@@ -13,9 +14,12 @@
 namespace http = boost::beast::http;
 
 constexpr std::size_t ReadBytes = 16384;
-/// Largest accepted response body, so that a faulty server can't exhaust the
-/// memory of the node.
-constexpr std::uint64_t MaxResponseBytes = 64U << 20U;
+/// Largest size of the head of a response. The parser also needs this much for
+/// the extensions of a chunk and for trailers, which it does not limit itself.
+constexpr std::uint32_t MaxHeadBytes = 64U << 10U;
+/// Responses that may be skipped before the expected one: interim responses
+/// (1xx) and late ones to earlier requests.
+constexpr unsigned MaxSkippedResponses = 16;
 /// Servers are on the same host or near it and accept without delay.
 constexpr Duration ConnectTimeout = Duration::seconds(1);
 /// How long sent bytes may stay unacknowledged.
@@ -25,11 +29,15 @@
 /// Fraction of the server's keep-alive timeout after which a connection is not
 /// reused, because the server may already be closing it.
 constexpr double IdleTimeoutFraction = 0.6;
+/// Longest keep-alive timeout that a server's header is taken for, in seconds.
+constexpr std::uint32_t MaxKeepAliveSeconds = 3600;
 
 } // namespace
 
-HttpConnection::HttpConnection(EventLoop &Loop, const HostAddress &Address)
-    : Socket(Loop), Endpoint(detail::endpointOf(Address)), ConnectTimer(Loop) {}
+HttpConnection::HttpConnection(EventLoop &Loop, const HostAddress &Address,
+                               std::shared_ptr<ByteBudget> Budget)
+    : Socket(Loop), Endpoint(detail::endpointOf(Address)), ConnectTimer(Loop),
+      Held(std::move(Budget)) {}
 
 bool HttpConnection::reusable() const {
   return Open && !Closed && !Done && KeepAlive &&
@@ -41,6 +49,7 @@
   Request = std::move(Value);
   Done = std::move(Handler);
   Written = false;
+  Skipped = 0;
   newParser();
   if (Open)
     send();
@@ -85,7 +94,8 @@
 void HttpConnection::newParser() {
   CurrentParser.emplace();
   CurrentParser->eager(true);
-  CurrentParser->body_limit(MaxResponseBytes);
+  CurrentParser->header_limit(MaxHeadBytes);
+  CurrentParser->body_limit(Request.MaxBodyBytes);
   if (Request.IsHeadRequest)
     CurrentParser->skip(true);
 }
@@ -108,7 +118,15 @@
       close();
       return;
     }
-    parse();
+    try {
+      parse();
+      if (Done && !withinLimits())
+        finish(ExchangeOutcome::Malformed, {});
+    } catch (...) {
+      // Nothing is read any more, so the connection ends.
+      close();
+      throw;
+    }
     if (!Closed)
       read();
     return;
@@ -122,7 +140,7 @@
     ErrorCode EndError;
     CurrentParser->put_eof(EndError);
     if (!EndError && CurrentParser->is_done() &&
-        acceptResponse(CurrentParser->get()) &&
+        matchOf(CurrentParser->get()) == ResponseMatch::Expected &&
         !detail::hasUnsupportedTransferCoding(CurrentParser->get())) {
       finish(ExchangeOutcome::Complete, CurrentParser->release());
       return;
@@ -139,7 +157,6 @@
     if (Error == http::error::need_more)
       return;
     if (Error) {
-      KeepAlive = false;
       finish(ExchangeOutcome::Malformed, {});
       return;
     }
@@ -149,12 +166,16 @@
       continue;
     }
     HttpResponse Response = CurrentParser->release();
-    if (!acceptResponse(Response)) {
+    const ResponseMatch Match = matchOf(Response);
+    if (Match == ResponseMatch::Other && ++Skipped <= MaxSkippedResponses) {
       newParser();
       continue;
     }
+    if (Match != ResponseMatch::Expected) {
+      finish(ExchangeOutcome::Malformed, {});
+      return;
+    }
     if (detail::hasUnsupportedTransferCoding(Response)) {
-      KeepAlive = false;
       finish(ExchangeOutcome::Malformed, {});
       return;
     }
@@ -166,17 +187,26 @@
   }
 }
 
-bool HttpConnection::acceptResponse(const HttpResponse &Response) {
+bool HttpConnection::withinLimits() {
+  const std::size_t BodyBytes = CurrentParser->get().body().size();
+  return Buffer.size() <= MaxHeadBytes &&
+         Held.resize(Buffer.size() + BodyBytes);
+}
+
+HttpConnection::ResponseMatch
+HttpConnection::matchOf(const HttpResponse &Response) {
   if (Response.result_int() / 100 == 1)
-    return false;
-  if (Request.Id.empty())
-    return true;
+    return ResponseMatch::Other;
+  if (Request.IdHeader.empty())
+    return ResponseMatch::Expected;
   const std::string_view Id = detail::headerOf(Response, Request.IdHeader);
-  if (Id.empty() || Id == Request.Id)
-    return true;
+  if (Id == Request.Id)
+    return ResponseMatch::Expected;
+  if (Id.empty())
+    return Exchanges == 1 ? ResponseMatch::Expected : ResponseMatch::Unknown;
   // A duplicate response to an earlier request; the expected one follows.
   KeepAlive = false;
-  return false;
+  return ResponseMatch::Other;
 }
 
 void HttpConnection::updateKeepAlive(const HttpResponse &Response) {
@@ -186,10 +216,11 @@
       detail::headerOf(Response, "Keep-Alive");
   const std::size_t Start = KeepAliveHeader.find("timeout=");
   if (Start != std::string_view::npos) {
-    int Seconds = 0;
+    std::uint32_t Seconds = 0;
     const char *First = KeepAliveHeader.data() + Start + 8;
     std::from_chars(First, KeepAliveHeader.data() + KeepAliveHeader.size(),
                     Seconds);
+    Seconds = std::min(Seconds, MaxKeepAliveSeconds);
     Idle = std::chrono::milliseconds(
         static_cast<std::int64_t>(Seconds * 1000 * IdleTimeoutFraction));
   }
@@ -200,10 +231,9 @@
   ExchangeResult Result;
   Result.Outcome = Outcome;
   Result.Response = std::move(Response);
-  Result.Stale = Outcome == ExchangeOutcome::ConnectionLost && Exchanges > 1 &&
-                 !CurrentParser->got_some() && Buffer.size() == 0;
   const Handler Receiver = std::move(Done);
   Done = nullptr;
+  Held.clear();
   if (Outcome != ExchangeOutcome::Complete || !KeepAlive)
     close();
   Receiver(std::move(Result));
@@ -214,6 +244,7 @@
     return;
   Closed = true;
   Done = nullptr;
+  Held.clear();
   ErrorCode Ignored;
   ConnectTimer.cancel();
   Socket.close(Ignored);
--- a/packages/gateway/camphorpin/src/Gateway/HttpConnection.h
+++ b/packages/gateway/camphorpin/src/Gateway/HttpConnection.h
@@ -1,6 +1,7 @@
 #ifndef CAMPHORPIN_SRC_GATEWAY_HTTPCONNECTION_H
 #define CAMPHORPIN_SRC_GATEWAY_HTTPCONNECTION_H
 
+#include "camphorpin/src/Gateway/ByteBudget.h"
 #include "camphorpin/src/Gateway/EventLoop.h"
 #include "camphorpin/src/Gateway/HttpMessages.h"
 
@@ -23,7 +24,7 @@
   NotSent,
   /// The connection ended before a complete response.
   ConnectionLost,
-  /// The received bytes are not a valid response.
+  /// The received bytes are not a valid response, or exceed a limit.
   Malformed,
 };
 
@@ -32,9 +33,6 @@
 struct ExchangeResult {
   ExchangeOutcome Outcome = ExchangeOutcome::ConnectionLost;
   HttpResponse Response;
-  /// The connection had carried an earlier exchange, and no byte of a response
-  /// was received: the server has probably closed it while it was idle.
-  bool Stale = false;
 };
 
 /// \class ExchangeRequest
@@ -44,10 +42,15 @@
   std::string Bytes;
   /// The method is HEAD, so the response has no body.
   bool IsHeadRequest = false;
-  /// Expected value of the header IdHeader. A response with another value
-  /// belongs to another request and is skipped. Empty to accept any response.
+  /// Expected value of the header IdHeader; empty if the response has no such
+  /// header. A response with another value belongs to another request and is
+  /// skipped. One without the header is malformed on a connection that carried
+  /// an earlier exchange.
   std::string Id;
+  /// Empty to accept any response.
   std::string_view IdHeader;
+  /// Largest accepted body of the response.
+  std::uint64_t MaxBodyBytes = 16U << 20U;
 };
 
 /// \class HttpConnection
@@ -57,7 +60,10 @@
 public:
   using Handler = std::function<void(ExchangeResult)>;
 
-  HttpConnection(EventLoop &Loop, const HostAddress &Address);
+  /// \param Budget counts the bytes of a response that is being received; may
+  /// be null.
+  HttpConnection(EventLoop &Loop, const HostAddress &Address,
+                 std::shared_ptr<ByteBudget> Budget = nullptr);
 
   /// Sends a request; connects first if the connection is new. The handler is
   /// called once, unless close() is called first. The connection must be idle.
@@ -73,14 +79,24 @@
   using Parser =
       boost::beast::http::response_parser<boost::beast::http::string_body>;
   using ErrorCode = boost::beast::error_code;
+  /// \brief To which request a response belongs.
+  enum class ResponseMatch : std::uint8_t {
+    Expected,
+    /// It is skipped, and the expected one follows.
+    Other,
+    /// It has no id, and the connection carried an earlier request.
+    Unknown,
+  };
 
   void connect();
   void send();
   void read();
   void onRead(const ErrorCode &Error, std::size_t Bytes);
   void parse();
-  /// \returns false if the response must be skipped.
-  bool acceptResponse(const HttpResponse &Response);
+  /// Counts the bytes of the response that is being received.
+  /// \returns false if they exceed a limit.
+  bool withinLimits();
+  ResponseMatch matchOf(const HttpResponse &Response);
   void newParser();
   void updateKeepAlive(const HttpResponse &Response);
   void finish(ExchangeOutcome Outcome, HttpResponse Response);
@@ -93,7 +109,10 @@
   ExchangeRequest Request;
   Handler Done;
   std::chrono::steady_clock::time_point IdleUntil;
+  BudgetShare Held;
   unsigned Exchanges = 0;
+  /// Responses skipped in the current exchange.
+  unsigned Skipped = 0;
   bool Open = false;
   bool Closed = false;
   bool Written = false;
--- a/packages/gateway/camphorpin/src/Gateway/HttpConnectionPool.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/HttpConnectionPool.cpp
@@ -5,7 +5,7 @@
 namespace camphorpin {
 
 std::shared_ptr<HttpConnection> HttpConnectionPool::open() {
-  return std::make_shared<HttpConnection>(Loop, Address);
+  return std::make_shared<HttpConnection>(Loop, Address, Budget);
 }
 
 std::shared_ptr<HttpConnection> HttpConnectionPool::acquire() {
--- a/packages/gateway/camphorpin/src/Gateway/HttpConnectionPool.h
+++ b/packages/gateway/camphorpin/src/Gateway/HttpConnectionPool.h
@@ -12,8 +12,10 @@
 /// \brief Pool of idle connections to one server.
 class HttpConnectionPool {
 public:
-  HttpConnectionPool(EventLoop &Loop, const HostAddress &Address)
-      : Loop(Loop), Address(Address) {}
+  /// \param Budget counts the bytes of responses in transit; may be null.
+  HttpConnectionPool(EventLoop &Loop, const HostAddress &Address,
+                     std::shared_ptr<ByteBudget> Budget = nullptr)
+      : Loop(Loop), Address(Address), Budget(std::move(Budget)) {}
 
   /// \returns the most recently used idle connection, or a new one.
   std::shared_ptr<HttpConnection> acquire();
@@ -33,6 +35,7 @@
 private:
   EventLoop &Loop;
   HostAddress Address;
+  std::shared_ptr<ByteBudget> Budget;
   std::vector<std::shared_ptr<HttpConnection>> Idle;
 };
 
--- a/packages/gateway/tests/BackendProxyTest.cpp
+++ b/packages/gateway/tests/BackendProxyTest.cpp
@@ -133,6 +133,35 @@
   cr_assert_eq(Fixture.run("2").Body, std::string("two"));
 }
 
+// Guards against a late response without an id, for example to a health check,
+// that is taken for that of the next request on the connection: it would say
+// "not run" of a request that runs.
+Test(BackendProxy, responseWithoutIdOnReusedConnectionIsNotBelieved) {
+  ProxyFixture Fixture(
+      {whole("1", "one"),
+       "HTTP/1.1 503 Busy\r\nCamphorpin-Shed: 1\r\nContent-Length: 0\r\n\r\n"});
+  cr_assert_eq(Fixture.run("1").Body, std::string("one"));
+  cr_assert_eq(Fixture.run("2").verdict(), Verdict::MayHaveRun);
+}
+
+// Guards against a late response to a request that is taken for the answer to a
+// health check.
+Test(BackendProxy, lateResponseIsNoHealthCheck) {
+  EventLoop Loop;
+  RawBackend Backend(Loop,
+                     {whole("1", "late", "Camphorpin-Backend-Id: b9\r\n")});
+  const auto Connection =
+      std::make_shared<HttpConnection>(Loop, Backend.Address);
+  ExchangeRequest Check;
+  Check.Bytes = "GET /other HTTP/1.1\r\nHost: h\r\n\r\n";
+  Check.IdHeader = "Camphorpin-Request";
+  bool Ended = false;
+  Connection->exchange(std::move(Check),
+                       [&](const ExchangeResult &) { Ended = true; });
+  runUntil(Loop, Duration::millis(200), [&] { return Ended; });
+  cr_assert_not(Ended);
+}
+
 // Guards against reuse of a connection with unread surplus bytes.
 Test(BackendProxy, connectionWithSurplusBytesIsNotReused) {
   ProxyFixture Fixture({whole("1", "one") + "surplus", whole("2", "two")});
@@ -144,10 +173,11 @@
 // Guards the verdict "not run": only an explicit statement of the backend
 // server counts, not the status.
 Test(BackendProxy, notRunVerdictNeedsExplicitHeader) {
-  ProxyFixture Silent({"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"});
+  ProxyFixture Silent({"HTTP/1.1 503 Busy\r\nCamphorpin-Request: 1\r\n"
+                       "Content-Length: 0\r\n\r\n"});
   cr_assert_eq(Silent.run("1").verdict(), Verdict::MayHaveRun);
-  ProxyFixture Stating({"HTTP/1.1 503 Busy\r\nCamphorpin-Shed: 1\r\n"
-                        "Content-Length: 0\r\n\r\n"});
+  ProxyFixture Stating({"HTTP/1.1 503 Busy\r\nCamphorpin-Request: 1\r\n"
+                        "Camphorpin-Shed: 1\r\nContent-Length: 0\r\n\r\n"});
   cr_assert_eq(Stating.run("1").verdict(), Verdict::NotRun);
 }
 
@@ -176,7 +206,8 @@
 // Guards against requests to another server that was given the address of the
 // backend server.
 Test(BackendProxy, mismatchedBackendGetsNoFurtherRequests) {
-  ProxyFixture Fixture({"HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n"});
+  ProxyFixture Fixture({"HTTP/1.1 421 Other\r\nCamphorpin-Request: 1\r\n"
+                        "Content-Length: 0\r\n\r\n"});
   cr_assert_eq(Fixture.run("1").verdict(), Verdict::NotRun);
   cr_assert_not(Fixture.Proxy.status().Available);
   cr_assert_eq(Fixture.run("2").Outcome, CallOutcome::Refused);
