Let no error in one handler stop a connection, a feed or the accept loop

Cause, by reading: an exception in a handler ended the process. Had it been caught, the store's feed, the accepting socket or the connection that it came from would have stopped. Without free descriptors, accepting failed again at once and used all processor time. A connection was closed at once after its last response, so that bytes which the caller sent later reset it and cost the caller the rest of the response.

Change: handlers leave their connection answered (500) or closed and the feed followed before the exception goes on to the event loop. AcceptLoop, which both servers now share, waits 100 ms after an error. After its last response a session closes its side only and reads on for up to a second. Servers tell what they have not sent yet, for the planned stop.

--- a/packages/gateway/camphorpin/src/Gateway/AsyncHttpServer.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/AsyncHttpServer.cpp
@@ -2,6 +2,8 @@
 
 #include "camphorpin/src/Gateway/HttpSession.h"
 
+#include <algorithm>
+
 namespace camphorpin {
 
 void HttpExchange::reply(HttpReply Value) {
@@ -15,30 +17,25 @@
 }
 
 std::string AsyncHttpServer::listen(const HostAddress &Address) {
-  std::string Error = detail::openAcceptor(Acceptor, Address);
-  if (Error.empty())
-    accept();
-  return Error;
+  return Acceptor.listen(Address);
+}
+
+void AsyncHttpServer::onConnection(TcpSocket Socket) {
+  const auto Session =
+      std::make_shared<detail::HttpSession>(std::move(Socket), *this);
+  Sessions.insert(Session);
+  Session->start();
 }
 
-void AsyncHttpServer::accept() {
-  Acceptor.async_accept(
-      [this](const boost::system::error_code &Error, TcpSocket Socket) {
-        if (Error == boost::asio::error::operation_aborted)
-          return;
-        if (!Error) {
-          const auto Session =
-              std::make_shared<detail::HttpSession>(std::move(Socket), *this);
-          Sessions.insert(Session);
-          Session->start();
-        }
-        accept();
-      });
+bool AsyncHttpServer::hasUnfinishedWork() const {
+  return std::any_of(Sessions.begin(), Sessions.end(),
+                     [](const std::shared_ptr<detail::HttpSession> &Session) {
+                       return Session->hasUnfinishedWork();
+                     });
 }
 
 void AsyncHttpServer::close() {
-  boost::system::error_code Ignored;
-  Acceptor.close(Ignored);
+  Acceptor.close();
   const std::set<std::shared_ptr<detail::HttpSession>> Open =
       std::move(Sessions);
   Sessions.clear();
--- a/packages/gateway/camphorpin/src/Gateway/AsyncHttpServer.h
+++ b/packages/gateway/camphorpin/src/Gateway/AsyncHttpServer.h
@@ -65,7 +65,9 @@
 public:
   /// \param Handler must outlive the server.
   AsyncHttpServer(EventLoop &Loop, HttpRequestHandler &Handler)
-      : Loop(Loop), Acceptor(Loop), Handler(Handler) {}
+      : Acceptor(Loop,
+                 [this](TcpSocket Socket) { onConnection(std::move(Socket)); }),
+        Handler(Handler) {}
   ~AsyncHttpServer() { close(); }
 
   /// \returns an empty string, or why the address can't be used.
@@ -79,6 +81,10 @@
   void drain() { Draining = true; }
   bool draining() const { return Draining; }
 
+  /// \returns true if a request has been read in part or has no response yet,
+  /// or if a part of a response has not been sent.
+  bool hasUnfinishedWork() const;
+
   /// Stops listening and closes all connections.
   void close();
 
@@ -87,10 +93,9 @@
 private:
   friend class detail::HttpSession;
 
-  void accept();
+  void onConnection(TcpSocket Socket);
 
-  EventLoop &Loop;
-  boost::asio::ip::tcp::acceptor Acceptor;
+  detail::AcceptLoop Acceptor;
   HttpRequestHandler &Handler;
   RequestLimits Limits;
   bool Draining = false;
--- a/packages/gateway/camphorpin/src/Gateway/EventLoop.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/EventLoop.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+/// Time for connections to end and free their descriptors.
+constexpr Duration AcceptRetryDelay = Duration::millis(100);
 /// Unanswered keep-alive probes after which a connection is closed.
 constexpr int KeepAliveProbes = 2;
 /// Seconds between keep-alive probes.
@@ -35,8 +37,7 @@
   setOption(Socket, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
 }
 
-std::string openAcceptor(boost::asio::ip::tcp::acceptor &Acceptor,
-                         const HostAddress &Address) {
+std::string AcceptLoop::listen(const HostAddress &Address) {
   boost::system::error_code Error;
   const boost::asio::ip::tcp::endpoint Endpoint = endpointOf(Address);
   Acceptor.open(Endpoint.protocol(), Error);
@@ -46,7 +47,39 @@
     Acceptor.bind(Endpoint, Error);
   if (!Error)
     Acceptor.listen(boost::asio::socket_base::max_listen_connections, Error);
-  return Error ? Address.toString() + ": " + Error.message() : std::string();
+  if (Error)
+    return Address.toString() + ": " + Error.message();
+  accept();
+  return {};
+}
+
+void AcceptLoop::accept() {
+  Acceptor.async_accept(
+      [this](const boost::system::error_code &Error, TcpSocket Socket) {
+        if (Error == boost::asio::error::operation_aborted)
+          return;
+        if (Error) {
+          retryLater();
+          return;
+        }
+        // Accepts the next connection even if the handler throws.
+        accept();
+        OnConnection(std::move(Socket));
+      });
+}
+
+void AcceptLoop::retryLater() {
+  RetryTimer.expires_after(timerSpan(AcceptRetryDelay));
+  RetryTimer.async_wait([this](const boost::system::error_code &Error) {
+    if (!Error)
+      accept();
+  });
+}
+
+void AcceptLoop::close() {
+  boost::system::error_code Ignored;
+  Acceptor.close(Ignored);
+  RetryTimer.cancel();
 }
 
 std::chrono::microseconds timerSpan(Duration Span) {
--- a/packages/gateway/camphorpin/src/Gateway/EventLoop.h
+++ b/packages/gateway/camphorpin/src/Gateway/EventLoop.h
@@ -26,10 +26,29 @@
 /// options.
 void setSocketOptions(TcpSocket &Socket, Duration AckTimeout);
 
-/// Binds \p Acceptor to \p Address and listens.
-/// \returns an empty string, or the address and why it can't be used.
-std::string openAcceptor(boost::asio::ip::tcp::acceptor &Acceptor,
-                         const HostAddress &Address);
+/// \class AcceptLoop
+/// \brief Accepts the connections of one listening socket.
+class AcceptLoop {
+public:
+  AcceptLoop(EventLoop &Loop, std::function<void(TcpSocket)> OnConnection)
+      : Acceptor(Loop), RetryTimer(Loop),
+        OnConnection(std::move(OnConnection)) {}
+
+  /// \returns an empty string, or the address and why it can't be used.
+  std::string listen(const HostAddress &Address);
+
+  void close();
+
+private:
+  void accept();
+  /// Accepts again after a delay: without free descriptors, the error returns
+  /// at once.
+  void retryLater();
+
+  boost::asio::ip::tcp::acceptor Acceptor;
+  boost::asio::steady_timer RetryTimer;
+  std::function<void(TcpSocket)> OnConnection;
+};
 
 /// \returns \p Span as a timer duration, at least 0.
 std::chrono::microseconds timerSpan(Duration Span);
--- a/packages/gateway/camphorpin/src/Gateway/HttpSession.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/HttpSession.cpp
@@ -1,5 +1,6 @@
 #include "camphorpin/src/Gateway/HttpSession.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/rfc7230.hpp>
@@ -12,11 +13,15 @@
 
 /// Limit of concurrent requests on one connection.
 constexpr std::size_t MaxPipelinedRequests = 32;
+/// Largest head of a request, whatever the configured limit.
+constexpr std::size_t MaxHeadBytes = 1U << 20U;
 /// Size of one read from the socket.
 constexpr std::size_t ReadBytes = 16384;
 /// Unsent bytes above which no further request is parsed, to bound the memory
 /// that a slow reader uses.
 constexpr std::size_t MaxUnsentBytes = 1U << 20U;
+/// How long a connection that this side has closed waits for the caller.
+constexpr Duration LingerTimeout = Duration::seconds(1);
 /// How long sent bytes may stay unacknowledged.
 constexpr Duration AckTimeout = Duration::seconds(10);
 
@@ -47,6 +52,10 @@
 }
 
 void HttpSession::onTimer() {
+  if (Lingering) {
+    close();
+    return;
+  }
   const Duration Bound = hasPartialRequest() ? Server->Limits.HeaderTimeout
                                              : Server->Limits.IdleTimeout;
   const auto Idle = std::chrono::duration_cast<std::chrono::microseconds>(
@@ -90,6 +99,11 @@
     return;
   }
   Buffer.commit(Bytes);
+  if (Lingering) {
+    Buffer.consume(Buffer.size());
+    read();
+    return;
+  }
   LastActivity = std::chrono::steady_clock::now();
   parse();
   // Reading continues while requests run, to detect that the caller
@@ -107,8 +121,8 @@
     if (!CurrentParser) {
       CurrentParser.emplace();
       CurrentParser->eager(true);
-      CurrentParser->header_limit(
-          static_cast<std::uint32_t>(Server->Limits.HeaderBytes));
+      CurrentParser->header_limit(static_cast<std::uint32_t>(
+          std::min<std::size_t>(Server->Limits.HeaderBytes, MaxHeadBytes)));
       CurrentParser->body_limit(Server->Limits.BodyBytes);
     }
     ErrorCode Error;
@@ -144,7 +158,14 @@
   const auto Exchange = std::make_shared<HttpExchange>(
       std::move(Request), std::weak_ptr<HttpSession>(weak_from_this()));
   Pending.push_back(Exchange);
-  Server->Handler.onRequest(Exchange);
+  try {
+    Server->Handler.onRequest(Exchange);
+  } catch (...) {
+    // Whether the request runs is not known.
+    NoMoreRequests = true;
+    Exchange->reply(textReply(500, "internal error"));
+    throw;
+  }
 }
 
 void HttpSession::reject(const ErrorCode &Error) {
@@ -213,7 +234,7 @@
   LastActivity = std::chrono::steady_clock::now();
   write();
   closeIfDone();
-  if (Closed)
+  if (Closed || Lingering)
     return;
   parse();
   if (!Closed && Buffer.size() < ReadBytes)
@@ -221,8 +242,25 @@
 }
 
 void HttpSession::closeIfDone() {
-  if (NoMoreRequests && Pending.empty() && !Writing && OutputBuffer.empty())
+  if (!NoMoreRequests || !Pending.empty() || Writing || !OutputBuffer.empty())
+    return;
+  // If received bytes are unread when a socket is closed, the connection is
+  // reset, and the caller may lose the responses. So they are read and dropped
+  // until the caller closes.
+  Lingering = true;
+  ErrorCode Error;
+  Socket.shutdown(TcpSocket::shutdown_send, Error);
+  if (Error) {
     close();
+    return;
+  }
+  armTimer(LingerTimeout);
+  read();
+}
+
+bool HttpSession::hasUnfinishedWork() const {
+  const bool Unsent = Writing || !OutputBuffer.empty();
+  return !Lingering && (!Pending.empty() || Unsent || hasPartialRequest());
 }
 
 void HttpSession::close() {
--- a/packages/gateway/camphorpin/src/Gateway/HttpSession.h
+++ b/packages/gateway/camphorpin/src/Gateway/HttpSession.h
@@ -24,6 +24,10 @@
   /// Sends the ready responses at the front of the queue.
   void flush();
 
+  /// \returns true if a request is incomplete or unanswered, or a response has
+  /// not been sent in full.
+  bool hasUnfinishedWork() const;
+
 private:
   using Parser =
       boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -37,6 +41,7 @@
   void append(const HttpExchange &Exchange);
   void write();
   void onWritten(const ErrorCode &Error);
+  /// Closes this side of the connection if nothing is left to send.
   void closeIfDone();
   bool hasPartialRequest() const {
     return CurrentParser.has_value() || Buffer.size() > 0;
@@ -59,6 +64,8 @@
   /// No further request is read; the connection is closed after the pending
   /// responses.
   bool NoMoreRequests = false;
+  /// The last response has been sent; the caller has not closed yet.
+  bool Lingering = false;
   bool Closed = false;
   bool HeaderTimerArmed = false;
 };
--- a/packages/gateway/camphorpin/src/Gateway/PeerChannel.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerChannel.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr std::size_t ReadBytes = 16384;
+/// Unsent bytes above which no further frame is queued and the connection
+/// fails: the peer reads too slowly, or not at all.
+constexpr std::size_t MaxUnsentBytes = 32U << 20U;
 /// How long sent bytes may stay unacknowledged before the connection fails.
 constexpr Duration AckTimeout = Duration::millis(1500);
 
@@ -51,7 +54,13 @@
       return;
     }
     Taken += Next.Bytes;
-    Target->onFrame(std::move(Next.Frame));
+    try {
+      Target->onFrame(std::move(Next.Frame));
+    } catch (...) {
+      // The rest of the stream is not read, so the connection ends.
+      fail();
+      throw;
+    }
   }
   if (Closed)
     return;
@@ -64,6 +73,11 @@
 void PeerChannel::send(const PeerFrame &Frame) {
   if (Closed)
     return;
+  if (unsent() > MaxUnsentBytes) {
+    boost::asio::post(Socket.get_executor(),
+                      [Self = shared_from_this()] { Self->fail(); });
+    return;
+  }
   detail::encodeFrame(Frame, OutputBuffer);
   scheduleWrite();
 }
--- a/packages/gateway/camphorpin/src/Gateway/PeerServer.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerServer.cpp
@@ -31,6 +31,7 @@
   void start() { Channel->start(*this); }
   void send(const PeerFrame &Frame) { Channel->send(Frame); }
   void close() { Channel->close(); }
+  bool hasUnsentFrames() const { return Channel->unsent() > 0; }
   std::uint64_t sender() const { return Sender; }
   const std::string &node() const { return Node; }
 
@@ -85,7 +86,9 @@
 
 PeerServer::PeerServer(EventLoop &Loop, const Clock &Time, BackendProxy &Proxy,
                        PeerServerListener &Listener)
-    : Loop(Loop), Time(Time), Proxy(Proxy), Listener(Listener), Acceptor(Loop),
+    : Time(Time), Proxy(Proxy), Listener(Listener),
+      Acceptor(Loop,
+               [this](TcpSocket Socket) { onConnection(std::move(Socket)); }),
       DetachTimer(Loop) {}
 
 PeerServer::~PeerServer() {
@@ -94,24 +97,20 @@
 }
 
 std::string PeerServer::listen(const HostAddress &Address) {
-  std::string Error = detail::openAcceptor(Acceptor, Address);
-  if (Error.empty())
-    accept();
-  return Error;
+  return Acceptor.listen(Address);
 }
 
-void PeerServer::accept() {
-  Acceptor.async_accept(
-      [this](const boost::system::error_code &Error, TcpSocket Socket) {
-        if (Error == boost::asio::error::operation_aborted)
-          return;
-        if (!Error) {
-          const auto Item = std::make_shared<Session>(*this, std::move(Socket));
-          Sessions.insert(Item);
-          Item->start();
-        }
-        accept();
-      });
+void PeerServer::onConnection(TcpSocket Socket) {
+  const auto Item = std::make_shared<Session>(*this, std::move(Socket));
+  Sessions.insert(Item);
+  Item->start();
+}
+
+bool PeerServer::hasUnsentFrames() const {
+  return std::any_of(Sessions.begin(), Sessions.end(),
+                     [](const std::shared_ptr<Session> &Item) {
+                       return Item->hasUnsentFrames();
+                     });
 }
 
 void PeerServer::onCall(const std::shared_ptr<Session> &Caller, PeerCall Call) {
--- a/packages/gateway/camphorpin/src/Gateway/PeerServer.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerServer.h
@@ -56,6 +56,9 @@
   /// Sends \p Frame to a random connected peer.
   void sendToAny(const PeerFrame &Frame, Random &RandomSource);
 
+  /// \returns true if a frame to a peer has not been sent in full.
+  bool hasUnsentFrames() const;
+
   /// Does periodic work. Must be called at least once a second.
   void tick();
 
@@ -82,7 +85,7 @@
     std::optional<Instant> DetachedSince;
   };
 
-  void accept();
+  void onConnection(TcpSocket Socket);
   void onCall(const std::shared_ptr<Session> &Caller, PeerCall Call);
   void onAnswer(const CallKey &Key, PeerAnswer Answer);
   void onCancel(const CallKey &Key);
@@ -90,11 +93,10 @@
   /// Cancels idempotent calls whose caller has not reconnected in time.
   void cancelDetached();
 
-  EventLoop &Loop;
   const Clock &Time;
   BackendProxy &Proxy;
   PeerServerListener &Listener;
-  boost::asio::ip::tcp::acceptor Acceptor;
+  detail::AcceptLoop Acceptor;
   boost::asio::steady_timer DetachTimer;
   std::set<std::shared_ptr<Session>> Sessions;
   std::map<CallKey, Record> Calls;
--- a/packages/gateway/camphorpin/src/Gateway/StoreReader.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/StoreReader.cpp
@@ -95,9 +95,17 @@
   if (!Newest || !PositionKnown)
     Position = Reply.Page.Next;
   PositionKnown = true;
-  if (!Reply.Page.Records.empty())
-    Listener.onRecords(Feed, Reply.Page.Records);
-  if (Newest && Reply.Page.More && !Reply.Page.Records.empty()) {
+  try {
+    if (!Reply.Page.Records.empty())
+      Listener.onRecords(Feed, Reply.Page.Records);
+  } catch (...) {
+    // The feed is followed on, after the records that caused the error.
+    scheduleRead(Listener.batchDelay(Feed));
+    throw;
+  }
+  // A page that ends with the same key again would be followed by itself.
+  if (Newest && Reply.Page.More && !Reply.Page.Records.empty() &&
+      Reply.Page.Records.back().Key != PageKey) {
     PageKey = Reply.Page.Records.back().Key;
     readNewest();
     return;
--- a/packages/gateway/tests/HttpFuzzTest.cpp
+++ b/packages/gateway/tests/HttpFuzzTest.cpp
@@ -98,22 +98,25 @@
 class FragmentServer {
 public:
   FragmentServer(EventLoop &Loop, std::vector<std::string> Fragments)
-      : Acceptor(Loop), Socket(Loop), Fragments(std::move(Fragments)) {
-    cr_assert_eq(detail::openAcceptor(Acceptor, Address), std::string());
-    Acceptor.async_accept(Socket, [this](const boost::system::error_code &E) {
-      if (!E)
-        Socket.async_read_some(
-            boost::asio::buffer(Request),
-            [this](const boost::system::error_code &Error, std::size_t) {
-              if (!Error)
-                sendNext();
-            });
-    });
+      : Acceptor(Loop,
+                 [this](TcpSocket Accepted) { serve(std::move(Accepted)); }),
+        Socket(Loop), Fragments(std::move(Fragments)) {
+    cr_assert_eq(Acceptor.listen(Address), std::string());
   }
 
   HostAddress Address = freeAddress();
 
 private:
+  void serve(TcpSocket Accepted) {
+    Socket = std::move(Accepted);
+    Socket.async_read_some(
+        boost::asio::buffer(Request),
+        [this](const boost::system::error_code &Error, std::size_t) {
+          if (!Error)
+            sendNext();
+        });
+  }
+
   void sendNext() {
     if (Next == Fragments.size()) {
       Socket.close();
@@ -127,7 +130,7 @@
         });
   }
 
-  boost::asio::ip::tcp::acceptor Acceptor;
+  detail::AcceptLoop Acceptor;
   TcpSocket Socket;
   std::vector<std::string> Fragments;
   std::size_t Next = 0;
--- a/packages/gateway/tests/HttpSessionTest.cpp
+++ b/packages/gateway/tests/HttpSessionTest.cpp
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
+#include <stdexcept>
 
 using namespace camphorpin;
 using namespace camphorpin::test;
@@ -124,3 +125,69 @@
   Fixture.waitFor(1);
   cr_assert_eq(Fixture.Deferred.size(), 1);
 }
+
+// Guards against a response that a slow caller loses: bytes that it sends after
+// the last response reset the connection if this side has closed it entirely.
+Test(HttpSession, lastResponseSurvivesLaterBytes) {
+  constexpr std::size_t BodyBytes = 40000;
+  DeferringServer Fixture;
+  TcpSocket Caller(Fixture.Loop);
+  Caller.open(boost::asio::ip::tcp::v4());
+  // Most of the response stays in the server's send buffer.
+  Caller.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+  Caller.connect(detail::endpointOf(Fixture.Address));
+  std::string Request = get("1");
+  Request.insert(Request.size() - 2, "Connection: close\r\n");
+  boost::asio::write(Caller, boost::asio::buffer(Request));
+  Fixture.waitFor(1);
+  Fixture.Deferred.front()->reply(
+      stampedReply(*Fixture.Deferred.front(), std::string(BodyBytes, 'b')));
+  runUntil(Fixture.Loop, Duration::millis(100), [] { return false; });
+  boost::asio::write(Caller, boost::asio::buffer("x", 1));
+  runUntil(Fixture.Loop, Duration::millis(100), [] { return false; });
+  std::array<char, 4096> Chunk{};
+  std::size_t Received = 0;
+  boost::system::error_code Error;
+  while (!Error) {
+    Received += Caller.read_some(boost::asio::buffer(Chunk), Error);
+    runUntil(Fixture.Loop, Duration::millis(1), [] { return false; });
+  }
+  cr_assert_gt(Received, BodyBytes, "%zu bytes, then: %s", Received,
+               Error.message().c_str());
+}
+
+// Guards against a node that ends, or a caller without an answer, because the
+// handling of one request throws.
+Test(HttpSession, throwingHandlerEndsOnlyItsConnection) {
+  struct ThrowingServer final : HttpRequestHandler {
+    EventLoop Loop;
+    HostAddress Address = freeAddress();
+    AsyncHttpServer Server{Loop, *this};
+    ThrowingServer() { Server.listen(Address); }
+    void onRequest(const std::shared_ptr<HttpExchange> &Exchange) override {
+      if (Exchange->request().target() == "/bad")
+        throw std::runtime_error("bad request");
+      Exchange->reply(stampedReply(*Exchange, "whole"));
+    }
+  } Fixture;
+  int Thrown = 0;
+  const auto RunUntilEnd = [&](RawClient &Caller) {
+    for (int Count = 0; Count < 400 && !Caller.Ended; ++Count) {
+      try {
+        Fixture.Loop.run_one_for(std::chrono::milliseconds(5));
+      } catch (const std::runtime_error &) {
+        ++Thrown;
+      }
+    }
+  };
+  RawClient Bad(Fixture.Loop, Fixture.Address);
+  Bad.send(get("bad"));
+  RunUntilEnd(Bad);
+  cr_assert(Bad.Ended);
+  cr_assert(Bad.Received.starts_with("HTTP/1.1 500"));
+  cr_assert_eq(Thrown, 1);
+  RawClient Good(Fixture.Loop, Fixture.Address);
+  Good.send("GET /ok HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  RunUntilEnd(Good);
+  cr_assert_neq(Good.Received.find("whole"), std::string::npos);
+}
