Read entries of other writers within bounds, and keep one's own record

A record under a node's own name with a later incarnation, of another writer or from before the wall clock was set back, kept the node out of use. A deadline near the largest integer overflowed into the past (504 at once); with two request ids no answer matched.

Unreadable items, members and routes are left out, the rest holds, and event 613 says so once a version; requests of an unreadable route are refused as not run. A node renews its record above one that supersedes it (event 402). The node outlives an exception in a handler (event 106), and a planned stop waits until all answers and frames are sent.

--- a/packages/core/camphorpin/src/Core/Duration.h
+++ b/packages/core/camphorpin/src/Core/Duration.h
@@ -3,6 +3,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <limits>
 
 namespace camphorpin {
 
@@ -25,9 +26,10 @@
     return millis(Value * 1000);
   }
 
-  /// \param Value milliseconds, with fractions.
+  /// \param Value milliseconds, with fractions. Must not be NaN; values that
+  /// can't be represented are replaced by the nearest one that can.
   static constexpr Duration fromMillis(double Value) {
-    return Duration(static_cast<std::int64_t>(Value * TicksPerMilli));
+    return Duration(ticksOf(Value * TicksPerMilli));
   }
 
   /// \param Value microseconds.
@@ -55,8 +57,7 @@
     return Duration(Ticks - Other.Ticks);
   }
   constexpr Duration operator*(double Factor) const {
-    return Duration(
-        static_cast<std::int64_t>(static_cast<double>(Ticks) * Factor));
+    return Duration(ticksOf(static_cast<double>(Ticks) * Factor));
   }
   constexpr Duration operator/(std::int64_t Divisor) const {
     return Duration(Ticks / Divisor);
@@ -71,6 +72,16 @@
 
   constexpr explicit Duration(std::int64_t Ticks) : Ticks(Ticks) {}
 
+  static constexpr std::int64_t ticksOf(double Value) {
+    using Limits = std::numeric_limits<std::int64_t>;
+    // As a double, the largest number is rounded up and can't be converted.
+    if (Value >= static_cast<double>(Limits::max()))
+      return Limits::max();
+    if (Value <= static_cast<double>(Limits::min()))
+      return Limits::min();
+    return static_cast<std::int64_t>(Value);
+  }
+
   std::int64_t Ticks = 0;
 };
 
--- a/packages/decision/camphorpin/src/Engine/LogEvent.cpp
+++ b/packages/decision/camphorpin/src/Engine/LogEvent.cpp
@@ -29,6 +29,10 @@
                  "settings-rejected", "field,error",
                  "The reloaded settings are invalid. The previous settings "
                  "stay in force; correct the file."},
+    LogEventInfo{LogEvent::HandlerFailed, LogSeverity::Error, "handler-failed",
+                 "error",
+                 "An unexpected error ended the handling of one event. The "
+                 "node goes on; report the error."},
     LogEventInfo{LogEvent::ConnectionOpened, LogSeverity::Debug,
                  "connection-opened", "peer",
                  "A connection to another node is open."},
@@ -150,6 +154,12 @@
                  "feed",
                  "A feed of the platform's store (configuration or members) "
                  "can be read."},
+    LogEventInfo{LogEvent::ConfigurationProblem, LogSeverity::Error,
+                 "configuration-problem", "version,problems,first",
+                 "Parts of a configuration are unreadable or have an unknown "
+                 "type. The other parts are in force; requests of an "
+                 "unreadable route are refused as not run, and those of an "
+                 "unknown type run at most once."},
 };
 
 } // namespace
--- a/packages/decision/camphorpin/src/Engine/LogEvent.h
+++ b/packages/decision/camphorpin/src/Engine/LogEvent.h
@@ -18,6 +18,7 @@
   NodeEnded = 103,
   SettingsReloaded = 104,
   SettingsRejected = 105,
+  HandlerFailed = 106,
   ConnectionOpened = 200,
   ConnectionFailed = 201,
   ConnectionReplaced = 202,
@@ -47,6 +48,7 @@
   ConfigurationInForce = 610,
   StoreUnreachable = 611,
   StoreReachable = 612,
+  ConfigurationProblem = 613,
 };
 
 /// \brief The severity of a log event.
--- a/packages/gateway/camphorpin/src/Gateway/FleetConfiguration.h
+++ b/packages/gateway/camphorpin/src/Gateway/FleetConfiguration.h
@@ -34,7 +34,7 @@
   std::uint32_t MaxAttempts = 1;
   /// 0 is the most urgent.
   std::uint8_t Rank = 0;
-  /// At least one entry.
+  /// Empty if the route is unreadable; its requests are then refused.
   std::vector<ServiceShare> Shares;
 };
 
@@ -64,6 +64,9 @@
   std::vector<RouteRule> Routes;
   std::vector<ServiceRule> Services;
   RequestLimits Limits;
+  /// Parts of the document that are unreadable or have an unknown meaning, for
+  /// the log. The other parts are in force.
+  std::vector<std::string> Problems;
   /// The published document, forwarded to peers unchanged.
   std::string Document;
 };
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
@@ -67,6 +67,9 @@
       {"camphorpin_entry_active", "Requests of callers without an answer.",
        Number(Outbound.active())},
       {"camphorpin_draining", "1 while the node stops.", Draining ? 1.0 : 0.0},
+      {"camphorpin_handlers_failed",
+       "Events whose handling an unexpected error ended.",
+       Number(FailedHandlers)},
       {"camphorpin_log_lines_written", "Log lines since the start.",
        Number(Lines.Written)},
       {"camphorpin_log_lines_left_out",
@@ -81,6 +84,7 @@
       Loop(1), RandomSource(std::random_device()()),
       Log(Settings.Logging, Time, LogLinesPerSecond),
       Incarnation(static_cast<std::uint64_t>(Time.wallNow().wholeMillis())),
+      RecordIncarnation(Incarnation),
       Proxy(Loop, Time, Settings, Protocol, Log),
       Network(Loop, Time, RandomSource, Settings, Proxy, *this),
       Outbound(Loop, Time, RandomSource, Settings, Protocol, Network, Proxy,
@@ -138,7 +142,18 @@
   return {};
 }
 
-void Gateway::run() { Loop.run(); }
+void Gateway::run() {
+  for (;;) {
+    try {
+      Loop.run();
+      return;
+    } catch (const std::exception &Error) {
+      // Each handler closes what it leaves half done before it throws.
+      Log.write(LogEvent::HandlerFailed, {{"error", Error.what()}});
+      ++FailedHandlers;
+    }
+  }
+}
 
 void Gateway::publish(bool Departed) {
   NodeRecord Record;
@@ -146,12 +161,28 @@
   Record.Address = Settings.PeerAddress;
   Record.Service = Settings.Service;
   Record.Zone = Settings.Zone;
-  Record.Incarnation = Incarnation;
+  Record.Incarnation = RecordIncarnation;
   Record.Departed = Departed;
   Network.add(Record);
   MemberWriter.write({Settings.Node, Record.toJson()});
 }
 
+void Gateway::renewRecord(const NodeRecord &Other) {
+  const NodeRecord &Own = Network.directory().all().at(Settings.Node);
+  const bool Replaces =
+      Other.supersedes(Own) ||
+      (Own.Incarnation == Other.Incarnation && Other.Address != Own.Address);
+  // While this process ends, the later record is that of its successor.
+  if (!Replaces || Draining)
+    return;
+  RecordIncarnation =
+      std::min(Other.Incarnation + 1, NodeRecord::MaxIncarnation);
+  Log.write(LogEvent::SelfRenewed,
+            {{"incarnation", std::to_string(RecordIncarnation)}});
+  publish(/*Departed=*/false);
+  Disseminator.onStateChanged();
+}
+
 PeerHello Gateway::hello() {
   PeerHello Result;
   Result.Node = Settings.Node;
@@ -173,6 +204,10 @@
 }
 
 void Gateway::addNode(const NodeRecord &Record) {
+  if (Record.Node == Settings.Node) {
+    renewRecord(Record);
+    return;
+  }
   if (Network.add(Record))
     Disseminator.onStateChanged();
 }
@@ -193,7 +228,7 @@
 void Gateway::onUpdate(PeerUpdate Update) {
   for (const MemberUpdate &Member : Update.Members) {
     const std::optional<NodeRecord> Record = NodeRecord::parse(Member.Record);
-    if (Record)
+    if (Record && Record->Node == Member.Node)
       addNode(*Record);
   }
   if (Update.Document.empty())
@@ -270,7 +305,13 @@
 
 void Gateway::applyConfiguration(FleetConfiguration Next,
                                  std::string_view Origin) {
-  if (Next.Version <= Configuration.Version)
+  const bool Newer = Next.Version > Configuration.Version;
+  if (!Next.Problems.empty() && (Newer || Next.Version == 0))
+    Log.write(LogEvent::ConfigurationProblem,
+              {{"version", std::to_string(Next.Version)},
+               {"problems", std::to_string(Next.Problems.size())},
+               {"first", Next.Problems.front()}});
+  if (!Newer)
     return;
   Configuration = std::move(Next);
   Log.write(LogEvent::ConfigurationInForce,
@@ -292,8 +333,9 @@
   TickTimer.async_wait([this](const boost::system::error_code &Error) {
     if (Error)
       return;
-    tick();
+    // The next tick comes even if this one throws.
     armTick();
+    tick();
   });
 }
 
@@ -312,11 +354,11 @@
       [this](const boost::system::error_code &Error, int Signal) {
         if (Error)
           return;
+        waitForSignal();
         if (Signal == SIGHUP)
           reload(/*Requested=*/true);
         else
           drain();
-        waitForSignal();
       });
 }
 
@@ -356,6 +398,11 @@
   checkDrained();
 }
 
+bool Gateway::hasUnfinishedWork() const {
+  return Outbound.active() > 0 || Proxy.active() > 0 ||
+         CallServer.hasUnfinishedWork() || Peers.hasUnsentFrames();
+}
+
 void Gateway::checkDrained() {
   const Duration Elapsed = Time.now() - DrainStarted;
   if (Elapsed >= BackendDrainDelay && !Proxy.draining()) {
@@ -364,8 +411,7 @@
   }
   if (Elapsed >= OutboundDrainDelay)
     Outbound.refuseNew(RestartTime);
-  const bool Done =
-      Elapsed >= MinDrainTime && Outbound.active() == 0 && Proxy.active() == 0;
+  const bool Done = Elapsed >= MinDrainTime && !hasUnfinishedWork();
   if (Done || Elapsed >= Settings.StopGrace * MaxDrainFraction) {
     Log.write(LogEvent::NodeEnded, {});
     Loop.stop();
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.h
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.h
@@ -60,6 +60,10 @@
   bool shouldRead() override { return Disseminator.shouldReadStore(); }
 
   void addNode(const NodeRecord &Record);
+  /// Replaces \p Other, a record under the name of this node, if it supersedes
+  /// the node's own: it comes from an earlier process, which started before the
+  /// wall clock was set back, or from another writer.
+  void renewRecord(const NodeRecord &Other);
   /// Resumes reading the store if this node is a reader, and tells the exchange
   /// whether the store is reachable.
   void updateStoreReaders();
@@ -74,6 +78,8 @@
   void reload(bool Requested);
   void drain();
   void checkDrained();
+  /// \returns true if a caller or a peer has not received all that it is owed.
+  bool hasUnfinishedWork() const;
   bool ready() const;
   std::vector<Gauge> gauges() const;
 
@@ -85,7 +91,10 @@
   SeededRandom RandomSource;
   EventLog Log;
   Metrics RequestMetrics;
+  /// Identifies this process to its peers.
   std::uint64_t Incarnation;
+  /// NodeRecord::Incarnation of this node's record.
+  std::uint64_t RecordIncarnation;
   BackendProxy Proxy;
   PeerNetwork Network;
   OutboundHandler Outbound;
@@ -111,6 +120,7 @@
   /// The first error in the settings that were last read; empty if none.
   std::string LastSettingsError;
   bool Draining = false;
+  std::uint64_t FailedHandlers = 0;
 };
 
 } // namespace camphorpin
--- a/packages/gateway/camphorpin/src/Gateway/NodeDirectory.h
+++ b/packages/gateway/camphorpin/src/Gateway/NodeDirectory.h
@@ -23,12 +23,18 @@
   HostAddress Address;
   std::string Service;
   std::string Zone;
-  /// Start of the process in Unix milliseconds; a later one supersedes an
-  /// earlier one.
+  /// Largest number of an incarnation.
+  static constexpr std::uint64_t MaxIncarnation = std::uint64_t(1) << 62U;
+
+  /// Number of the process among those with this name: its start in Unix
+  /// milliseconds, or one more than that of a record that it has to supersede.
   std::uint64_t Incarnation = 0;
   /// The process has shut down in an orderly way.
   bool Departed = false;
 
+  /// \returns true if this record replaces \p Other, which has the same name.
+  bool supersedes(const NodeRecord &Other) const;
+
   /// \returns the record as JSON.
   std::string toJson() const;
 
--- a/packages/gateway/camphorpin/src/Gateway/OutboundHandler.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/OutboundHandler.cpp
@@ -11,6 +11,8 @@
 
 /// Timeout of a request without a valid deadline header.
 constexpr Duration DefaultTimeout = Duration::seconds(30);
+/// Longest timeout that a caller can ask for.
+constexpr Duration MaxTimeout = Duration::seconds(24 * 3600);
 /// Subtracted from the timeout of the route, so that the final response arrives
 /// before it.
 constexpr Duration ResponseMargin = Duration::millis(10);
@@ -27,9 +29,11 @@
   std::int64_t Millis = 0;
   const auto Parsed =
       std::from_chars(Text.data(), Text.data() + Text.size(), Millis);
+  if (Parsed.ec == std::errc::result_out_of_range && !Text.starts_with('-'))
+    return MaxTimeout;
   if (Parsed.ec != std::errc() || Millis < 0)
     return DefaultTimeout;
-  return Duration::millis(Millis);
+  return Duration::millis(std::min(Millis, MaxTimeout.wholeMillis()));
 }
 
 /// \returns a hash that is equal for repeats of the same request by the caller.
@@ -87,8 +91,15 @@
     Exchange->reply(detail::textReply(404, "no route"));
     return;
   }
-  if (detail::headerOf(Request, Protocol.headers().RequestId).empty()) {
-    Exchange->reply(detail::textReply(400, "no request id"));
+  // A second id would be forwarded as well, and no response matches both.
+  const std::string &IdHeader = Protocol.headers().RequestId;
+  if (Request.count(IdHeader) != 1 ||
+      detail::headerOf(Request, IdHeader).empty()) {
+    Exchange->reply(detail::textReply(400, "no request id, or several"));
+    return;
+  }
+  if (Route->Shares.empty()) {
+    rejectUntracked(*Exchange, "route unreadable", DefaultRetryAfter);
     return;
   }
   begin(NextId++, Exchange, Route);
--- a/packages/gateway/camphorpin/src/Gateway/PeerCodec.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerCodec.cpp
@@ -8,12 +8,13 @@
 #include <cmath>
 #include <kj/exception.h>
 #include <kj/io.h>
+#include <limits>
 
 namespace camphorpin::detail {
 
 namespace {
 
-/// Largest frame: the largest body with its headers and a margin.
+/// Largest frame: the largest body of a request with its headers and a margin.
 constexpr std::size_t MaxFrameBytes = 72U << 20U;
 /// Fractions are encoded in thousandths.
 constexpr double PerMille = 1000.0;
@@ -32,11 +33,14 @@
   return {Text.begin(), Text.size()};
 }
 
-std::uint32_t millisOf(Duration Value) {
-  return static_cast<std::uint32_t>(
-      std::max<std::int64_t>(0, Value.wholeMillis()));
+/// \returns \p Value, or the nearest number that fits the field.
+std::uint32_t fieldOf(std::int64_t Value) {
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+      Value, 0, std::numeric_limits<std::uint32_t>::max()));
 }
 
+std::uint32_t millisOf(Duration Value) { return fieldOf(Value.wholeMillis()); }
+
 void write(peer::GateState::Builder Target, const BackendStatus &Source) {
   Target.setAvailable(Source.Available);
   Target.setLeaving(Source.Draining);
@@ -44,7 +48,7 @@
   Target.setQueued(Source.Queued);
   Target.setLimit(Source.Limit);
   Target.setWaitMs(millisOf(Source.Wait));
-  Target.setServiceUs(static_cast<std::uint32_t>(Source.ServiceTime.ticks()));
+  Target.setServiceUs(fieldOf(Source.ServiceTime.ticks()));
   Target.setFaultPerMille(
       static_cast<std::uint16_t>(std::lround(Source.FailureRate * PerMille)));
   Target.setCallsOthers(Source.MakesNestedCalls);
@@ -115,7 +119,7 @@
     Target.setBody(dataOf(Value.Body));
     Target.setBackend(Value.Backend);
     write(Target.initState(), Value.Status);
-    Target.setRouteUs(static_cast<std::uint32_t>(Value.RouteTime.ticks()));
+    Target.setRouteUs(fieldOf(Value.RouteTime.ticks()));
     Target.setConfiguration(Value.Configuration);
     Target.setCrashCount(Value.CrashCount);
   }
--- a/packages/gateway/camphorpin/src/Gateway/PeerNetwork.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerNetwork.cpp
@@ -36,7 +36,10 @@
 
 PeerClient &PeerNetwork::client(const NodeRecord &Record) {
   std::unique_ptr<PeerClient> &Client = Clients[Record.Node];
-  if (!Client)
+  // A client with calls on their way is replaced once they have ended.
+  const bool Moved = Client && Client->address() != Record.Address &&
+                     Client->outstanding() == 0;
+  if (!Client || Moved)
     Client = std::make_unique<PeerClient>(Loop, Time, Record.Node,
                                           Record.Address, Listener);
   return *Client;
--- a/packages/gateway/camphorpin/src/Gateway/PlatformProtocol.h
+++ b/packages/gateway/camphorpin/src/Gateway/PlatformProtocol.h
@@ -121,7 +121,7 @@
                                     const StoreRecord &Record) const = 0;
 
   /// \returns the configuration in \p Record, or nothing if the record isn't
-  /// a configuration.
+  /// a configuration. An unreadable one has version 0 and a problem.
   virtual std::optional<FleetConfiguration>
   configuration(const StoreRecord &Record) const = 0;
 
