--- a/tests/process/ExplainFailureTest.cpp
+++ b/tests/process/ExplainFailureTest.cpp
@@ -2,6 +2,7 @@
 // the cause of a failed request by its id in the logs of all nodes.
 #include "HostedFleet.h"
 #include "HostedProcess.h"
+#include "TemporaryDirectory.h"
 
 #include <array>
 #include <criterion/criterion.h>
@@ -22,19 +23,6 @@
 const std::string SearchCommand = "grep -h 'request=ID ' NODE-*.log | sort";
 constexpr Duration StartWithin = Duration::seconds(10);
 
-/// A directory that is removed with this object.
-struct TemporaryDirectory {
-  TemporaryDirectory() {
-    std::string Name =
-        (std::filesystem::temp_directory_path() / "camphorpin-XXXXXX").string();
-    cr_assert(::mkdtemp(Name.data()) != nullptr);
-    Path = Name;
-  }
-  ~TemporaryDirectory() { std::filesystem::remove_all(Path); }
-
-  std::filesystem::path Path;
-};
-
 std::string readFile(const std::string &Path) {
   std::stringstream Text;
   Text << std::ifstream(Path).rdbuf();
--- /dev/null
+++ b/tests/process/HostedStopTest.cpp
@@ -0,0 +1,202 @@
+// Guards requests against planned stops under load: one that a node has taken
+// gets its whole answer, whichever of the nodes on its way stops.
+#include "HostedFleet.h"
+#include "HostedProcess.h"
+#include "TemporaryDirectory.h"
+
+#include <criterion/criterion.h>
+#include <functional>
+#include <memory>
+#include <random>
+#include <set>
+#include <vector>
+
+using namespace camphorpin;
+using namespace camphorpin::process;
+using namespace camphorpin::test;
+
+namespace {
+
+constexpr Duration StartWithin = Duration::seconds(10);
+/// Longer than the stop grace of the nodes.
+constexpr Duration StopWithin = Duration::seconds(8);
+/// Callers that send one request after the other.
+constexpr int Callers = 24;
+/// Larger than what the kernel takes at once for a connection.
+constexpr std::size_t AnswerBytes = 300000;
+/// How long before the end of the process a request must have been sent to
+/// count as taken, if it was not passed on.
+constexpr std::chrono::milliseconds LossSlack(200);
+
+/// A request of the load and what became of it.
+struct LoadRequest {
+  std::string Id;
+  std::chrono::steady_clock::time_point Sent;
+  bool Lost = false;
+};
+
+/// Two nodes in processes of their own under load: the callers are beside the
+/// web server, and their requests run beside the shop server.
+struct LoadedFleet : HostedFleet {
+  LoadedFleet()
+      : Web(Logs.Path, "web-1", "web", WebBackend.Address, Store.Address),
+        Shop(Logs.Path, "shop-1", "shop", ShopBackend.Address, Store.Address) {
+    ShopBackend.Script = [this](const std::shared_ptr<HttpExchange> &Exchange) {
+      PassedOn.insert(
+          std::string(detail::headerOf(Exchange->request(), "Request-Id")));
+      answerLater(Exchange);
+    };
+    Store.publish(document(3, "/a/", "shop"));
+  }
+
+  /// Answers after up to 0.4 s.
+  void answerLater(const std::shared_ptr<HttpExchange> &Exchange) {
+    const auto Timer = std::make_shared<boost::asio::steady_timer>(
+        Loop, std::chrono::milliseconds(Random() % 400));
+    Timer->async_wait([Exchange, Timer](const boost::system::error_code &) {
+      HttpReply Reply = detail::textReply(200, "");
+      Reply.Head += "Response-Stamp: s\r\nRequest-Id: ";
+      Reply.Head += detail::headerOf(Exchange->request(), "Request-Id");
+      Reply.Head += "\r\n";
+      Reply.Body = std::string(AnswerBytes, 'b');
+      Exchange->reply(std::move(Reply));
+    });
+  }
+
+  bool serves() {
+    const auto End =
+        std::chrono::steady_clock::now() + detail::timerSpan(StartWithin);
+    while (std::chrono::steady_clock::now() < End) {
+      if (send(Web.CallAddress, "GET /a/x").result_int() == 200)
+        return true;
+      wait(Duration::millis(50), [] { return false; });
+    }
+    return false;
+  }
+
+  void startLoad() {
+    Loading = true;
+    for (int Index = 0; Index < Callers; ++Index)
+      sendNext(std::make_shared<HttpConnection>(Loop, Web.CallAddress));
+  }
+
+  /// Sends the next request of a caller, on the connection of its last one if
+  /// that is still open.
+  void sendNext(std::shared_ptr<HttpConnection> Connection) {
+    if (!Loading)
+      return;
+    if (!Connection->reusable())
+      Connection = std::make_shared<HttpConnection>(Loop, Web.CallAddress);
+    const std::size_t Index = Requests.size();
+    Requests.push_back(
+        {"l" + std::to_string(Index), std::chrono::steady_clock::now()});
+    ExchangeRequest Call;
+    Call.Bytes =
+        "GET /a/x HTTP/1.1\r\nHost: h\r\nRequest-Id: " + Requests.back().Id +
+        "\r\n\r\n";
+    ++Active;
+    Connection->exchange(std::move(Call), [this, Connection, Index](
+                                              const ExchangeResult &Result) {
+      --Active;
+      onEnd(Requests[Index], Result);
+      const auto Timer = std::make_shared<boost::asio::steady_timer>(
+          Loop, std::chrono::milliseconds(Random() % 30));
+      Timer->async_wait(
+          [this, Timer, Connection](const boost::system::error_code &) {
+            sendNext(Connection);
+          });
+    });
+  }
+
+  void onEnd(LoadRequest &Request, const ExchangeResult &Result) {
+    Request.Lost = Result.Outcome != ExchangeOutcome::Complete &&
+                   Result.Outcome != ExchangeOutcome::NotSent;
+    if (Result.Outcome != ExchangeOutcome::Complete)
+      return;
+    const unsigned Status = Result.Response.result_int();
+    if (Status == 200 && Result.Response.body().size() == AnswerBytes)
+      ++Whole;
+    else if (Status != 503)
+      ++Failed;
+  }
+
+  /// Stops \p Node as the platform does.
+  /// \returns when it ended.
+  std::chrono::steady_clock::time_point stop(HostedProcess &Node) {
+    Node.process().terminate();
+    const bool Ended =
+        wait(StopWithin, [&] { return Node.process().poll().has_value(); });
+    cr_assert(Ended, "the node does not end");
+    cr_assert_eq(Node.process().poll().value(), 0);
+    return std::chrono::steady_clock::now();
+  }
+
+  /// \returns the lost requests that a node had taken before \p Ended.
+  std::vector<std::string>
+  lost(std::chrono::steady_clock::time_point Ended) const {
+    std::vector<std::string> Result;
+    for (const LoadRequest &Item : Requests)
+      if (Item.Lost &&
+          (PassedOn.contains(Item.Id) || Ended - Item.Sent > LossSlack))
+        Result.push_back(Item.Id);
+    return Result;
+  }
+
+  void finishLoad() {
+    Loading = false;
+    cr_assert(wait(Duration::seconds(5), [&] { return Active == 0; }));
+  }
+
+  TemporaryDirectory Logs;
+  std::mt19937 Random{20261205};
+  HostedProcess Web;
+  HostedProcess Shop;
+  bool Loading = false;
+  int Active = 0;
+  int Whole = 0;
+  /// Answers other than the whole one and a refusal.
+  int Failed = 0;
+  std::vector<LoadRequest> Requests;
+  /// Ids of the requests that the shop server received.
+  std::set<std::string> PassedOn;
+};
+
+} // namespace
+
+Test(HostedStop, stopBesideCallersLosesNothing) {
+  LoadedFleet Fleet;
+  cr_assert(Fleet.serves());
+  for (int Round = 0; Round < 3; ++Round) {
+    Fleet.startLoad();
+    Fleet.wait(Duration::millis(300 + 170 * Round), [] { return false; });
+    const auto Ended = Fleet.stop(Fleet.Web);
+    Fleet.finishLoad();
+    const std::vector<std::string> Lost = Fleet.lost(Ended);
+    cr_assert(Lost.empty(), "%zu of %zu lost, first %s", Lost.size(),
+              Fleet.Requests.size(), Lost.front().c_str());
+    Fleet.Web.start();
+    cr_assert(Fleet.serves());
+    Fleet.Requests.clear();
+  }
+  cr_assert_gt(Fleet.Whole, 100);
+  cr_assert_eq(Fleet.Failed, 0, "%d failed", Fleet.Failed);
+}
+
+Test(HostedStop, stopBesideBackendServerLosesNothing) {
+  LoadedFleet Fleet;
+  cr_assert(Fleet.serves());
+  for (int Round = 0; Round < 3; ++Round) {
+    Fleet.startLoad();
+    Fleet.wait(Duration::millis(300 + 170 * Round), [] { return false; });
+    const auto Ended = Fleet.stop(Fleet.Shop);
+    Fleet.finishLoad();
+    const std::vector<std::string> Lost = Fleet.lost(Ended);
+    cr_assert(Lost.empty(), "%zu of %zu lost, first %s", Lost.size(),
+              Fleet.Requests.size(), Lost.front().c_str());
+    Fleet.Shop.start();
+    cr_assert(Fleet.serves());
+    Fleet.Requests.clear();
+  }
+  cr_assert_gt(Fleet.Whole, 100);
+  cr_assert_eq(Fleet.Failed, 0, "%d failed", Fleet.Failed);
+}
