Remember acknowledged departures of backend servers across restarts of the node

Cause, by reading: a node kept what it had acknowledged in memory only. After a restart, a health check that passes wrongly, or two delayed reports, brought a server back into use that had announced its leave.

Change: each node keeps the latest departures (ids and start times) beside its name in a topic of the platform's store. No other node reads them; a departure costs one call and a restart one.

--- a/packages/daemon/camphorpin/src/Daemon/JsonFields.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/JsonFields.cpp
@@ -70,6 +70,17 @@
   return Value->get<std::uint64_t>();
 }
 
+bool JsonFields::flag(const char *Field, bool Default) {
+  const nlohmann::json *Value = find(Field, false);
+  if (Value == nullptr)
+    return Default;
+  if (!Value->is_boolean()) {
+    report(Field, "must be true or false");
+    return Default;
+  }
+  return Value->get<bool>();
+}
+
 const nlohmann::json *JsonFields::object(const char *Field) {
   const nlohmann::json *Value = find(Field, false);
   if (Value == nullptr || Value->is_object())
--- a/packages/daemon/camphorpin/src/Daemon/JsonFields.h
+++ b/packages/daemon/camphorpin/src/Daemon/JsonFields.h
@@ -45,6 +45,9 @@
   std::uint64_t number(const char *Field, std::uint64_t Min, std::uint64_t Max,
                        std::uint64_t Default);
 
+  /// \returns the truth value, or \p Default if the field is absent or wrong.
+  bool flag(const char *Field, bool Default);
+
   /// \returns the object of this name, or null if it is absent or wrong.
   const nlohmann::json *object(const char *Field);
 
--- a/packages/gateway/camphorpin/src/Gateway/BackendProxy.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/BackendProxy.cpp
@@ -1,6 +1,7 @@
 #include "camphorpin/src/Gateway/BackendProxy.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace camphorpin {
 
@@ -57,7 +58,8 @@
 }
 
 bool BackendProxy::available() const {
-  return Tracker.accepting() && !Draining && Time.now() >= UnreachableUntil;
+  return Tracker.accepting() && DeparturesKnown && !Draining &&
+         Time.now() >= UnreachableUntil;
 }
 
 BackendStatus BackendProxy::status() const {
@@ -109,13 +111,16 @@
     Admission.onNewBackend();
   if (Report.Id == Tracker.current().Id)
     UnreachableUntil = Instant();
+  reportDepartures();
   onTrackerChange(Changed);
   if (Changed)
     probeIfNeeded();
 }
 
 void BackendProxy::onBackendDeparture(const std::string &Id) {
-  onTrackerChange(Tracker.onDeparture(Id, Time.wallNow(), Time.now()));
+  const bool Changed = Tracker.onDeparture(Id, Time.wallNow(), Time.now());
+  reportDepartures();
+  onTrackerChange(Changed);
 }
 
 void BackendProxy::onTrackerChange(bool Changed) {
@@ -135,6 +140,23 @@
   startQueued();
 }
 
+void BackendProxy::restoreDepartures(
+    std::span<const BackendDeparture> Earlier) {
+  const bool Known = std::exchange(DeparturesKnown, true);
+  const bool Changed = Tracker.restoreDepartures(Earlier);
+  KnownDepartures = Tracker.departures();
+  onTrackerChange(Changed || !Known);
+}
+
+void BackendProxy::reportDepartures() {
+  std::vector<BackendDeparture> Departures = Tracker.departures();
+  if (Departures == KnownDepartures)
+    return;
+  KnownDepartures = std::move(Departures);
+  if (DepartureListener)
+    DepartureListener(KnownDepartures);
+}
+
 void BackendProxy::drain() {
   Draining = true;
   refuseQueued(RefusalReason::Draining);
--- a/packages/gateway/camphorpin/src/Gateway/BackendProxy.h
+++ b/packages/gateway/camphorpin/src/Gateway/BackendProxy.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,20 @@
     CrashListener = std::move(Listener);
   }
 
+  /// \param Listener receives the departures of backend servers when they have
+  /// changed.
+  void setDepartureListener(
+      std::function<void(std::span<const BackendDeparture>)> Listener) {
+    DepartureListener = std::move(Listener);
+  }
+
+  /// Sends no requests until restoreDepartures() is called.
+  void awaitDepartures() { DeparturesKnown = false; }
+
+  /// Handles the departures that an earlier process of this node has
+  /// acknowledged.
+  void restoreDepartures(std::span<const BackendDeparture> Earlier);
+
   /// Adds crash notices from another node.
   void addCrashes(const PeerCrashes &Crashes) {
     Detector.onPeerCrashes(Crashes);
@@ -134,6 +149,8 @@
   void refuseQueued(RefusalReason Reason);
   /// Applies a change of the backend server's state, if \p Changed.
   void onTrackerChange(bool Changed);
+  /// Tells the listener if the departures have changed.
+  void reportDepartures();
   void onBackendCrash(std::size_t LostRuns, const PeerCrashes &Crashes);
   void armQueueTimer();
   /// Refuses queued calls whose maximum wait has passed.
@@ -150,6 +167,10 @@
   HttpConnectionPool Pool;
   std::function<void()> StatusListener;
   std::function<void(const PeerCrashes &)> CrashListener;
+  std::function<void(std::span<const BackendDeparture>)> DepartureListener;
+  /// The departures passed to the listener last.
+  std::vector<BackendDeparture> KnownDepartures;
+  bool DeparturesKnown = true;
   std::string HealthPath = "/health";
   std::map<std::uint64_t, Run> Runs;
   std::uint64_t NextRun = 1;
--- a/packages/gateway/camphorpin/src/Gateway/BackendReport.h
+++ b/packages/gateway/camphorpin/src/Gateway/BackendReport.h
@@ -36,6 +36,16 @@
   }
 };
 
+/// \class BackendDeparture
+/// \brief A backend server that has announced that it leaves.
+struct BackendDeparture {
+  std::string Id;
+  /// Start time in Unix milliseconds; 0 if not reported.
+  std::int64_t StartedMillis = 0;
+
+  bool operator==(const BackendDeparture &) const = default;
+};
+
 /// \class BackendProbe
 /// \brief The answer of a backend server to a health check.
 struct BackendProbe {
--- a/packages/gateway/camphorpin/src/Gateway/BackendTracker.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/BackendTracker.cpp
@@ -1,11 +1,15 @@
 #include "camphorpin/src/Gateway/BackendTracker.h"
 
+#include <algorithm>
+
 namespace camphorpin {
 
 namespace {
 
 /// Departed ids kept per host; a host sees a few incarnations a day.
 constexpr std::size_t MaxDeparted = 64;
+/// Departures that departures() returns.
+constexpr std::size_t MaxListedDepartures = 8;
 /// Minimum time between the first report and the one that confirms it. It is
 /// most of the report interval, so that two reports that were delayed together
 /// don't confirm each other.
@@ -71,9 +75,57 @@
   Current = Report;
   Confirmed = false;
   FirstReport = Now;
+  if (Current.Phase != BackendPhase::Ready)
+    recordDeparture();
   return true;
 }
 
+void BackendTracker::recordDeparture() {
+  if (Current.StartedMillis == 0)
+    return;
+  makeRoom();
+  Departed[Current.Id] = Departure{Current.StartedMillis, true, Instant()};
+}
+
+void BackendTracker::makeRoom() {
+  if (Departed.size() >= MaxDeparted)
+    Departed.erase(Departed.begin());
+}
+
+std::vector<BackendDeparture> BackendTracker::departures() const {
+  std::vector<BackendDeparture> Result;
+  for (const auto &[Id, Item] : Departed)
+    if (Item.StartKnown)
+      Result.push_back({Id, Item.Start});
+  std::sort(Result.begin(), Result.end(),
+            [](const BackendDeparture &A, const BackendDeparture &B) {
+              return A.StartedMillis > B.StartedMillis;
+            });
+  Result.resize(std::min(Result.size(), MaxListedDepartures));
+  return Result;
+}
+
+bool BackendTracker::restoreDepartures(
+    std::span<const BackendDeparture> Earlier) {
+  bool Changed = false;
+  for (const BackendDeparture &Item : Earlier) {
+    if (Item.StartedMillis == 0)
+      continue;
+    makeRoom();
+    Departed.try_emplace(Item.Id,
+                         Departure{Item.StartedMillis, true, Instant()});
+    // A server that a health check has identified has no known start.
+    const bool IsCurrent =
+        Item.Id == Current.Id && (Current.StartedMillis == 0 ||
+                                  Current.StartedMillis == Item.StartedMillis);
+    if (!IsCurrent || Current.Phase != BackendPhase::Ready)
+      continue;
+    Current.Phase = BackendPhase::Draining;
+    Changed = true;
+  }
+  return Changed;
+}
+
 bool BackendTracker::update(const BackendReport &Report, Instant Now) {
   if (Report.Sequence <= Current.Sequence)
     return false;
@@ -85,15 +137,18 @@
   const bool Changed = Report.Phase != Current.Phase ||
                        Report.Slots != Current.Slots || Confirms;
   Confirmed = Confirmed || Confirms;
+  const bool Leaves = Report.Phase != BackendPhase::Ready &&
+                      Current.Phase == BackendPhase::Ready;
   Rival.reset();
   Current = Report;
+  if (Leaves)
+    recordDeparture();
   return Changed;
 }
 
 bool BackendTracker::onDeparture(std::string_view Id, Instant WallNow,
                                  Instant Now) {
-  if (Departed.size() >= MaxDeparted)
-    Departed.erase(Departed.begin());
+  makeRoom();
   const bool IsCurrent = Id == Current.Id;
   const bool StartKnown = IsCurrent && Current.StartedMillis != 0;
   Departure &Item = Departed[std::string(Id)];
--- a/packages/gateway/camphorpin/src/Gateway/BackendTracker.h
+++ b/packages/gateway/camphorpin/src/Gateway/BackendTracker.h
@@ -5,8 +5,10 @@
 
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace camphorpin {
 
@@ -54,6 +56,14 @@
   /// accepting().
   bool onProbe(const BackendProbe &Probe);
 
+  /// \returns the backend servers that have announced that they leave, the
+  /// latest ones.
+  std::vector<BackendDeparture> departures() const;
+
+  /// Handles departures that an earlier process of this node has acknowledged.
+  /// \returns true if the result of accepting() may have changed.
+  bool restoreDepartures(std::span<const BackendDeparture> Earlier);
+
   /// A backend server other than \p Id answers at the address.
   void onIdentityMismatch(std::string_view Id);
 
@@ -90,6 +100,10 @@
     Instant FirstReport;
   };
 
+  /// Records that the current backend server leaves.
+  void recordDeparture();
+  /// Drops an entry of Departed if it is full.
+  void makeRoom();
   /// Handles a report with an earlier start time than the current one.
   bool onEarlierStart(const BackendReport &Report, Instant Now);
   /// \returns true if \p Report comes from a departed backend server.
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
@@ -109,6 +109,8 @@
                    StoreFeed::Members, *this),
       MemberWriter(Loop, RandomSource, Settings.StoreAddress, Protocol,
                    StoreFeed::Members),
+      Departures(Loop, RandomSource, Settings.StoreAddress, Protocol,
+                 Settings.Node),
       Signals(Loop, SIGTERM, SIGINT, SIGHUP), TickTimer(Loop) {}
 
 std::string Gateway::start() {
@@ -133,6 +135,15 @@
              {"service", Settings.Service},
              {"zone", Settings.Zone},
              {"region", ""}});
+  Proxy.setDepartureListener([this](std::span<const BackendDeparture> Items) {
+    Departures.save(Items);
+  });
+  if (!Settings.FirstStart) {
+    Proxy.awaitDepartures();
+    Departures.load([this](const std::vector<BackendDeparture> &Earlier) {
+      Proxy.restoreDepartures(Earlier);
+    });
+  }
   ConfigurationReader.start();
   MemberReader.start();
   publish(/*Departed=*/false);
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.h
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.h
@@ -1,6 +1,7 @@
 #ifndef CAMPHORPIN_SRC_GATEWAY_GATEWAY_H
 #define CAMPHORPIN_SRC_GATEWAY_GATEWAY_H
 
+#include "camphorpin/src/Gateway/DepartureStore.h"
 #include "camphorpin/src/Gateway/MetricsHandler.h"
 #include "camphorpin/src/Gateway/NetworkDisseminatorContext.h"
 #include "camphorpin/src/Gateway/OutboundHandler.h"
@@ -111,6 +112,7 @@
   StoreReader ConfigurationReader;
   StoreReader MemberReader;
   StoreWriter MemberWriter;
+  DepartureStore Departures;
   FleetConfiguration Configuration;
   boost::asio::signal_set Signals;
   boost::asio::steady_timer TickTimer;
--- a/packages/gateway/camphorpin/src/Gateway/GatewaySettings.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/GatewaySettings.cpp
@@ -70,6 +70,7 @@
   Target.StoreAddress = Address("storeAddress");
   Target.MetricsAddress = Root.address("metricsAddress", false);
   Target.StopGrace = readMillis(Root, "stopGraceMs", Target.StopGrace);
+  Target.FirstStart = Root.flag("firstStart", Target.FirstStart);
   Target.MemoryBytes = static_cast<std::size_t>(Root.number(
                            "memoryMb", MinMemoryMegabytes, MaxMemoryMegabytes,
                            Target.MemoryBytes >> MegabyteBits))
--- a/packages/gateway/camphorpin/src/Gateway/GatewaySettings.h
+++ b/packages/gateway/camphorpin/src/Gateway/GatewaySettings.h
@@ -33,6 +33,9 @@
   RetryBudgetSettings RetryBudget;
   /// Time between SIGTERM and SIGKILL.
   Duration StopGrace = Duration::seconds(6);
+  /// The whole fleet starts for the first time, so no earlier process of this
+  /// node has acknowledged anything.
+  bool FirstStart = false;
   /// Memory that the process may use.
   std::size_t MemoryBytes = std::size_t(256) << 20U;
   LoggingSettings Logging;
--- a/packages/gateway/camphorpin/src/Gateway/PlatformProtocol.h
+++ b/packages/gateway/camphorpin/src/Gateway/PlatformProtocol.h
@@ -39,6 +39,9 @@
   Configuration,
   /// Addresses of nodes, written by the nodes.
   Members,
+  /// Backend servers that have announced that they leave, written by the nodes
+  /// beside them. Each node reads only its own record.
+  Departures,
 };
 
 /// \class StoreRecord
--- a/packages/gateway/tests/BackendTrackerTest.cpp
+++ b/packages/gateway/tests/BackendTrackerTest.cpp
@@ -201,6 +201,35 @@
   cr_assert(Tracker.accepting());
 }
 
+// Guards against new requests for a server whose departure an earlier process
+// of the node has acknowledged: neither a health check that passes wrongly nor
+// delayed reports bring it back.
+Test(BackendTracker, restoredDepartureIsFinal) {
+  BackendTracker Earlier(Address, "shop");
+  Earlier.onReport(report("a", 100, 1), Start);
+  Earlier.onReport(report("a", 100, 2, BackendPhase::Draining), Start);
+  BackendTracker Later(Address, "shop");
+  Later.restoreDepartures(Earlier.departures());
+  cr_assert_not(Later.onProbe({true, "a", 5}));
+  Later.onReport(report("a", 100, 1), Start);
+  Later.onReport(report("a", 100, 2), Start + ReportInterval);
+  cr_assert_not(Later.accepting());
+  // Its successor is used.
+  Later.onReport(report("a", 300, 1), Start + ReportInterval);
+  Later.onProbe({true, "a", 5});
+  cr_assert(Later.accepting());
+}
+
+// Guards against a server that stays in use because the store has answered only
+// after a health check had identified it.
+Test(BackendTracker, lateRestoredDepartureEndsUse) {
+  BackendTracker Tracker(Address, "shop");
+  Tracker.onProbe({true, "a", 5});
+  const std::vector<BackendDeparture> Earlier = {{"a", 100}};
+  cr_assert(Tracker.restoreDepartures(Earlier));
+  cr_assert_not(Tracker.accepting());
+}
+
 // Guards against discarding measurements of a backend server at each report,
 // and against keeping them for the next incarnation.
 Test(BackendReport, distinguishesIncarnations) {
--- a/packages/gateway/tests/GatewaySettingsTest.cpp
+++ b/packages/gateway/tests/GatewaySettingsTest.cpp
@@ -36,6 +36,17 @@
   cr_assert_eq(Read.RetryBudget.Ratio, 0.25);
   cr_assert_eq(Read.RetryBudget.Window, RetryBudgetSettings().Window);
   cr_assert(!Read.MetricsAddress);
+  cr_assert_not(Read.FirstStart);
+}
+
+Test(GatewaySettings, parsesPlatformLimits) {
+  const auto Result = parseGatewaySettings(
+      settingsWith(R"(, "firstStart": true, "memoryMb": 160)"));
+  const auto &Read = std::get<GatewaySettings>(Result);
+  cr_assert(Read.FirstStart);
+  cr_assert_eq(Read.MemoryBytes, std::size_t(160) << 20U);
+  cr_assert_eq(
+      faultsOf(settingsWith(R"(, "firstStart": 1, "memoryMb": 0)")).size(), 2U);
 }
 
 Test(GatewaySettings, reportsEveryFault) {
