--- a/packages/gateway/camphorpin/src/Gateway/NodeRetryBudget.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/NodeRetryBudget.cpp
@@ -13,7 +13,7 @@
 /// Budget consumed by the retry of a request that makes nested calls. Its
 /// calls, several per level of the call graph, count as retries at the services
 /// below.
-constexpr double NestedCallsCost = 3;
+constexpr double NestedCallsCost = 6;
 
 } // namespace
 
