Log each failed read of the store, and the node that sent a configuration

Change: event 614 store-read-failed with feed, reason, waited time, number of failures and delay of the retry; configuration-in-force names the peer; the gauge camphorpin_store_answer_age_ms. No change of decisions. Measured: EventsTest, UpdateDisseminatorTest and StoreReadPacingTest pass.

--- a/packages/decision/camphorpin/src/Engine/LogEvent.cpp
+++ b/packages/decision/camphorpin/src/Engine/LogEvent.cpp
@@ -142,7 +142,7 @@
                  "run did not succeed. The counts are those of the gate; bound "
                  "is the route's bound on active runs, 0 for none."},
     LogEventInfo{LogEvent::ConfigurationInForce, LogSeverity::Info,
-                 "configuration-in-force", "version,origin,routes",
+                 "configuration-in-force", "version,origin,peer,routes",
                  "A configuration from the store or from a peer is in force on "
                  "this node."},
     LogEventInfo{LogEvent::StoreUnreachable, LogSeverity::Warning,
@@ -160,6 +160,12 @@
                  "type. The other parts are in force; requests of an "
                  "unreadable route are refused as not run, and those of an "
                  "unknown type run at most once."},
+    LogEventInfo{LogEvent::StoreReadFailed, LogSeverity::Info,
+                 "store-read-failed", "feed,reason,elapsedMs,failures,retryMs",
+                 "A read of a feed of the platform's store failed: no "
+                 "connection (connect), its end (connection-lost), no answer "
+                 "in time (timeout), or a rejection (rejected). It is retried "
+                 "after retryMs."},
 };
 
 } // namespace
--- a/packages/decision/camphorpin/src/Engine/LogEvent.h
+++ b/packages/decision/camphorpin/src/Engine/LogEvent.h
@@ -49,6 +49,7 @@
   StoreUnreachable = 611,
   StoreReachable = 612,
   ConfigurationProblem = 613,
+  StoreReadFailed = 614,
 };
 
 /// \brief The severity of a log event.
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
@@ -44,6 +44,9 @@
        ConfigurationReader.reachable() && MemberReader.reachable() ? 1.0 : 0.0},
       {"camphorpin_store_read", "1 if this node reads the store itself.",
        Disseminator.shouldReadStore() ? 1.0 : 0.0},
+      {"camphorpin_store_answer_age_ms",
+       "Time since the store has last answered a read of the configuration.",
+       ConfigurationReader.answerAge().toMillis()},
       {"camphorpin_current",
        "1 if the store, or a node that this one follows, answers.",
        Disseminator.current() ? 1.0 : 0.0},
@@ -109,9 +112,9 @@
       MetricsPage(RequestMetrics, [this] { return gauges(); }),
       CallServer(Loop, Outbound), ReadyServer(Loop, ReadyPage),
       ReportServer(Loop, Reports), MetricsServer(Loop, MetricsPage),
-      ConfigurationReader(Loop, RandomSource, Settings.StoreAddress, Protocol,
+      ConfigurationReader(Loop, Time, Settings.StoreAddress, Protocol,
                           StoreFeed::Configuration, *this),
-      MemberReader(Loop, RandomSource, Settings.StoreAddress, Protocol,
+      MemberReader(Loop, Time, Settings.StoreAddress, Protocol,
                    StoreFeed::Members, *this),
       MemberWriter(Loop, RandomSource, Settings.StoreAddress, Protocol,
                    StoreFeed::Members),
@@ -242,7 +245,7 @@
   return Result;
 }
 
-void Gateway::onUpdate(PeerUpdate Update) {
+void Gateway::onUpdate(const std::string &Node, PeerUpdate Update) {
   for (const MemberUpdate &Member : Update.Members) {
     const std::optional<NodeRecord> Record = NodeRecord::parse(Member.Record);
     if (Record && Record->Node == Member.Node)
@@ -253,7 +256,7 @@
   std::optional<FleetConfiguration> Next =
       Protocol.configuration(Update.Document);
   if (Next)
-    applyConfiguration(std::move(*Next), "peer");
+    applyConfiguration(std::move(*Next), Node);
 }
 
 PeerPollAnswer Gateway::onPoll(const std::string &Node,
@@ -276,7 +279,7 @@
     if (Feed == StoreFeed::Configuration) {
       std::optional<FleetConfiguration> Next = Protocol.configuration(Item);
       if (Next)
-        applyConfiguration(std::move(*Next), "store");
+        applyConfiguration(std::move(*Next), {});
       continue;
     }
     const std::optional<NodeRecord> Record = NodeRecord::parse(Item.Value);
@@ -289,14 +292,22 @@
 
 void Gateway::onReachable(StoreFeed Feed, bool Reachable) {
   Log.write(Reachable ? LogEvent::StoreReachable : LogEvent::StoreUnreachable,
-            {{"feed",
-              Feed == StoreFeed::Configuration ? "configuration" : "members"}});
+            {{"feed", detail::nameOf(Feed)}});
   // The open read of the other feed may have stalled at the same time.
   if (Feed == StoreFeed::Configuration && Reachable)
     MemberReader.restartRead();
   updateStoreReaders();
 }
 
+void Gateway::onReadFailed(StoreFeed Feed, const StoreReadFailure &Failure) {
+  Log.write(LogEvent::StoreReadFailed,
+            {{"feed", detail::nameOf(Feed)},
+             {"reason", detail::nameOf(Failure.Reason)},
+             {"elapsedMs", std::to_string(Failure.Elapsed.wholeMillis())},
+             {"failures", std::to_string(Failure.Failures)},
+             {"retryMs", std::to_string(Failure.RetryDelay.wholeMillis())}});
+}
+
 void Gateway::updateStoreReaders() {
   if (Disseminator.shouldReadStore()) {
     ConfigurationReader.resume();
@@ -321,7 +332,7 @@
 }
 
 void Gateway::applyConfiguration(FleetConfiguration Next,
-                                 std::string_view Origin) {
+                                 std::string_view Peer) {
   const bool Newer = Next.Version > Configuration.Version;
   if (!Next.Problems.empty() && (Newer || Next.Version == 0))
     Log.write(LogEvent::ConfigurationProblem,
@@ -333,7 +344,8 @@
   Configuration = std::move(Next);
   Log.write(LogEvent::ConfigurationInForce,
             {{"version", std::to_string(Configuration.Version)},
-             {"origin", std::string(Origin)},
+             {"origin", Peer.empty() ? "store" : "peer"},
+             {"peer", std::string(Peer)},
              {"routes", std::to_string(Configuration.Routes.size())}});
   Outbound.apply(Configuration);
   Disseminator.onStateChanged();
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.h
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.h
@@ -41,7 +41,7 @@
 private:
   PeerHello hello() override;
   void onDigest(const std::string &Node, const PeerDigest &Received) override;
-  void onUpdate(PeerUpdate Update) override;
+  void onUpdate(const std::string &Node, PeerUpdate Update) override;
   PeerPollAnswer onPoll(const std::string &Node,
                         const PeerDigest &Received) override;
   void onPollAnswer(const std::string &Node,
@@ -55,6 +55,7 @@
   void onRecords(StoreFeed Feed,
                  const std::vector<StoreRecord> &Records) override;
   void onReachable(StoreFeed Feed, bool Reachable) override;
+  void onReadFailed(StoreFeed Feed, const StoreReadFailure &Failure) override;
   Duration longPollTimeout(StoreFeed Feed) override;
   Duration batchDelay(StoreFeed Feed) override;
   Duration retryBackoff(unsigned Failures) override;
@@ -68,7 +69,9 @@
   /// Resumes reading the store if this node is a reader, and tells the exchange
   /// whether the store is reachable.
   void updateStoreReaders();
-  void applyConfiguration(FleetConfiguration Next, std::string_view Origin);
+  /// \param Peer the node that sent the configuration; empty if it has been
+  /// read from the store.
+  void applyConfiguration(FleetConfiguration Next, std::string_view Peer);
   void publish(bool Departed);
   void armTick();
   void tick();
--- a/packages/gateway/camphorpin/src/Gateway/PeerClient.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerClient.cpp
@@ -148,7 +148,7 @@
   else if (const auto *Value = std::get_if<BackendStatus>(&Frame))
     updateStatus(*Value);
   else if (auto *Update = std::get_if<PeerUpdate>(&Frame))
-    Listener.onUpdate(std::move(*Update));
+    Listener.onUpdate(Node, std::move(*Update));
   else if (const auto *Request = std::get_if<PeerUpdateRequest>(&Frame))
     send(Listener.makeUpdate(*Request));
   else if (const auto *Received = std::get_if<PeerDigest>(&Frame))
--- a/packages/gateway/camphorpin/src/Gateway/PeerClient.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerClient.h
@@ -24,7 +24,8 @@
   virtual void onDigest(const std::string &Node,
                         const PeerDigest &Received) = 0;
   virtual PeerUpdate makeUpdate(const PeerUpdateRequest &Request) = 0;
-  virtual void onUpdate(PeerUpdate Update) = 0;
+  /// The peer \p Node has sent updates.
+  virtual void onUpdate(const std::string &Node, PeerUpdate Update) = 0;
   virtual PeerPollAnswer onPoll(const std::string &Node,
                                 const PeerDigest &Received) = 0;
   virtual void onPollAnswer(const std::string &Node,
--- a/packages/gateway/camphorpin/src/Gateway/PeerServer.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerServer.cpp
@@ -52,7 +52,7 @@
     } else if (const auto *Request = std::get_if<PeerUpdateRequest>(&Frame)) {
       send(Server.Listener.makeUpdate(*Request));
     } else if (auto *Update = std::get_if<PeerUpdate>(&Frame)) {
-      Server.Listener.onUpdate(std::move(*Update));
+      Server.Listener.onUpdate(Node, std::move(*Update));
     } else if (const auto *Ids = std::get_if<PeerAck>(&Frame)) {
       for (const std::uint64_t Id : Ids->Ids)
         Server.Calls.erase({Sender, Id});
--- a/packages/gateway/camphorpin/src/Gateway/StoreReadPacing.h
+++ b/packages/gateway/camphorpin/src/Gateway/StoreReadPacing.h
@@ -15,6 +15,10 @@
 /// change, so the more readers there are, the less often each one reads.
 class StoreReadPacing {
 public:
+  /// Maximum time for an answer in addition to the time for which the store may
+  /// hold a read open.
+  static constexpr Duration ResponseTimeout = Duration::millis(1500);
+
   /// \param Readers the number of nodes that read the store.
   /// \returns how long the store may hold a long poll of \p Feed open.
   static Duration longPollTimeout(StoreFeed Feed, std::size_t Readers,
--- a/packages/gateway/camphorpin/src/Gateway/StoreReader.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/StoreReader.cpp
@@ -1,22 +1,50 @@
 #include "camphorpin/src/Gateway/StoreReader.h"
 
+#include "camphorpin/src/Gateway/StoreReadPacing.h"
+
 #include <algorithm>
 
 namespace camphorpin {
 
 namespace {
 
-/// Maximum time for an answer in addition to the long-poll timeout.
-constexpr Duration ResponseTimeout = Duration::millis(1500);
+constexpr Duration ResponseTimeout = StoreReadPacing::ResponseTimeout;
 
 } // namespace
 
-StoreReader::StoreReader(EventLoop &Loop, Random &RandomSource,
+std::string detail::nameOf(StoreFeed Feed) {
+  switch (Feed) {
+  case StoreFeed::Configuration:
+    return "configuration";
+  case StoreFeed::Members:
+    return "members";
+  case StoreFeed::Departures:
+    return "departures";
+  }
+  return {};
+}
+
+std::string detail::nameOf(StoreReadError Error) {
+  switch (Error) {
+  case StoreReadError::Connect:
+    return "connect";
+  case StoreReadError::ConnectionLost:
+    return "connection-lost";
+  case StoreReadError::Timeout:
+    return "timeout";
+  case StoreReadError::Rejected:
+    return "rejected";
+  }
+  return {};
+}
+
+StoreReader::StoreReader(EventLoop &Loop, const Clock &Time,
                          const HostAddress &Address,
                          const PlatformProtocol &Protocol, StoreFeed Feed,
                          StoreReaderListener &Listener)
-    : Loop(Loop), RandomSource(RandomSource), Protocol(Protocol), Feed(Feed),
-      Listener(Listener), Pool(Loop, Address), Timer(Loop) {}
+    : Loop(Loop), Time(Time), Protocol(Protocol), Feed(Feed),
+      Listener(Listener), Pool(Loop, Address), Timer(Loop),
+      LastAnswer(Time.now()) {}
 
 void StoreReader::stop() {
   Stopped = true;
@@ -54,6 +82,7 @@
   if (Stopped)
     return;
   Connection = Pool.acquire();
+  CallSent = Time.now();
   LongPolling = !Newest;
   ExchangeRequest Call;
   Call.Bytes = std::move(Bytes);
@@ -67,7 +96,7 @@
       return;
     LongPolling = false;
     Connection->close();
-    onFault(StoreError::Refused);
+    onFailure(StoreReadError::Timeout);
   });
 }
 
@@ -77,18 +106,25 @@
   LongPolling = false;
   Timer.cancel();
   if (Result.Outcome != ExchangeOutcome::Complete) {
-    onFault(StoreError::Refused);
+    onFailure(Result.Outcome == ExchangeOutcome::NotSent
+                  ? StoreReadError::Connect
+                  : StoreReadError::ConnectionLost);
     return;
   }
   Pool.release(Connection);
   StoreReply Reply = Newest
                          ? Protocol.parseNewestReply(Result.Response)
                          : Protocol.parseReadReply(Result.Response, Position);
+  if (Reply.Fault == StoreError::Expired) {
+    onExpired();
+    return;
+  }
   if (Reply.Fault != StoreError::None) {
-    onFault(Reply.Fault);
+    onFailure(StoreReadError::Rejected);
     return;
   }
   Failures = 0;
+  LastAnswer = Time.now();
   setReachable(true);
   // The pages of the newest records are not a consistent snapshot, so reading
   // continues from the position of the first page.
@@ -118,15 +154,22 @@
   scheduleRead(Listener.batchDelay(Feed));
 }
 
-void StoreReader::onFault(StoreError Fault) {
-  if (Fault == StoreError::Expired) {
-    PositionKnown = false;
-    PageKey.clear();
-    readNewest();
-    return;
-  }
+void StoreReader::onExpired() {
+  PositionKnown = false;
+  PageKey.clear();
+  readNewest();
+}
+
+void StoreReader::onFailure(StoreReadError Reason) {
+  ++Failures;
+  StoreReadFailure Failure;
+  Failure.Reason = Reason;
+  Failure.Elapsed = Time.now() - CallSent;
+  Failure.Failures = Failures;
+  Failure.RetryDelay = Listener.retryBackoff(Failures);
+  Listener.onReadFailed(Feed, Failure);
   setReachable(false);
-  retryLater();
+  scheduleRead(Failure.RetryDelay);
 }
 
 void StoreReader::setReachable(bool Value) {
@@ -136,11 +179,6 @@
   Listener.onReachable(Feed, Value);
 }
 
-void StoreReader::retryLater() {
-  ++Failures;
-  scheduleRead(Listener.retryBackoff(Failures));
-}
-
 void StoreReader::scheduleRead(Duration Delay) {
   Timer.expires_after(detail::timerSpan(Delay));
   Timer.async_wait([this](const boost::system::error_code &Error) {
--- a/packages/gateway/camphorpin/src/Gateway/StoreReader.h
+++ b/packages/gateway/camphorpin/src/Gateway/StoreReader.h
@@ -10,6 +10,39 @@
 
 namespace camphorpin {
 
+/// \brief Why a read of the store failed.
+enum class StoreReadError : std::uint8_t {
+  /// No connection could be established.
+  Connect,
+  /// The connection ended before the answer, or the answer was malformed.
+  ConnectionLost,
+  /// No answer within the time limit.
+  Timeout,
+  /// The store rejected the read.
+  Rejected,
+};
+
+namespace detail {
+
+/// \returns the name of \p Feed in logs.
+std::string nameOf(StoreFeed Feed);
+/// \returns the name of \p Error in logs.
+std::string nameOf(StoreReadError Error);
+
+} // namespace detail
+
+/// \class StoreReadFailure
+/// \brief A failed read of the store.
+struct StoreReadFailure {
+  StoreReadError Reason = StoreReadError::Rejected;
+  /// Time since the read was sent.
+  Duration Elapsed;
+  /// Number of consecutive failed reads.
+  unsigned Failures = 0;
+  /// Delay before the read is retried.
+  Duration RetryDelay;
+};
+
 /// \class StoreReaderListener
 /// \brief Receives the records of a feed.
 class StoreReaderListener {
@@ -19,6 +52,9 @@
                          const std::vector<StoreRecord> &Records) = 0;
   /// The store has become reachable or unreachable for this feed.
   virtual void onReachable(StoreFeed Feed, bool Reachable) = 0;
+  /// A read has failed and will be retried.
+  virtual void onReadFailed(StoreFeed Feed,
+                            const StoreReadFailure &Failure) = 0;
   /// \returns how long the store may hold the next long poll of \p Feed open.
   virtual Duration longPollTimeout(StoreFeed Feed) = 0;
   /// \returns the delay before the next read of \p Feed after records have been
@@ -41,7 +77,7 @@
 /// StoreReaderListener::shouldRead() returns false.
 class StoreReader {
 public:
-  StoreReader(EventLoop &Loop, Random &RandomSource, const HostAddress &Address,
+  StoreReader(EventLoop &Loop, const Clock &Time, const HostAddress &Address,
               const PlatformProtocol &Protocol, StoreFeed Feed,
               StoreReaderListener &Listener);
 
@@ -58,6 +94,10 @@
   /// out.
   bool reachable() const { return Reachable.value_or(false); }
 
+  /// \returns the time since the store has last answered a read; since the
+  /// construction if it never has.
+  Duration answerAge() const { return Time.now() - LastAnswer; }
+
   /// \returns true if the store is reachable and reading is not paused.
   bool isReading() const { return reachable() && !Paused; }
 
@@ -68,14 +108,14 @@
   void readNext();
   void call(std::string Bytes, Duration Timeout, bool Newest);
   void onResult(const ExchangeResult &Result, bool Newest);
-  void onFault(StoreError Fault);
+  void onExpired();
+  void onFailure(StoreReadError Reason);
   void setReachable(bool Value);
-  void retryLater();
   void scheduleRead(Duration Delay);
   void continueReading();
 
   EventLoop &Loop;
-  Random &RandomSource;
+  const Clock &Time;
   const PlatformProtocol &Protocol;
   StoreFeed Feed;
   StoreReaderListener &Listener;
@@ -96,6 +136,8 @@
   /// A long poll is in flight, which ends when a record is added.
   bool LongPolling = false;
   unsigned Failures = 0;
+  Instant CallSent;
+  Instant LastAnswer;
 };
 
 } // namespace camphorpin
--- a/packages/gateway/tests/PeerServerTest.cpp
+++ b/packages/gateway/tests/PeerServerTest.cpp
@@ -17,7 +17,7 @@
   PeerUpdateRequest updateRequest() const override { return {}; }
   void onDigest(const std::string &, const PeerDigest &) override {}
   PeerUpdate makeUpdate(const PeerUpdateRequest &) override { return {}; }
-  void onUpdate(PeerUpdate) override {}
+  void onUpdate(const std::string &, PeerUpdate) override {}
   PeerPollAnswer onPoll(const std::string &, const PeerDigest &) override {
     return {};
   }
@@ -31,7 +31,7 @@
   PeerHello hello() override { return {Node, 7, "web", "a", "", {}, {}}; }
   void onDigest(const std::string &, const PeerDigest &) override {}
   PeerUpdate makeUpdate(const PeerUpdateRequest &) override { return {}; }
-  void onUpdate(PeerUpdate) override {}
+  void onUpdate(const std::string &, PeerUpdate) override {}
   void onPollAnswer(const std::string &, const PeerPollAnswer &) override {}
   PeerPollAnswer onPoll(const std::string &, const PeerDigest &) override {
     return {};
