Show that nodes learn a configuration late after the store was silent

A read that is retried during an outage waits as long as a long poll, and open long polls that are lost end together after a change.

--- a/packages/gateway/tests/SimulatedFleet.h
+++ b/packages/gateway/tests/SimulatedFleet.h
@@ -45,7 +45,11 @@
   void receive(const std::string &From, const PeerFrame &Frame);
   void addRecord(const NodeRecord &Other);
   void applyVersion(std::uint64_t Version);
+  /// Reads the store unless a read is open or reading is paused.
   void readStore();
+  /// The open read gets no answer, for example because its connection is lost
+  /// to one of its ends.
+  void loseOpenRead() { ReadLost = true; }
   /// From now on the store rejects the calls of this node.
   void rejectStoreCalls();
 
@@ -71,8 +75,18 @@
   SimulatedFleet &Owner;
   /// Identifies the latest schedule of onTimer(), which replaces earlier ones.
   std::uint64_t TimerGeneration = 0;
-  /// A long poll is in flight.
-  bool LongPolling = false;
+  /// Sends a read, which the store holds open until something changes.
+  void startRead();
+  void onReadEnd();
+  void onReadFailure();
+
+  /// A read is open.
+  bool Reading = false;
+  /// The open read will not be answered.
+  bool ReadLost = false;
+  /// Identifies the open read.
+  std::uint64_t ReadGeneration = 0;
+  bool StoreReachable = false;
   /// A failed read is not retried before this instant.
   Instant RetryDue;
   unsigned Failures = 0;
@@ -112,10 +126,10 @@
   /// Completes the long polls of the nodes after a change of the store.
   void completeLongPolls() {
     for (auto &[Name, Item] : Nodes) {
-      if (!Item->LongPolling || Item->Stalled || !Item->StoreAccepts ||
-          !Item->Alive)
+      if (!Item->Reading || Item->ReadLost || Item->Stalled ||
+          !Item->StoreAccepts || !Item->Alive)
         continue;
-      Item->LongPolling = false;
+      Item->Reading = false;
       Events.after(MessageDelay, [Item = Item.get()] {
         if (!Item->Alive)
           return;
@@ -125,6 +139,21 @@
     }
   }
 
+  /// From now on the store accepts reads and answers none, not even those that
+  /// are open.
+  void silenceStore() {
+    Silent = true;
+    loseOpenReads();
+  }
+  /// From now on the store answers reads that begin.
+  void restoreStore() { Silent = false; }
+
+  /// No open read is answered.
+  void loseOpenReads() {
+    for (auto &[Name, Item] : Nodes)
+      Item->loseOpenRead();
+  }
+
   void run(Duration Span) { Events.runUntil(Events.now() + Span); }
 
   /// \param Included returns true for the nodes to consider.
@@ -164,6 +193,8 @@
   std::vector<NodeRecord> StoreRecords;
   std::uint64_t Version = 0;
   Instant Published;
+  /// The store accepts reads and answers none.
+  bool Silent = false;
   /// Calls to the store by all nodes.
   int StoreCalls = 0;
   /// Node records sent to nodes of another zone.
@@ -217,31 +248,63 @@
 inline void SimulatedNode::readStore() {
   if (!Alive)
     return;
-  if (!Disseminator->shouldReadStore() || LongPolling) {
-    Disseminator->onStoreReachability(LongPolling &&
-                                      Disseminator->shouldReadStore());
-    return;
-  }
-  if (Owner.Events.now() < RetryDue)
-    return;
+  const bool Paused = !Reading && !Disseminator->shouldReadStore();
+  Disseminator->onStoreReachability(StoreReachable && !Paused);
+  if (!Reading && !Paused && Owner.Events.now() >= RetryDue)
+    startRead();
+}
+
+inline void SimulatedNode::startRead() {
   ++Owner.StoreCalls;
   if (!StoreAccepts) {
-    Disseminator->onStoreReachability(false);
-    const Duration Delay = StoreReadPacing::retryBackoff(
-        Disseminator->isDesignatedReader(), ++Failures, Owner.RandomSource);
-    RetryDue = Owner.Events.now() + Delay;
-    Owner.Events.after(Delay, [this] { readStore(); });
+    onReadFailure();
     return;
   }
+  Reading = true;
+  ReadLost = Owner.Silent;
+  const std::uint64_t Generation = ++ReadGeneration;
+  const Duration Wait = StoreReadPacing::longPollTimeout(
+      StoreFeed::Configuration, Disseminator->readerCount(),
+      Owner.RandomSource);
+  const auto AfterUnlessEnded = [&](Duration Span, auto Action) {
+    Owner.Events.after(Span, [this, Generation, Action] {
+      if (Alive && Reading && ReadGeneration == Generation)
+        Action();
+    });
+  };
+  AfterUnlessEnded(Wait, [this] {
+    if (!ReadLost)
+      onReadEnd();
+  });
+  AfterUnlessEnded(Wait + StoreReadPacing::ResponseTimeout,
+                   [this] { onReadFailure(); });
+  if (ReadLost)
+    return;
   Failures = 0;
   applyStore();
-  LongPolling = true;
+  StoreReachable = true;
   Disseminator->onStoreReachability(true);
 }
 
+inline void SimulatedNode::onReadEnd() {
+  Reading = false;
+  readStore();
+}
+
+inline void SimulatedNode::onReadFailure() {
+  Reading = false;
+  StoreReachable = false;
+  Disseminator->onStoreReachability(false);
+  const Duration Delay = StoreReadPacing::retryBackoff(
+      Disseminator->isDesignatedReader(), ++Failures, Owner.RandomSource);
+  RetryDue = Owner.Events.now() + Delay;
+  Owner.Events.after(Delay, [this] { readStore(); });
+}
+
 inline void SimulatedNode::rejectStoreCalls() {
   StoreAccepts = false;
-  LongPolling = false;
+  Reading = false;
+  StoreReachable = false;
   Disseminator->onStoreReachability(false);
 }
 
