Retry a failed read of the store without a long poll

Cause: a read that had failed was sent again as a long poll. One that was sent into an outage of the store was given up only after its long poll (up to 6 s) and 1.5 s more, although the store answered other calls by then. Change: StoreReadPacing is an object for each feed. After a failure it asks for an answer at once, so the retry ends 1.5 s after it was sent at the latest, and the time for which a failed read was waited for counts as backoff. Reader and simulation take their times from the same class.

--- a/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
@@ -112,9 +112,9 @@
       MetricsPage(RequestMetrics, [this] { return gauges(); }),
       CallServer(Loop, Outbound), ReadyServer(Loop, ReadyPage),
       ReportServer(Loop, Reports), MetricsServer(Loop, MetricsPage),
-      ConfigurationReader(Loop, Time, Settings.StoreAddress, Protocol,
-                          StoreFeed::Configuration, *this),
-      MemberReader(Loop, Time, Settings.StoreAddress, Protocol,
+      ConfigurationReader(Loop, Time, RandomSource, Settings.StoreAddress,
+                          Protocol, StoreFeed::Configuration, *this),
+      MemberReader(Loop, Time, RandomSource, Settings.StoreAddress, Protocol,
                    StoreFeed::Members, *this),
       MemberWriter(Loop, RandomSource, Settings.StoreAddress, Protocol,
                    StoreFeed::Members),
@@ -317,20 +317,6 @@
                                    MemberReader.isReading());
 }
 
-Duration Gateway::retryBackoff(unsigned Failures) {
-  return StoreReadPacing::retryBackoff(Disseminator.isDesignatedReader(),
-                                       Failures, RandomSource);
-}
-
-Duration Gateway::longPollTimeout(StoreFeed Feed) {
-  return StoreReadPacing::longPollTimeout(Feed, Disseminator.readerCount(),
-                                          RandomSource);
-}
-
-Duration Gateway::batchDelay(StoreFeed Feed) {
-  return StoreReadPacing::batchDelay(Feed, Disseminator.readerCount());
-}
-
 void Gateway::applyConfiguration(FleetConfiguration Next,
                                  std::string_view Peer) {
   const bool Newer = Next.Version > Configuration.Version;
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.h
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.h
@@ -8,7 +8,6 @@
 #include "camphorpin/src/Gateway/ReadyHandler.h"
 #include "camphorpin/src/Gateway/ReportHandler.h"
 #include "camphorpin/src/Gateway/SettingsReload.h"
-#include "camphorpin/src/Gateway/StoreReadPacing.h"
 #include "camphorpin/src/Gateway/StoreReader.h"
 #include "camphorpin/src/Gateway/StoreWriter.h"
 
@@ -56,9 +55,7 @@
                  const std::vector<StoreRecord> &Records) override;
   void onReachable(StoreFeed Feed, bool Reachable) override;
   void onReadFailed(StoreFeed Feed, const StoreReadFailure &Failure) override;
-  Duration longPollTimeout(StoreFeed Feed) override;
-  Duration batchDelay(StoreFeed Feed) override;
-  Duration retryBackoff(unsigned Failures) override;
+  ReaderRole readerRole() override { return Disseminator.readerRole(); }
   bool shouldRead() override { return Disseminator.shouldReadStore(); }
 
   void addNode(const NodeRecord &Record);
--- a/packages/gateway/camphorpin/src/Gateway/StoreReadPacing.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/StoreReadPacing.cpp
@@ -26,7 +26,7 @@
 /// may arrive later.
 constexpr Duration BatchDelayPerReader = Duration::millis(20);
 constexpr Duration MaxBatchDelay = Duration::seconds(2);
-/// First and maximum backoff of a failed read.
+/// First and maximum time between the start of a failed read and its retry.
 struct BackoffRange {
   Duration First;
   Duration Longest;
@@ -39,33 +39,37 @@
                                           Duration::seconds(4)};
 /// Maximum number of times that the first backoff is doubled.
 constexpr unsigned MaxDoublings = 4;
+/// Delay before the retry of a read that took longer than the backoff.
+constexpr Duration MinRetryDelay = Duration::millis(50);
 
 } // namespace
 
-Duration StoreReadPacing::longPollTimeout(StoreFeed Feed, std::size_t Readers,
-                                          Random &RandomSource) {
+Duration StoreReadPacing::longPollTimeout(const ReaderRole &Role) const {
+  assert(Role.Rank < Role.Readers && "the rank is a position among readers");
+  if (Failures > 0)
+    return {};
   if (Feed != StoreFeed::Configuration)
     return MaxLongPoll;
-  const Duration Fair = LongPollPerReader * static_cast<double>(Readers);
+  const Duration Fair = LongPollPerReader * static_cast<double>(Role.Readers);
   const Duration Bounded = std::clamp(Fair, MinLongPoll, MaxLongPoll);
   return Bounded * (1 - LongPollJitter * RandomSource.uniform01());
 }
 
-Duration StoreReadPacing::retryBackoff(bool DesignatedReader, unsigned Failures,
-                                       Random &RandomSource) {
-  assert(Failures > 0 && "a read has failed");
+Duration StoreReadPacing::onFailure(const ReaderRole &Role, Duration Elapsed) {
   const BackoffRange &Range =
-      DesignatedReader ? DesignatedReaderBackoff : FollowerBackoff;
-  const unsigned Doublings = std::min(Failures - 1, MaxDoublings);
-  const Duration Delay = std::min(
+      Role.Designated ? DesignatedReaderBackoff : FollowerBackoff;
+  const unsigned Doublings = std::min(Failures, MaxDoublings);
+  ++Failures;
+  const Duration Backoff = std::min(
       Range.Longest, Range.First * static_cast<double>(1U << Doublings));
-  return Delay * (0.5 + RandomSource.uniform01());
+  const Duration Jittered = Backoff * (0.5 + RandomSource.uniform01());
+  return std::max(MinRetryDelay, Jittered - Elapsed);
 }
 
-Duration StoreReadPacing::batchDelay(StoreFeed Feed, std::size_t Readers) {
+Duration StoreReadPacing::batchDelay(const ReaderRole &Role) const {
   if (Feed != StoreFeed::Members)
     return MinBatchDelay;
-  const Duration Fair = BatchDelayPerReader * static_cast<double>(Readers);
+  const Duration Fair = BatchDelayPerReader * static_cast<double>(Role.Readers);
   return std::clamp(Fair, MinBatchDelay, MaxBatchDelay);
 }
 
--- a/packages/gateway/camphorpin/src/Gateway/StoreReadPacing.h
+++ b/packages/gateway/camphorpin/src/Gateway/StoreReadPacing.h
@@ -8,32 +8,58 @@
 
 namespace camphorpin {
 
+/// \class ReaderRole
+/// \brief The part of a node in reading the platform's store.
+struct ReaderRole {
+  /// Number of reachable nodes that read the store in normal operation.
+  std::size_t Readers = 1;
+  /// Position of this node among them, less than Readers.
+  std::size_t Rank = 0;
+  /// No other node reads the store for this one.
+  bool Designated = true;
+};
+
 /// \class StoreReadPacing
-/// \brief Decides how often a node reads the platform's store.
+/// \brief Decides how long the reads of one feed of the platform's store last
+/// and when they are sent.
 ///
 /// Keeps the fleet within the store's rate limit: every reader reads every
-/// change, so the more readers there are, the less often each one reads.
+/// change, so the more readers there are, the less often each one reads. Limits
+/// the time for which the fleet does not notice that the store, after an outage
+/// or the loss of connections, would answer a new read.
 class StoreReadPacing {
 public:
   /// Maximum time for an answer in addition to the time for which the store may
   /// hold a read open.
   static constexpr Duration ResponseTimeout = Duration::millis(1500);
 
-  /// \param Readers the number of nodes that read the store.
-  /// \returns how long the store may hold a long poll of \p Feed open.
-  static Duration longPollTimeout(StoreFeed Feed, std::size_t Readers,
-                                  Random &RandomSource);
+  StoreReadPacing(StoreFeed Feed, Random &RandomSource)
+      : Feed(Feed), RandomSource(RandomSource) {}
+
+  /// \returns how long the store may hold the next read open. 0 after a failed
+  /// read: if it is not answered either, it should not delay the next one.
+  Duration longPollTimeout(const ReaderRole &Role) const;
+
+  /// The store has answered a read.
+  void onAnswer() { Failures = 0; }
+
+  /// A read has failed.
+  /// \param Elapsed the time since the read was sent.
+  /// \returns the delay before it is retried.
+  Duration onFailure(const ReaderRole &Role, Duration Elapsed);
+
+  /// \returns the number of consecutive failed reads.
+  unsigned failures() const { return Failures; }
 
   /// \returns the delay before the next read after records have been received,
   /// so that a burst of changes is read with a few calls. The records already
   /// received are not delayed.
-  static Duration batchDelay(StoreFeed Feed, std::size_t Readers);
+  Duration batchDelay(const ReaderRole &Role) const;
 
-  /// \param DesignatedReader no other node reads the store for this one.
-  /// \param Failures the number of consecutive failed reads.
-  /// \returns the delay before a failed read is retried.
-  static Duration retryBackoff(bool DesignatedReader, unsigned Failures,
-                               Random &RandomSource);
+private:
+  StoreFeed Feed;
+  Random &RandomSource;
+  unsigned Failures = 0;
 };
 
 } // namespace camphorpin
--- a/packages/gateway/camphorpin/src/Gateway/StoreReader.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/StoreReader.cpp
@@ -1,7 +1,5 @@
 #include "camphorpin/src/Gateway/StoreReader.h"
 
-#include "camphorpin/src/Gateway/StoreReadPacing.h"
-
 #include <algorithm>
 
 namespace camphorpin {
@@ -39,12 +37,12 @@
 }
 
 StoreReader::StoreReader(EventLoop &Loop, const Clock &Time,
-                         const HostAddress &Address,
+                         Random &RandomSource, const HostAddress &Address,
                          const PlatformProtocol &Protocol, StoreFeed Feed,
                          StoreReaderListener &Listener)
     : Loop(Loop), Time(Time), Protocol(Protocol), Feed(Feed),
-      Listener(Listener), Pool(Loop, Address), Timer(Loop),
-      LastAnswer(Time.now()) {}
+      Listener(Listener), Pacing(Feed, RandomSource), Pool(Loop, Address),
+      Timer(Loop), LastAnswer(Time.now()) {}
 
 void StoreReader::stop() {
   Stopped = true;
@@ -59,13 +57,13 @@
 }
 
 void StoreReader::readNext() {
-  const Duration Wait = Listener.longPollTimeout(Feed);
+  const Duration Wait = Pacing.longPollTimeout(Listener.readerRole());
   call(Protocol.readRequest(Feed, Position, Wait), Wait + ResponseTimeout,
        /*Newest=*/false);
 }
 
 void StoreReader::restartRead() {
-  if (Stopped || !PositionKnown || !LongPolling)
+  if (Stopped || !PositionKnown || !Following)
     return;
   Connection->close();
   readNext();
@@ -83,7 +81,7 @@
     return;
   Connection = Pool.acquire();
   CallSent = Time.now();
-  LongPolling = !Newest;
+  Following = !Newest;
   ExchangeRequest Call;
   Call.Bytes = std::move(Bytes);
   Connection->exchange(std::move(Call),
@@ -94,7 +92,7 @@
   Timer.async_wait([this](const boost::system::error_code &Error) {
     if (Error || Stopped)
       return;
-    LongPolling = false;
+    Following = false;
     Connection->close();
     onFailure(StoreReadError::Timeout);
   });
@@ -103,7 +101,7 @@
 void StoreReader::onResult(const ExchangeResult &Result, bool Newest) {
   if (Stopped)
     return;
-  LongPolling = false;
+  Following = false;
   Timer.cancel();
   if (Result.Outcome != ExchangeOutcome::Complete) {
     onFailure(Result.Outcome == ExchangeOutcome::NotSent
@@ -123,7 +121,7 @@
     onFailure(StoreReadError::Rejected);
     return;
   }
-  Failures = 0;
+  Pacing.onAnswer();
   LastAnswer = Time.now();
   setReachable(true);
   // The pages of the newest records are not a consistent snapshot, so reading
@@ -136,7 +134,7 @@
       Listener.onRecords(Feed, Reply.Page.Records);
   } catch (...) {
     // The feed is followed on, after the records that caused the error.
-    scheduleRead(Listener.batchDelay(Feed));
+    scheduleRead(Pacing.batchDelay(Listener.readerRole()));
     throw;
   }
   // A page that ends with the same key again would be followed by itself.
@@ -151,7 +149,7 @@
     continueReading();
     return;
   }
-  scheduleRead(Listener.batchDelay(Feed));
+  scheduleRead(Pacing.batchDelay(Listener.readerRole()));
 }
 
 void StoreReader::onExpired() {
@@ -161,12 +159,11 @@
 }
 
 void StoreReader::onFailure(StoreReadError Reason) {
-  ++Failures;
   StoreReadFailure Failure;
   Failure.Reason = Reason;
   Failure.Elapsed = Time.now() - CallSent;
-  Failure.Failures = Failures;
-  Failure.RetryDelay = Listener.retryBackoff(Failures);
+  Failure.RetryDelay = Pacing.onFailure(Listener.readerRole(), Failure.Elapsed);
+  Failure.Failures = Pacing.failures();
   Listener.onReadFailed(Feed, Failure);
   setReachable(false);
   scheduleRead(Failure.RetryDelay);
--- a/packages/gateway/camphorpin/src/Gateway/StoreReader.h
+++ b/packages/gateway/camphorpin/src/Gateway/StoreReader.h
@@ -3,6 +3,7 @@
 
 #include "camphorpin/src/Gateway/HttpConnectionPool.h"
 #include "camphorpin/src/Gateway/PlatformProtocol.h"
+#include "camphorpin/src/Gateway/StoreReadPacing.h"
 
 #include <memory>
 #include <optional>
@@ -55,14 +56,7 @@
   /// A read has failed and will be retried.
   virtual void onReadFailed(StoreFeed Feed,
                             const StoreReadFailure &Failure) = 0;
-  /// \returns how long the store may hold the next long poll of \p Feed open.
-  virtual Duration longPollTimeout(StoreFeed Feed) = 0;
-  /// \returns the delay before the next read of \p Feed after records have been
-  /// received.
-  virtual Duration batchDelay(StoreFeed Feed) = 0;
-  /// \param Failures the number of consecutive failed reads.
-  /// \returns the delay before a failed read is retried.
-  virtual Duration retryBackoff(unsigned Failures) = 0;
+  virtual ReaderRole readerRole() = 0;
   /// \returns false if the node receives updates from other nodes and should
   /// pause reading.
   virtual bool shouldRead() = 0;
@@ -73,13 +67,13 @@
 ///
 /// Reads the newest record of each key, then long-polls for later records. At
 /// most one call is in flight at any time; an idle feed costs one call per
-/// StoreReaderListener::longPollTimeout(). Pauses while
+/// StoreReadPacing::longPollTimeout(). Pauses while
 /// StoreReaderListener::shouldRead() returns false.
 class StoreReader {
 public:
-  StoreReader(EventLoop &Loop, const Clock &Time, const HostAddress &Address,
-              const PlatformProtocol &Protocol, StoreFeed Feed,
-              StoreReaderListener &Listener);
+  StoreReader(EventLoop &Loop, const Clock &Time, Random &RandomSource,
+              const HostAddress &Address, const PlatformProtocol &Protocol,
+              StoreFeed Feed, StoreReaderListener &Listener);
 
   void start() { readNewest(); }
   void stop();
@@ -104,7 +98,7 @@
 private:
   /// Requests the next page of the newest record of each key.
   void readNewest();
-  /// Starts a long poll for the records from Position.
+  /// Requests the records from Position; a long poll unless a read has failed.
   void readNext();
   void call(std::string Bytes, Duration Timeout, bool Newest);
   void onResult(const ExchangeResult &Result, bool Newest);
@@ -119,13 +113,14 @@
   const PlatformProtocol &Protocol;
   StoreFeed Feed;
   StoreReaderListener &Listener;
+  StoreReadPacing Pacing;
   HttpConnectionPool Pool;
   boost::asio::steady_timer Timer;
   std::shared_ptr<HttpConnection> Connection;
   /// Last key of the previous page while the newest records are read in pages;
   /// otherwise empty.
   std::string PageKey;
-  /// Position of the next long poll in the feed.
+  /// Position of the next read in the feed.
   std::uint64_t Position = 0;
   bool PositionKnown = false;
   /// Unknown until the first call has completed.
@@ -133,9 +128,8 @@
   bool Stopped = false;
   /// No call is in flight or scheduled.
   bool Paused = false;
-  /// A long poll is in flight, which ends when a record is added.
-  bool LongPolling = false;
-  unsigned Failures = 0;
+  /// A read from Position is in flight.
+  bool Following = false;
   Instant CallSent;
   Instant LastAnswer;
 };
--- a/packages/gateway/camphorpin/src/Gateway/UpdateDisseminator.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/UpdateDisseminator.cpp
@@ -122,6 +122,23 @@
   return std::find(Readers.begin(), Readers.end(), Node) != Readers.end();
 }
 
+ReaderRole UpdateDisseminator::readerRole() const {
+  ReaderRole Role;
+  Role.Readers = 0;
+  std::optional<std::size_t> Rank;
+  for (const std::string &Node : Topology.readers()) {
+    if (Node != Self && !Context.reachable(Node))
+      continue;
+    if (Node == Self)
+      Rank = Role.Readers;
+    ++Role.Readers;
+  }
+  Role.Readers = std::max<std::size_t>(1, Role.Readers);
+  Role.Rank = Rank.value_or(RandomSource.below(Role.Readers));
+  Role.Designated = Topology.followed().empty();
+  return Role;
+}
+
 PeerPollAnswer UpdateDisseminator::onPoll(const std::string &Node,
                                           const PeerDigest &Notice) {
   Followers[Node] = Time.now();
--- a/packages/gateway/camphorpin/src/Gateway/UpdateDisseminator.h
+++ b/packages/gateway/camphorpin/src/Gateway/UpdateDisseminator.h
@@ -3,6 +3,7 @@
 
 #include "camphorpin/src/Gateway/DisseminationTopology.h"
 #include "camphorpin/src/Gateway/PeerMessages.h"
+#include "camphorpin/src/Gateway/StoreReadPacing.h"
 
 #include <map>
 #include <optional>
@@ -83,17 +84,13 @@
   /// \returns true if this node should read the store itself.
   bool shouldReadStore() const { return Topology.shouldReadStore(Time.now()); }
 
-  /// \returns true if this node follows no other, so that a failed read of the
-  /// store should be retried soon.
-  bool isDesignatedReader() const { return Topology.followed().empty(); }
+  /// \returns the part of this node in reading the store.
+  ReaderRole readerRole() const;
 
   /// \returns true if the state of this node is current: the store is
   /// reachable, or a followed node is current.
   bool current() const;
 
-  /// \returns the number of nodes that read the store in normal operation.
-  std::size_t readerCount() const { return Topology.readers().size(); }
-
   /// \returns a request for all updates that this node lacks.
   PeerUpdateRequest request() const;
 
--- a/packages/gateway/tests/SimulatedFleet.h
+++ b/packages/gateway/tests/SimulatedFleet.h
@@ -89,7 +89,8 @@
   bool StoreReachable = false;
   /// A failed read is not retried before this instant.
   Instant RetryDue;
-  unsigned Failures = 0;
+  Instant SentAt;
+  StoreReadPacing Pacing;
 };
 
 /// The nodes, the store and the virtual time.
@@ -133,6 +134,7 @@
       Events.after(MessageDelay, [Item = Item.get()] {
         if (!Item->Alive)
           return;
+        Item->Pacing.onAnswer();
         Item->applyStore();
         Item->readStore();
       });
@@ -202,7 +204,8 @@
 };
 
 inline SimulatedNode::SimulatedNode(SimulatedFleet &Owner, NodeRecord Value)
-    : Record(std::move(Value)), Owner(Owner) {}
+    : Record(std::move(Value)), Owner(Owner),
+      Pacing(StoreFeed::Configuration, Owner.RandomSource) {}
 
 inline PeerDigest SimulatedNode::known() const {
   return {Version, Directory.digest()};
@@ -256,6 +259,7 @@
 
 inline void SimulatedNode::startRead() {
   ++Owner.StoreCalls;
+  SentAt = Owner.Events.now();
   if (!StoreAccepts) {
     onReadFailure();
     return;
@@ -263,9 +267,7 @@
   Reading = true;
   ReadLost = Owner.Silent;
   const std::uint64_t Generation = ++ReadGeneration;
-  const Duration Wait = StoreReadPacing::longPollTimeout(
-      StoreFeed::Configuration, Disseminator->readerCount(),
-      Owner.RandomSource);
+  const Duration Wait = Pacing.longPollTimeout(Disseminator->readerRole());
   const auto AfterUnlessEnded = [&](Duration Span, auto Action) {
     Owner.Events.after(Span, [this, Generation, Action] {
       if (Alive && Reading && ReadGeneration == Generation)
@@ -280,7 +282,6 @@
                    [this] { onReadFailure(); });
   if (ReadLost)
     return;
-  Failures = 0;
   applyStore();
   StoreReachable = true;
   Disseminator->onStoreReachability(true);
@@ -288,6 +289,7 @@
 
 inline void SimulatedNode::onReadEnd() {
   Reading = false;
+  Pacing.onAnswer();
   readStore();
 }
 
@@ -295,8 +297,8 @@
   Reading = false;
   StoreReachable = false;
   Disseminator->onStoreReachability(false);
-  const Duration Delay = StoreReadPacing::retryBackoff(
-      Disseminator->isDesignatedReader(), ++Failures, Owner.RandomSource);
+  const Duration Delay =
+      Pacing.onFailure(Disseminator->readerRole(), Owner.Events.now() - SentAt);
   RetryDue = Owner.Events.now() + Delay;
   Owner.Events.after(Delay, [this] { readStore(); });
 }
--- a/packages/gateway/tests/StoreReadPacingTest.cpp
+++ b/packages/gateway/tests/StoreReadPacingTest.cpp
@@ -6,10 +6,27 @@
 
 namespace {
 
+/// A pacing that draws from a fixed seed.
+struct SeededPacing {
+  explicit SeededPacing(StoreFeed Feed = StoreFeed::Configuration)
+      : Pacing(Feed, RandomSource) {}
+
+  SeededRandom RandomSource{20261204};
+  StoreReadPacing Pacing;
+};
+
+ReaderRole roleOf(std::size_t Readers, std::size_t Rank = 0) {
+  return {Readers, Rank, /*Designated=*/true};
+}
+
+Duration batchDelay(StoreFeed Feed, std::size_t Readers) {
+  return SeededPacing(Feed).Pacing.batchDelay(roleOf(Readers));
+}
+
 /// \returns the calls per second of \p Readers while records of \p Feed change
 /// continuously.
 double callsPerSecond(StoreFeed Feed, std::size_t Readers) {
-  const Duration Delay = StoreReadPacing::batchDelay(Feed, Readers);
+  const Duration Delay = batchDelay(Feed, Readers);
   return static_cast<double>(Readers) * 1000 / Delay.toMillis();
 }
 
@@ -29,11 +46,10 @@
 // configuration is applied.
 Test(StoreReadPacing, readsChangesInTime) {
   for (const std::size_t Readers : {1U, 6U, 91U, 300U, 7100U}) {
-    cr_assert_leq(StoreReadPacing::batchDelay(StoreFeed::Members, Readers),
+    cr_assert_leq(batchDelay(StoreFeed::Members, Readers),
                   Duration::seconds(2));
-    cr_assert_leq(
-        StoreReadPacing::batchDelay(StoreFeed::Configuration, Readers),
-        Duration::millis(500));
+    cr_assert_leq(batchDelay(StoreFeed::Configuration, Readers),
+                  Duration::millis(500));
   }
 }
 
@@ -41,28 +57,44 @@
 // poll of the configuration ends soon, and against idle nodes that make many
 // calls.
 Test(StoreReadPacing, longPollsEndOftenInTheFleetAndRarelyPerNode) {
-  SeededRandom RandomSource(20261204);
   for (const std::size_t Readers : {1U, 6U, 18U, 7100U}) {
-    const Duration Span = StoreReadPacing::longPollTimeout(
-        StoreFeed::Configuration, Readers, RandomSource);
+    const Duration Span =
+        SeededPacing().Pacing.longPollTimeout(roleOf(Readers));
     cr_assert_geq(Span, Duration::millis(2800));
     cr_assert_leq(Span, Duration::seconds(25));
   }
-  const Duration OfMembers =
-      StoreReadPacing::longPollTimeout(StoreFeed::Members, 13, RandomSource);
-  cr_assert_eq(OfMembers, Duration::seconds(25));
+  SeededPacing Members(StoreFeed::Members);
+  cr_assert_eq(Members.Pacing.longPollTimeout(roleOf(13)),
+               Duration::seconds(25));
+}
+
+// Guards against a read that is sent during an outage and is waited for after
+// its end.
+Test(StoreReadPacing, readAfterAFailureIsNoLongPoll) {
+  for (const StoreFeed Feed : {StoreFeed::Configuration, StoreFeed::Members}) {
+    SeededPacing Reader(Feed);
+    for (int Failure = 0; Failure < 10; ++Failure) {
+      const Duration Delay =
+          Reader.Pacing.onFailure(roleOf(6), StoreReadPacing::ResponseTimeout);
+      cr_assert_leq(Delay, Duration::millis(300));
+      cr_assert_eq(Reader.Pacing.longPollTimeout(roleOf(6)), Duration());
+    }
+    Reader.Pacing.onAnswer();
+    cr_assert_gt(Reader.Pacing.longPollTimeout(roleOf(6)), Duration());
+  }
 }
 
 // Guards the store against retries of the whole fleet during an outage, and the
 // fleet against detecting its end late.
 Test(StoreReadPacing, followersRetryFailedReadsLessOften) {
-  SeededRandom RandomSource(20261204);
-  for (const unsigned Failures : {1U, 2U, 8U, 100U}) {
-    cr_assert_leq(StoreReadPacing::retryBackoff(true, Failures, RandomSource),
+  SeededPacing Reader;
+  SeededPacing Follower;
+  const ReaderRole FollowerRole{6, 0, /*Designated=*/false};
+  for (int Failure = 0; Failure < 100; ++Failure) {
+    cr_assert_leq(Reader.Pacing.onFailure(roleOf(6), Duration()),
                   Duration::millis(1800));
-    cr_assert_geq(StoreReadPacing::retryBackoff(false, Failures, RandomSource),
-                  Duration::seconds(1));
-    cr_assert_leq(StoreReadPacing::retryBackoff(false, Failures, RandomSource),
-                  Duration::seconds(6));
+    const Duration Delay = Follower.Pacing.onFailure(FollowerRole, Duration());
+    cr_assert_geq(Delay, Duration::seconds(1));
+    cr_assert_leq(Delay, Duration::seconds(6));
   }
 }
