Let the long polls of the readers end one after the other

Callers would see: an old configuration for up to 7.5 s after open reads were lost, for example by a short outage of the store or connections that have gone silent. Cause: a change ends the long polls of all readers together, and they all began again together with 4 to 6 s each. One that is lost is noticed when its time and 1.5 s more have passed, so after a change no reader noticed anything for 5.5 s. The platform's bound is 3 s after the disturbance. Change: after a change, the first long poll of a reader lasts in proportion to its position among the reachable readers. Some long poll of the fleet then ends every 0.7 s, as often as six readers ended theirs before on the average (6 in 5.1 s), now also right after a change. For fleets of one to three readers the lower bound of 2.8 s on a long poll is gone: it contradicts the 3 s. HostedNodeTest, UpdateDisseminatorTest, StoreReadPacingTest and SilentStoreTest pass.

--- a/packages/gateway/camphorpin/src/Gateway/StoreReadPacing.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/StoreReadPacing.cpp
@@ -10,14 +10,11 @@
 /// Maximum time for which the store holds a long poll open. Each poll costs a
 /// call.
 constexpr Duration MaxLongPoll = Duration::seconds(25);
-/// A long poll may stall without an error, which is noticed only when it ends.
-/// In the whole fleet one long poll of the configuration ends every second, so
-/// that some node soon detects a missed change and notifies the others.
-constexpr Duration LongPollPerReader = Duration::seconds(1);
-constexpr Duration MinLongPoll = Duration::seconds(4);
-/// Random fraction by which a long poll is shortened, so that polls that
-/// started together don't end together.
-constexpr double LongPollJitter = 0.3;
+/// A long poll may stall without an error, which is noticed only when it should
+/// have ended. In the whole fleet one long poll of the configuration ends each
+/// time this span has passed, so that some node soon detects a missed change
+/// and notifies the others.
+constexpr Duration LongPollSpacing = Duration::millis(700);
 /// Much shorter than the time within which a change of the configuration must
 /// be applied.
 constexpr Duration MinBatchDelay = Duration::millis(400);
@@ -50,9 +47,17 @@
     return {};
   if (Feed != StoreFeed::Configuration)
     return MaxLongPoll;
-  const Duration Fair = LongPollPerReader * static_cast<double>(Role.Readers);
-  const Duration Bounded = std::clamp(Fair, MinLongPoll, MaxLongPoll);
-  return Bounded * (1 - LongPollJitter * RandomSource.uniform01());
+  const double Readers = static_cast<double>(Role.Readers);
+  const Duration Period = std::min(MaxLongPoll, LongPollSpacing * Readers);
+  // A change ends the long polls of all readers at the same time.
+  return Spread ? Period
+                : Period * (static_cast<double>(Role.Rank + 1) / Readers);
+}
+
+void StoreReadPacing::onAnswer(bool Idle) {
+  // The first answer after a failure comes at once.
+  Spread = Idle && Failures == 0;
+  Failures = 0;
 }
 
 Duration StoreReadPacing::onFailure(const ReaderRole &Role, Duration Elapsed) {
--- a/packages/gateway/camphorpin/src/Gateway/StoreReadPacing.h
+++ b/packages/gateway/camphorpin/src/Gateway/StoreReadPacing.h
@@ -41,7 +41,8 @@
   Duration longPollTimeout(const ReaderRole &Role) const;
 
   /// The store has answered a read.
-  void onAnswer() { Failures = 0; }
+  /// \param Idle the store has held the read open to its end.
+  void onAnswer(bool Idle);
 
   /// A read has failed.
   /// \param Elapsed the time since the read was sent.
@@ -60,6 +61,9 @@
   StoreFeed Feed;
   Random &RandomSource;
   unsigned Failures = 0;
+  /// The previous read was held open to its end, so the reads of the readers
+  /// end one after the other.
+  bool Spread = false;
 };
 
 } // namespace camphorpin
--- a/packages/gateway/camphorpin/src/Gateway/StoreReader.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/StoreReader.cpp
@@ -121,7 +121,7 @@
     onFailure(StoreReadError::Rejected);
     return;
   }
-  Pacing.onAnswer();
+  Pacing.onAnswer(/*Idle=*/!Newest && Reply.Page.Records.empty());
   LastAnswer = Time.now();
   setReachable(true);
   // The pages of the newest records are not a consistent snapshot, so reading
