Do not repeat a refused request on the connection that carried the refusal

Callers would see: 'not run' for a request that a backend server runs, if the server writes an earlier refusal once more and a caller sends the same id again. Cause: answers on a kept connection are matched by the request id, which a repeat under the same id shares with the copy. A copy with another id was skipped before. Change: a connection remembers the ids that were refused on it, and the pool gives such a request another connection. After 64 ids the connection is replaced.

--- a/packages/gateway/camphorpin/src/Gateway/BackendProxy.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/BackendProxy.cpp
@@ -229,7 +229,7 @@
   Item.Started = true;
   Item.StartTime = Time.now();
   Item.Backend = Tracker.current().Id;
-  Item.Connection = Pool.acquire();
+  Item.Connection = Pool.acquire(Item.Call.RequestId);
   ExchangeRequest Request;
   Request.Bytes = requestBytes(RunId, Item);
   Request.IsHeadRequest = Item.Call.Head.starts_with("HEAD ");
@@ -265,6 +265,8 @@
     return;
   Run &Item = Found->second;
   PeerAnswer Answer = classify(Item, Result);
+  if (Answer.Outcome == CallOutcome::Shed)
+    Item.Connection->addRefusedId(Item.Call.RequestId);
   if (Result.Outcome == ExchangeOutcome::Complete)
     Pool.release(Item.Connection);
   if (Result.Outcome == ExchangeOutcome::ConnectionLost)
--- a/packages/gateway/camphorpin/src/Gateway/HttpConnection.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/HttpConnection.cpp
@@ -20,6 +20,9 @@
 /// Responses that may be skipped before the expected one: interim responses
 /// (1xx) and late ones to earlier requests.
 constexpr unsigned MaxSkippedResponses = 16;
+/// Refused ids after which a connection is replaced, so that the list stays
+/// short.
+constexpr std::size_t MaxRefusedIds = 64;
 /// Servers are on the same host or near it and accept without delay.
 constexpr Duration ConnectTimeout = Duration::seconds(1);
 /// How long sent bytes may stay unacknowledged.
@@ -41,9 +44,15 @@
 
 bool HttpConnection::reusable() const {
   return Open && !Closed && !Done && KeepAlive &&
+         RefusedIds.size() < MaxRefusedIds &&
          std::chrono::steady_clock::now() < IdleUntil;
 }
 
+bool HttpConnection::mayCarry(std::string_view Id) const {
+  return std::find(RefusedIds.begin(), RefusedIds.end(), Id) ==
+         RefusedIds.end();
+}
+
 void HttpConnection::exchange(ExchangeRequest Value, Handler Handler) {
   assert(!Done && !Closed && "a connection carries one exchange at a time");
   Request = std::move(Value);
--- a/packages/gateway/camphorpin/src/Gateway/HttpConnection.h
+++ b/packages/gateway/camphorpin/src/Gateway/HttpConnection.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace camphorpin {
 
@@ -75,6 +76,13 @@
   /// \returns true if another exchange can start.
   bool reusable() const;
 
+  /// The server has refused the request \p Id. The connection does not carry
+  /// that id again: a copy of the refusal would be taken for the response.
+  void addRefusedId(std::string Id) { RefusedIds.push_back(std::move(Id)); }
+
+  /// \returns false if the request \p Id needs another connection.
+  bool mayCarry(std::string_view Id) const;
+
 private:
   using Parser =
       boost::beast::http::response_parser<boost::beast::http::string_body>;
@@ -110,6 +118,7 @@
   Handler Done;
   std::chrono::steady_clock::time_point IdleUntil;
   BudgetShare Held;
+  std::vector<std::string> RefusedIds;
   unsigned Exchanges = 0;
   /// Responses skipped in the current exchange.
   unsigned Skipped = 0;
--- a/packages/gateway/camphorpin/src/Gateway/HttpConnectionPool.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/HttpConnectionPool.cpp
@@ -8,15 +8,22 @@
   return std::make_shared<HttpConnection>(Loop, Address, Budget);
 }
 
-std::shared_ptr<HttpConnection> HttpConnectionPool::acquire() {
-  while (!Idle.empty()) {
-    std::shared_ptr<HttpConnection> Latest = std::move(Idle.back());
-    Idle.pop_back();
+std::shared_ptr<HttpConnection>
+HttpConnectionPool::acquire(std::string_view Id) {
+  while (true) {
+    const auto Found =
+        std::find_if(Idle.rbegin(), Idle.rend(),
+                     [Id](const std::shared_ptr<HttpConnection> &Connection) {
+                       return Connection->mayCarry(Id);
+                     });
+    if (Found == Idle.rend())
+      return open();
+    const std::shared_ptr<HttpConnection> Latest = *Found;
+    Idle.erase(std::next(Found).base());
     if (Latest->reusable())
       return Latest;
     Latest->close();
   }
-  return open();
 }
 
 void HttpConnectionPool::release(
--- a/packages/gateway/camphorpin/src/Gateway/HttpConnectionPool.h
+++ b/packages/gateway/camphorpin/src/Gateway/HttpConnectionPool.h
@@ -17,8 +17,10 @@
                      std::shared_ptr<ByteBudget> Budget = nullptr)
       : Loop(Loop), Address(Address), Budget(std::move(Budget)) {}
 
-  /// \returns the most recently used idle connection, or a new one.
-  std::shared_ptr<HttpConnection> acquire();
+  /// \param Id the id of the request to send; empty if it has none.
+  /// \returns the most recently used idle connection that may carry the
+  /// request, or a new one.
+  std::shared_ptr<HttpConnection> acquire(std::string_view Id = {});
 
   /// \returns a new connection.
   std::shared_ptr<HttpConnection> open();
--- a/packages/gateway/tests/BackendProxyTest.cpp
+++ b/packages/gateway/tests/BackendProxyTest.cpp
@@ -24,12 +24,17 @@
   int Requests = 0;
   int Connections = 0;
   bool CrashPending = false;
+  /// Written before the answer to each request but the first on a connection.
+  std::string LateBytes;
+  /// Each answer ends its connection.
+  bool CloseAfterAnswer = false;
 
 private:
   struct Connection {
     explicit Connection(TcpSocket Socket) : Socket(std::move(Socket)) {}
     TcpSocket Socket;
     std::array<char, 4096> Chunk{};
+    int Requests = 0;
   };
 
   void accept() {
@@ -67,8 +72,11 @@
             Item->Socket.close();
             return;
           }
+          if (Item->Requests++ > 0)
+            boost::asio::write(Item->Socket, boost::asio::buffer(LateBytes));
           boost::asio::write(Item->Socket, boost::asio::buffer(Answer));
-          read(Item);
+          if (!CloseAfterAnswer)
+            read(Item);
         });
   }
 
@@ -122,8 +130,44 @@
          "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
 }
 
+std::string refusal(const std::string &Id) {
+  return "HTTP/1.1 503 Busy\r\nCamphorpin-Request: " + Id +
+         "\r\nCamphorpin-Shed: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
 } // namespace
 
+// Guards against a copy of an earlier refusal that is taken for the answer to a
+// later request on the connection: it would say "not run" of a request that
+// runs.
+Test(BackendProxy, copyOfARefusalIsNotTakenForALaterAnswer) {
+  for (const char *Next : {"2", "1"}) {
+    ProxyFixture Fixture({refusal("1"), whole(Next, "ran")});
+    Fixture.Backend.LateBytes = refusal("1");
+    cr_assert_eq(Fixture.run("1").verdict(), Verdict::NotRun);
+    cr_assert_eq(Fixture.run(Next).Body, std::string("ran"), "request %s",
+                 Next);
+  }
+}
+
+// Guards against an answer that ends in the middle of its head, or before its
+// body is complete, and counts as a complete one.
+Test(BackendProxy, answerThatBreaksOffIsAFailure) {
+  const std::string Framed = whole("1", "one");
+  const std::string Unframed =
+      "HTTP/1.1 200 OK\r\nCamphorpin-Request: 1\r\nCamphorpin-Stamp: s\r\n\r\n";
+  for (const std::string &Answer : {Framed, Unframed}) {
+    for (std::size_t Length = 1; Length < Answer.size(); ++Length) {
+      ProxyFixture Fixture({Answer.substr(0, Length)});
+      Fixture.Backend.CloseAfterAnswer = true;
+      const PeerAnswer Result = Fixture.run("1");
+      cr_assert_eq(Result.verdict(), Verdict::MayHaveRun, "after %zu bytes",
+                   Length);
+      cr_assert(Result.Body.empty());
+    }
+  }
+}
+
 // Guards against a late duplicate response to an earlier request that is
 // delivered to another caller.
 Test(BackendProxy, responseToAnotherRequestIsSkipped) {
