Close a stand-alone node's connection on which the backend server has refused

Callers would see: 'not run' for a request that the backend server runs, if the server writes an earlier refusal once more on the kept connection. Cause: answers of backend servers to stand-alone nodes carry no id, so the copy is read as the answer to the next request. Change: the connection ends with a refusal. Measured: BackendClientTest copyOfARefusalIsNotTakenForALaterAnswer failed before and passes. answerThatBreaksOffIsAFailure passed before.

--- a/packages/daemon/camphorpin/src/Daemon/BackendClient.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/BackendClient.cpp
@@ -136,8 +136,12 @@
     return Done;
   }
   if (Result->status == ShedStatus &&
-      Result->get_header_value(headers::Shed) == NotRunValue)
+      Result->get_header_value(headers::Shed) == NotRunValue) {
+    // A copy of the refusal on this connection would be taken for the answer
+    // to the next request.
+    Client.stop();
     return notRun(Job, RefusalReason::BackendShed);
+  }
   std::vector<HeaderField> Headers = endToEndHeaders(Result->headers);
   if (!isFramed(*Result) || Headers.size() > MaxHeaderFields)
     return mayHaveRun(Job, RefusalReason::BackendFailed);
