Answer requests that outlast the stop grace of a node

Callers saw: a closed connection without an answer, for a request that was taken within 2.8 s of SIGTERM and ran until 5.4 s of the grace of 6 s. Cause: the process ended at nine tenths of the grace whatever was still open. Change: at nine tenths of the grace these requests are answered 504, which says that they may have run; the process ends as soon as the answers are sent, at 0.93 of the grace at the latest. Measured: HostedStopTest requestThatOutlastsTheGraceIsAnswered failed before (connection lost) and passes; the two cases under load pass.

--- a/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
@@ -28,8 +28,11 @@
 constexpr Duration RestartTime = Duration::millis(1500);
 constexpr Duration MinDrainTime = Duration::millis(3000);
 constexpr Duration DrainCheckInterval = Duration::millis(100);
-/// Fraction of the stop grace after which remaining requests are aborted.
-constexpr double MaxDrainFraction = 0.9;
+/// Fraction of the stop grace after which requests that are still running are
+/// answered without their result.
+constexpr double AbortFraction = 0.9;
+/// Fraction of the stop grace after which the process ends.
+constexpr double MaxDrainFraction = 0.93;
 
 } // namespace
 
@@ -426,6 +429,8 @@
   }
   if (Elapsed >= OutboundDrainDelay)
     Outbound.refuseNew(RestartTime);
+  if (Elapsed >= Settings.StopGrace * AbortFraction)
+    Outbound.abortAll();
   const bool Done = Elapsed >= MinDrainTime && !hasUnfinishedWork();
   if (Done || Elapsed >= Settings.StopGrace * MaxDrainFraction) {
     Log.write(LogEvent::NodeEnded, {});
--- a/packages/gateway/camphorpin/src/Gateway/OutboundHandler.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/OutboundHandler.cpp
@@ -143,7 +143,7 @@
       Loop, detail::timerSpan(Left));
   Item.Timer->async_wait([this, Id](const boost::system::error_code &Error) {
     if (!Error)
-      onDeadline(Id);
+      abort(Id, RefusalReason::Deadline);
   });
   Exchange->setDisconnectHandler([this, Id] { onCallerDisconnected(Id); });
   Item.Nested = Proxy.attributeOutboundRequest(Route->Name,
@@ -336,7 +336,7 @@
   Exchange->reply(std::move(Reply));
 }
 
-void OutboundHandler::onDeadline(std::uint64_t Id) {
+void OutboundHandler::abort(std::uint64_t Id, RefusalReason Reason) {
   const auto Found = Calls.find(Id);
   if (Found == Calls.end())
     return;
@@ -345,7 +345,12 @@
   Network.cancel(Item.Node, CallId);
   // The request may have started on the backend server, so its outcome is
   // unknown.
-  fail(Id, Item, 504, RefusalReason::Deadline);
+  fail(Id, Item, 504, Reason);
+}
+
+void OutboundHandler::abortAll() {
+  while (!Calls.empty())
+    abort(Calls.begin()->first, RefusalReason::Draining);
 }
 
 void OutboundHandler::onCallerDisconnected(std::uint64_t Id) {
--- a/packages/gateway/camphorpin/src/Gateway/OutboundHandler.h
+++ b/packages/gateway/camphorpin/src/Gateway/OutboundHandler.h
@@ -36,6 +36,9 @@
   /// \param RetryAfter when the caller may retry.
   void refuseNew(Duration RetryAfter) { RefuseRetryAfter = RetryAfter; }
 
+  /// Ends all requests without a final response with status 504.
+  void abortAll();
+
   std::size_t active() const { return Calls.size(); }
 
 private:
@@ -92,7 +95,8 @@
             RefusalReason Reason);
   /// Sends the final response and stops tracking the request.
   void finish(std::uint64_t Id, HttpReply Reply);
-  void onDeadline(std::uint64_t Id);
+  /// Cancels the current attempt of a request and responds 504.
+  void abort(std::uint64_t Id, RefusalReason Reason);
   void onCallerDisconnected(std::uint64_t Id);
   void record(const OutboundCall &Item, Verdict FinalVerdict,
               RefusalReason Reason);
--- a/tests/process/HostedStopTest.cpp
+++ b/tests/process/HostedStopTest.cpp
@@ -46,7 +46,12 @@
           std::string(detail::headerOf(Exchange->request(), "Request-Id")));
       answerLater(Exchange);
     };
-    Store.publish(document(3, "/a/", "shop"));
+    Store.publish(
+        document(3, "/a/", "shop",
+                 R"(,{"name":"once","host":"h","path_prefix":"/once/",)"
+                 R"("route_type":"non_idempotent","timeout_ms":20000,)"
+                 R"("target_latency_ms":500,"priority":0,"service":"shop",)"
+                 R"("max_attempts":1})"));
   }
 
   /// Answers after up to 0.4 s.
@@ -201,3 +206,25 @@
   cr_assert_gt(Fleet.Whole, 100);
   cr_assert_eq(Fleet.Failed, 0, "%d failed", Fleet.Failed);
 }
+
+// Guards against a request that a stopping node has passed on and that ends
+// without an answer because its run outlasts the stop grace.
+Test(HostedStop, requestThatOutlastsTheGraceIsAnswered) {
+  LoadedFleet Fleet;
+  cr_assert(Fleet.serves());
+  std::vector<std::shared_ptr<HttpExchange>> Running;
+  Fleet.ShopBackend.Script =
+      [&Running](const std::shared_ptr<HttpExchange> &Exchange) {
+        Running.push_back(Exchange);
+      };
+  Fleet.Web.process().terminate();
+  Fleet.wait(Duration::millis(2500), [] { return false; });
+  const auto Request = Fleet.begin(Fleet.Web.CallAddress, "POST /once/x");
+  cr_assert(Fleet.wait(StopWithin, [&] {
+    return Request->Result && Fleet.Web.process().poll().has_value();
+  }));
+  cr_assert_eq(Running.size(), 1U);
+  cr_assert_eq(Request->Result->Outcome, ExchangeOutcome::Complete);
+  cr_assert_eq(Request->Result->Response.result_int(), 504U);
+  cr_assert_eq(*Fleet.Web.process().poll(), 0);
+}
