--- a/packages/gateway/camphorpin/src/Gateway/StoreReader.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/StoreReader.cpp
@@ -1,15 +1,9 @@
 #include "camphorpin/src/Gateway/StoreReader.h"
 
-#include <algorithm>
+#include <utility>
 
 namespace camphorpin {
 
-namespace {
-
-constexpr Duration ResponseTimeout = StoreReadPacing::ResponseTimeout;
-
-} // namespace
-
 std::string detail::nameOf(StoreFeed Feed) {
   switch (Feed) {
   case StoreFeed::Configuration:
@@ -53,12 +47,14 @@
 }
 
 void StoreReader::readNewest() {
-  call(Protocol.newestRequest(Feed, PageKey), ResponseTimeout, /*Newest=*/true);
+  call(Protocol.newestRequest(Feed, PageKey), StoreReadPacing::ResponseTimeout,
+       /*Newest=*/true);
 }
 
 void StoreReader::readNext() {
   const Duration Wait = Pacing.longPollTimeout(Listener.readerRole());
-  call(Protocol.readRequest(Feed, Position, Wait), Wait + ResponseTimeout,
+  call(Protocol.readRequest(Feed, Position, Wait),
+       Wait + StoreReadPacing::ResponseTimeout,
        /*Newest=*/false);
 }
 
--- a/packages/gateway/tests/SimulatedFleet.h
+++ b/packages/gateway/tests/SimulatedFleet.h
@@ -71,21 +71,22 @@
   friend class SimulatedFleet;
   void tick();
   void applyStore();
-
-  SimulatedFleet &Owner;
-  /// Identifies the latest schedule of onTimer(), which replaces earlier ones.
-  std::uint64_t TimerGeneration = 0;
   /// Sends a read, which the store holds open until something changes.
   void startRead();
+  /// The store has held a read open to its end.
   void onReadEnd();
   void onReadFailure();
 
+  SimulatedFleet &Owner;
+  /// Identifies the latest schedule of onTimer(), which replaces earlier ones.
+  std::uint64_t TimerGeneration = 0;
   /// A read is open.
   bool Reading = false;
   /// The open read will not be answered.
   bool ReadLost = false;
   /// Identifies the open read.
   std::uint64_t ReadGeneration = 0;
+  /// The latest read that has ended was answered.
   bool StoreReachable = false;
   /// A failed read is not retried before this instant.
   Instant RetryDue;
