--- a/packages/daemon/tests/BackendClientTest.cpp
+++ b/packages/daemon/tests/BackendClientTest.cpp
@@ -6,6 +6,8 @@
 #include "camphorpin/src/Daemon/Listener.h"
 
 #include <criterion/criterion.h>
+#include <cstdio>
+#include <cstdlib>
 #include <functional>
 #include <memory>
 #include <poll.h>
@@ -29,14 +31,7 @@
 
   explicit RawBackend(Script Answers, bool CloseAfterAnswer = false)
       : Answers(std::move(Answers)), CloseAfterAnswer(CloseAfterAnswer),
-        Listener(::socket(AF_INET, SOCK_STREAM, 0)) {
-    const sockaddr_in Name = toSockaddr(Address);
-    cr_assert_eq(::bind(Listener, reinterpret_cast<const sockaddr *>(&Name),
-                        sizeof(Name)),
-                 0);
-    cr_assert_eq(::listen(Listener, 16), 0);
-    Server = std::thread([this] { serve(); });
-  }
+        Listener(listenAt(Address)), Server([this] { serve(); }) {}
   ~RawBackend() {
     ::shutdown(Listener, SHUT_RDWR);
     Server.join();
@@ -48,6 +43,18 @@
   const HostAddress Address = freeAddress();
 
 private:
+  static int listenAt(const HostAddress &Address) {
+    const int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    const sockaddr_in Name = toSockaddr(Address);
+    if (::bind(Socket, reinterpret_cast<const sockaddr *>(&Name),
+               sizeof(Name)) != 0 ||
+        ::listen(Socket, 16) != 0) {
+      std::perror(Address.toString().c_str());
+      std::exit(1);
+    }
+    return Socket;
+  }
+
   void serve() {
     for (int Connection = 0;; ++Connection) {
       const int Socket = ::accept(Listener, nullptr, nullptr);
--- a/packages/gateway/camphorpin/src/Gateway/HttpConnectionPool.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/HttpConnectionPool.cpp
@@ -18,7 +18,7 @@
                      });
     if (Found == Idle.rend())
       return open();
-    const std::shared_ptr<HttpConnection> Latest = *Found;
+    std::shared_ptr<HttpConnection> Latest = std::move(*Found);
     Idle.erase(std::next(Found).base());
     if (Latest->reusable())
       return Latest;
--- a/tests/process/BackendFailureTest.cpp
+++ b/tests/process/BackendFailureTest.cpp
@@ -40,5 +40,7 @@
   const std::string Faults = Case.finishLoad();
   cr_assert(Faults.empty(), "%s", Faults.c_str());
   cr_assert(Case.recovers());
-  cr_assert_gt(Forwarder->accepted(), Before);
+  cr_assert_gt(Forwarder->accepted(), Before,
+               "%zu connections, %zu bytes sent on silent ones",
+               Forwarder->accepted(), Forwarder->bytesOnSilentConnections());
 }
--- a/tests/process/TcpForwarder.cpp
+++ b/tests/process/TcpForwarder.cpp
@@ -6,6 +6,7 @@
 #include <cstdlib>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -79,6 +80,17 @@
     Value.Silent = true;
 }
 
+std::size_t TcpForwarder::bytesOnSilentConnections() {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  std::size_t Result = 0;
+  for (const Link &Value : Links) {
+    int Unread = 0;
+    if (Value.Silent && ::ioctl(Value.Near, FIONREAD, &Unread) == 0)
+      Result += static_cast<std::size_t>(Unread);
+  }
+  return Result;
+}
+
 void TcpForwarder::acceptLoop() {
   while (!Stopping) {
     if (!isReadable(Listener, PollMillis))
--- a/tests/process/TcpForwarder.h
+++ b/tests/process/TcpForwarder.h
@@ -28,6 +28,10 @@
   /// Makes all connections that are open now silent for good.
   void silenceOpenConnections();
 
+  /// \returns the number of bytes that the near ends have sent on connections
+  /// that are silent.
+  std::size_t bytesOnSilentConnections();
+
   /// \returns the number of connections that were accepted since the start.
   std::size_t accepted() const { return Accepted; }
 
