--- a/packages/gateway/camphorpin/src/Gateway/StoreReadPacing.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/StoreReadPacing.cpp
@@ -42,7 +42,7 @@
 } // namespace
 
 Duration StoreReadPacing::longPollTimeout(const ReaderRole &Role) const {
-  assert(Role.Rank < Role.Readers && "the rank is a position among readers");
+  assert(Role.Position < Role.Readers && "a position among the readers");
   if (Failures > 0)
     return {};
   if (Feed != StoreFeed::Configuration)
@@ -51,7 +51,7 @@
   const Duration Period = std::min(MaxLongPoll, LongPollSpacing * Readers);
   // A change ends the long polls of all readers at the same time.
   return Spread ? Period
-                : Period * (static_cast<double>(Role.Rank + 1) / Readers);
+                : Period * (static_cast<double>(Role.Position + 1) / Readers);
 }
 
 void StoreReadPacing::onAnswer(bool Idle) {
--- a/packages/gateway/camphorpin/src/Gateway/StoreReadPacing.h
+++ b/packages/gateway/camphorpin/src/Gateway/StoreReadPacing.h
@@ -14,7 +14,7 @@
   /// Number of reachable nodes that read the store in normal operation.
   std::size_t Readers = 1;
   /// Position of this node among them, less than Readers.
-  std::size_t Rank = 0;
+  std::size_t Position = 0;
   /// No other node reads the store for this one.
   bool Designated = true;
 };
--- a/packages/gateway/camphorpin/src/Gateway/UpdateDisseminator.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/UpdateDisseminator.cpp
@@ -125,16 +125,16 @@
 ReaderRole UpdateDisseminator::readerRole() const {
   ReaderRole Role;
   Role.Readers = 0;
-  std::optional<std::size_t> Rank;
+  std::optional<std::size_t> Position;
   for (const std::string &Node : Topology.readers()) {
     if (Node != Self && !Context.reachable(Node))
       continue;
     if (Node == Self)
-      Rank = Role.Readers;
+      Position = Role.Readers;
     ++Role.Readers;
   }
   Role.Readers = std::max<std::size_t>(1, Role.Readers);
-  Role.Rank = Rank.value_or(RandomSource.below(Role.Readers));
+  Role.Position = Position.value_or(RandomSource.below(Role.Readers));
   Role.Designated = Topology.followed().empty();
   return Role;
 }
--- a/packages/gateway/tests/StoreReadPacingTest.cpp
+++ b/packages/gateway/tests/StoreReadPacingTest.cpp
@@ -17,8 +17,8 @@
   StoreReadPacing Pacing;
 };
 
-ReaderRole roleOf(std::size_t Readers, std::size_t Rank = 0) {
-  return {Readers, Rank, /*Designated=*/true};
+ReaderRole roleOf(std::size_t Readers, std::size_t Position = 0) {
+  return {Readers, Position, /*Designated=*/true};
 }
 
 Duration batchDelay(StoreFeed Feed, std::size_t Readers) {
@@ -36,12 +36,12 @@
 /// change, in order.
 std::vector<Duration> longPollEnds(std::size_t Readers, Duration Span) {
   std::vector<Duration> Ends;
-  for (std::size_t Rank = 0; Rank < Readers; ++Rank) {
+  for (std::size_t Position = 0; Position < Readers; ++Position) {
     SeededPacing Reader;
     Reader.Pacing.onAnswer(/*Idle=*/false);
     Duration End;
     while (true) {
-      End += Reader.Pacing.longPollTimeout(roleOf(Readers, Rank));
+      End += Reader.Pacing.longPollTimeout(roleOf(Readers, Position));
       if (End > Span)
         break;
       Ends.push_back(End);
