Identify the callers of a node by name and incarnation, not by their hash

Cause: a node kept the calls of its peers under stableHash(node name, start time). For inputs of up to three bytes XXH3 combines the seed with the input by addition and exclusive or only, so two short names that differ in a few bits collide if the start times differ in the same bits. Both callers number their calls from the same value, so the call of one was taken for a repeat of the other's and got its retained answer.

Evidence: callsOfPeersWithEqualHashesDoNotCollide finds such a pair of start times for "m-1" and "m-2" and failed before this change: the second caller got the answer of the first.

Change: the key of a call holds the node name and the incarnation themselves, which are compared in full. The other hashes of a name with a seed (member buckets, reader selection, rendezvous weights) only spread load; equal values there mix no answers.

--- a/packages/gateway/camphorpin/src/Gateway/PeerServer.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerServer.cpp
@@ -32,34 +32,32 @@
   void send(const PeerFrame &Frame) { Channel->send(Frame); }
   void close() { Channel->close(); }
   bool hasUnsentFrames() const { return Channel->unsent() > 0; }
-  std::uint64_t sender() const { return Sender; }
-  const std::string &node() const { return Node; }
+  const Sender &sender() const { return From; }
+  bool greeted() const { return Greeted; }
 
   void onFrame(PeerFrame Frame) override {
     if (auto *Call = std::get_if<PeerCall>(&Frame)) {
       Server.onCall(shared_from_this(), std::move(*Call));
     } else if (const auto *Cancel = std::get_if<PeerCancel>(&Frame)) {
-      Server.onCancel({Sender, Cancel->Id});
+      Server.onCancel({From, Cancel->Id});
     } else if (const auto *Ping = std::get_if<PeerPing>(&Frame)) {
       send(PeerPong{Ping->Number});
     } else if (const auto *Hello = std::get_if<PeerHello>(&Frame)) {
-      // Nodes may start in the same millisecond and then have equal
-      // incarnations, so the sender is identified by name and incarnation.
-      Sender = stableHash(Hello->Node, Hello->Incarnation);
-      Node = Hello->Node;
+      From = {Hello->Node, Hello->Incarnation};
+      Greeted = true;
       send(Server.Listener.hello());
       onDigest(Hello->Digest);
     } else if (const auto *Request = std::get_if<PeerUpdateRequest>(&Frame)) {
       send(Server.Listener.makeUpdate(*Request));
     } else if (auto *Update = std::get_if<PeerUpdate>(&Frame)) {
-      Server.Listener.onUpdate(Node, std::move(*Update));
+      Server.Listener.onUpdate(From.Node, std::move(*Update));
     } else if (const auto *Ids = std::get_if<PeerAck>(&Frame)) {
       for (const std::uint64_t Id : Ids->Ids)
-        Server.Calls.erase({Sender, Id});
+        Server.Calls.erase({From, Id});
     } else if (const auto *Received = std::get_if<PeerDigest>(&Frame)) {
       onDigest(*Received);
     } else if (const auto *Poll = std::get_if<PeerPoll>(&Frame)) {
-      send(Server.Listener.onPoll(Node, Poll->Digest));
+      send(Server.Listener.onPoll(From.Node, Poll->Digest));
     } else if (const auto *Crashes = std::get_if<PeerCrashes>(&Frame)) {
       Server.Listener.onCrashes(*Crashes);
     }
@@ -72,7 +70,7 @@
     if (Local.Configuration == 0 && Received.Configuration != 0)
       send(Server.Listener.updateRequest());
     else
-      Server.Listener.onDigest(Node, Received);
+      Server.Listener.onDigest(From.Node, Received);
   }
 
   void onClosed() override { Server.onSessionClosed(shared_from_this()); }
@@ -80,8 +78,8 @@
 private:
   PeerServer &Server;
   std::shared_ptr<PeerChannel> Channel;
-  std::uint64_t Sender = 0;
-  std::string Node;
+  Sender From;
+  bool Greeted = false;
 };
 
 PeerServer::PeerServer(EventLoop &Loop, const Clock &Time, BackendProxy &Proxy,
@@ -203,13 +201,13 @@
 
 void PeerServer::broadcast(const PeerFrame &Frame) {
   for (const std::shared_ptr<Session> &Item : Sessions)
-    if (Item->sender() != 0)
+    if (Item->greeted())
       Item->send(Frame);
 }
 
 void PeerServer::send(const std::string &Node, const PeerFrame &Frame) {
   for (const std::shared_ptr<Session> &Item : Sessions)
-    if (Item->node() == Node)
+    if (Item->sender().Node == Node)
       Item->send(Frame);
 }
 
--- a/packages/gateway/camphorpin/src/Gateway/PeerServer.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerServer.h
@@ -65,9 +65,15 @@
 
 private:
   class Session;
+  /// A process that sends calls. Nodes may start in the same millisecond and
+  /// then have equal incarnations.
+  struct Sender {
+    std::string Node;
+    std::uint64_t Incarnation = 0;
+    auto operator<=>(const Sender &) const = default;
+  };
   struct CallKey {
-    /// Hash of the sender's node name and incarnation.
-    std::uint64_t Sender = 0;
+    Sender From;
     std::uint64_t Id = 0;
     auto operator<=>(const CallKey &) const = default;
   };
--- a/packages/gateway/tests/PeerServerTest.cpp
+++ b/packages/gateway/tests/PeerServerTest.cpp
@@ -26,9 +26,12 @@
 
 class TestClientListener final : public PeerClientListener {
 public:
-  explicit TestClientListener(std::string Node) : Node(std::move(Node)) {}
-  // Both callers started in the same millisecond.
-  PeerHello hello() override { return {Node, 7, "web", "a", "", {}, {}}; }
+  // By default, all callers started in the same millisecond.
+  explicit TestClientListener(std::string Node, std::uint64_t Incarnation = 7)
+      : Node(std::move(Node)), Incarnation(Incarnation) {}
+  PeerHello hello() override {
+    return {Node, Incarnation, "web", "a", "", {}, {}};
+  }
   void onDigest(const std::string &, const PeerDigest &) override {}
   PeerUpdate makeUpdate(const PeerUpdateRequest &) override { return {}; }
   void onUpdate(const std::string &, PeerUpdate) override {}
@@ -40,6 +43,7 @@
 
 private:
   std::string Node;
+  std::uint64_t Incarnation;
 };
 
 /// A node in front of a backend server that echoes the request's body.
@@ -160,6 +164,35 @@
 
 } // namespace
 
+// Guards against answers that reach the caller of another node: the hash of a
+// short name with an incarnation as its seed equals that of another name with
+// a nearby incarnation, so calls must not be told apart by such a hash.
+Test(PeerServer, callsOfPeersWithEqualHashesDoNotCollide) {
+  ProxyFixture Fixture;
+  constexpr std::uint64_t FirstIncarnation = 1000;
+  std::uint64_t SecondIncarnation = FirstIncarnation - 4;
+  while (stableHash("m-2", SecondIncarnation) !=
+         stableHash("m-1", FirstIncarnation))
+    cr_assert_leq(++SecondIncarnation, FirstIncarnation + 4);
+  TestClientListener First("m-1", FirstIncarnation);
+  TestClientListener Second("m-2", SecondIncarnation);
+  PeerClient A(Fixture.Loop, Fixture.Time, "server", Fixture.Address, First);
+  PeerClient B(Fixture.Loop, Fixture.Time, "server", Fixture.Address, Second);
+  std::string AnswerA;
+  std::string AnswerB;
+  A.call(ProxyFixture::call(64, "one", false),
+         [&](const PeerAnswer &Value) { AnswerA = Value.Body; });
+  runUntil(Fixture.Loop, Duration::seconds(2),
+           [&] { return !AnswerA.empty(); });
+  B.call(ProxyFixture::call(64, "two", false),
+         [&](const PeerAnswer &Value) { AnswerB = Value.Body; });
+  runUntil(Fixture.Loop, Duration::seconds(2),
+           [&] { return !AnswerB.empty(); });
+  cr_assert_eq(AnswerA, std::string("one"));
+  cr_assert_eq(AnswerB, std::string("two"));
+  cr_assert_eq(Fixture.Backend.Arrivals, 2);
+}
+
 // Guards against answers that reach the caller of another node: nodes that
 // start in the same millisecond have equal incarnations and may use equal call
 // ids.
