Close a caller's older connections when it says hello on a newer one

Cause: a node whose peer is silent for some 0.45 s closes the connection, opens another and sends its non-idempotent calls again. The bytes on the closed connection are not lost when the partition ends. The receiver kept its record of a call only until the answer was acknowledged or the call was cancelled, and took a copy that came after that on the old connection for a new call.

Change: a caller numbers its hellos. When the hello of a newer connection arrives, the receiver closes the caller's older ones without reading them any further. The caller repeats a call only after it has received the receiver's hello on the new connection, so each copy on an older one is either read before, and the repeat attaches to its run, or never. Retaining records for longer would only have made the time longer: a partition may last any time. The fix retains nothing, so the memory of a node does not change.

Evidence: lateCopyOfAcknowledgedCallDoesNotRun, lateCopyOfRefusedCallDoesNotRun and lateCopyOfCancelledCallDoesNotRun deliver the bytes of a closed connection late, and failed before this change (1, 2 and 1 runs too many). lateHelloDoesNotReplaceNewerConnection guards the order of hellos.

--- a/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
@@ -210,6 +210,7 @@
   PeerHello Result;
   Result.Node = Settings.Node;
   Result.Incarnation = Incarnation;
+  Result.Number = ++Hellos;
   Result.Service = Settings.Service;
   Result.Zone = Settings.Zone;
   Result.Address = Settings.PeerAddress.toString();
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.h
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.h
@@ -94,6 +94,8 @@
   Metrics RequestMetrics;
   /// Identifies this process to its peers.
   std::uint64_t Incarnation;
+  /// PeerHello::Number of the latest hello of this process.
+  std::uint64_t Hellos = 0;
   /// NodeRecord::Incarnation of this node's record.
   std::uint64_t RecordIncarnation;
   BackendProxy Proxy;
--- a/packages/gateway/camphorpin/src/Gateway/PeerCodec.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerCodec.cpp
@@ -85,6 +85,7 @@
     peer::Hello::Builder Target = Root.initHello();
     Target.setNode(Value.Node);
     Target.setIncarnation(Value.Incarnation);
+    Target.setNumber(Value.Number);
     Target.setService(Value.Service);
     Target.setZone(Value.Zone);
     Target.setAddress(Value.Address);
@@ -176,6 +177,7 @@
   PeerHello Result;
   Result.Node = textOf(Source.getNode());
   Result.Incarnation = Source.getIncarnation();
+  Result.Number = Source.getNumber();
   Result.Service = textOf(Source.getService());
   Result.Zone = textOf(Source.getZone());
   Result.Address = textOf(Source.getAddress());
--- a/packages/gateway/camphorpin/src/Gateway/PeerMessages.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerMessages.h
@@ -51,6 +51,10 @@
 struct PeerHello {
   std::string Node;
   std::uint64_t Incarnation = 0;
+  /// Larger in each later hello of one incarnation of the sender. Of the
+  /// connections that it opens to a node, the one with the largest number
+  /// replaces the others.
+  std::uint64_t Number = 0;
   std::string Service;
   std::string Zone;
   std::string Address;
--- a/packages/gateway/camphorpin/src/Gateway/PeerServer.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerServer.cpp
@@ -33,6 +33,8 @@
   void close() { Channel->close(); }
   bool hasUnsentFrames() const { return Channel->unsent() > 0; }
   const Sender &sender() const { return From; }
+  /// \returns PeerHello::Number of the sender's hello.
+  std::uint64_t number() const { return Number; }
   bool greeted() const { return Greeted; }
 
   void onFrame(PeerFrame Frame) override {
@@ -43,10 +45,7 @@
     } else if (const auto *Ping = std::get_if<PeerPing>(&Frame)) {
       send(PeerPong{Ping->Number});
     } else if (const auto *Hello = std::get_if<PeerHello>(&Frame)) {
-      From = {Hello->Node, Hello->Incarnation};
-      Greeted = true;
-      send(Server.Listener.hello());
-      onDigest(Hello->Digest);
+      onHello(*Hello);
     } else if (const auto *Request = std::get_if<PeerUpdateRequest>(&Frame)) {
       send(Server.Listener.makeUpdate(*Request));
     } else if (auto *Update = std::get_if<PeerUpdate>(&Frame)) {
@@ -63,6 +62,19 @@
     }
   }
 
+  void onHello(const PeerHello &Hello) {
+    From = {Hello.Node, Hello.Incarnation};
+    Number = Hello.Number;
+    Greeted = true;
+    if (!Server.replaceOlderSessions(*this)) {
+      close();
+      Server.onSessionClosed(shared_from_this());
+      return;
+    }
+    send(Server.Listener.hello());
+    onDigest(Hello.Digest);
+  }
+
   /// A node without a configuration requests it on this connection instead of
   /// waiting for its own connection.
   void onDigest(const PeerDigest &Received) {
@@ -79,6 +91,7 @@
   PeerServer &Server;
   std::shared_ptr<PeerChannel> Channel;
   Sender From;
+  std::uint64_t Number = 0;
   bool Greeted = false;
 };
 
@@ -104,6 +117,23 @@
   Item->start();
 }
 
+bool PeerServer::replaceOlderSessions(const Session &Greeted) {
+  std::vector<std::shared_ptr<Session>> Older;
+  for (const std::shared_ptr<Session> &Item : Sessions) {
+    if (!Item->greeted() || Item->sender() != Greeted.sender())
+      continue;
+    if (Item->number() > Greeted.number())
+      return false;
+    if (Item->number() < Greeted.number())
+      Older.push_back(Item);
+  }
+  for (const std::shared_ptr<Session> &Item : Older) {
+    Item->close();
+    onSessionClosed(Item);
+  }
+  return true;
+}
+
 bool PeerServer::hasUnsentFrames() const {
   return std::any_of(Sessions.begin(), Sessions.end(),
                      [](const std::shared_ptr<Session> &Item) {
--- a/packages/gateway/camphorpin/src/Gateway/PeerServer.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerServer.h
@@ -38,6 +38,12 @@
 ///
 /// Tracks each call by the sender's identity and the call's id, so that a call
 /// that is sent again on a new connection is attached to its run.
+///
+/// A sender repeats its calls on a new connection only after it has received
+/// this node's hello there. The earlier connections of a sender are therefore
+/// closed when its hello arrives on a newer one: a copy of a call that a
+/// partition has held up on an earlier connection is never read, however late
+/// it arrives, and no record of ended calls is needed to recognise it.
 class PeerServer {
 public:
   PeerServer(EventLoop &Loop, const Clock &Time, BackendProxy &Proxy,
@@ -93,6 +99,9 @@
   };
 
   void onConnection(TcpSocket Socket);
+  /// Closes the other connections of the sender of \p Greeted that are older.
+  /// \returns false if \p Greeted is itself older than another one.
+  bool replaceOlderSessions(const Session &Greeted);
   void onCall(const std::shared_ptr<Session> &Caller, PeerCall Call);
   void onAnswer(const CallKey &Key, PeerAnswer Answer);
   void onCancel(const CallKey &Key);
--- a/packages/gateway/tests/PeerServerTest.cpp
+++ b/packages/gateway/tests/PeerServerTest.cpp
@@ -1,6 +1,7 @@
 #include "GatewayFixture.h"
 
 #include "camphorpin/src/Gateway/PeerClient.h"
+#include "camphorpin/src/Gateway/PeerCodec.h"
 
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
@@ -12,7 +13,14 @@
 
 class TestServerListener final : public PeerServerListener {
 public:
-  PeerHello hello() override { return {"server", 1, "shop", "a", "", {}, {}}; }
+  PeerHello hello() override {
+    PeerHello Result;
+    Result.Node = "server";
+    Result.Incarnation = 1;
+    Result.Service = "shop";
+    Result.Zone = "a";
+    return Result;
+  }
   PeerDigest digest() const override { return {}; }
   PeerUpdateRequest updateRequest() const override { return {}; }
   void onDigest(const std::string &, const PeerDigest &) override {}
@@ -30,7 +38,13 @@
   explicit TestClientListener(std::string Node, std::uint64_t Incarnation = 7)
       : Node(std::move(Node)), Incarnation(Incarnation) {}
   PeerHello hello() override {
-    return {Node, Incarnation, "web", "a", "", {}, {}};
+    PeerHello Result;
+    Result.Node = Node;
+    Result.Incarnation = Incarnation;
+    Result.Number = ++Hellos;
+    Result.Service = "web";
+    Result.Zone = "a";
+    return Result;
   }
   void onDigest(const std::string &, const PeerDigest &) override {}
   PeerUpdate makeUpdate(const PeerUpdateRequest &) override { return {}; }
@@ -44,6 +58,7 @@
 private:
   std::string Node;
   std::uint64_t Incarnation;
+  std::uint64_t Hellos = 0;
 };
 
 /// A node in front of a backend server that echoes the request's body.
@@ -100,7 +115,9 @@
   }
 };
 
-/// A TCP forwarder whose open connections can be stalled permanently.
+/// A TCP forwarder whose open connections can be stalled. Bytes that arrive on
+/// a stalled connection are kept, also after the sender has closed it, as a
+/// network partition keeps them.
 class StallingForwarder {
 public:
   StallingForwarder(EventLoop &Loop, const HostAddress &Target)
@@ -114,6 +131,16 @@
       Item->Stalled = true;
   }
 
+  /// Delivers what the senders wrote to stalled connections.
+  void releaseStalledBytes() {
+    for (const std::shared_ptr<Pipe> &Item : Pipes) {
+      boost::system::error_code Ignored;
+      boost::asio::write(Item->Out, boost::asio::buffer(Item->HeldForth),
+                         Ignored);
+      Item->HeldForth.clear();
+    }
+  }
+
   HostAddress Address;
 
 private:
@@ -123,6 +150,8 @@
     TcpSocket Out;
     std::array<char, 4096> Forth{};
     std::array<char, 4096> Back{};
+    /// Bytes for Out that were received while the connection was stalled.
+    std::string HeldForth;
     bool Stalled = false;
   };
 
@@ -152,6 +181,8 @@
           if (!Item->Stalled)
             boost::asio::write(To, boost::asio::buffer(Chunk.data(), Bytes),
                                Ignored);
+          else if (&To == &Item->Out)
+            Item->HeldForth.append(Chunk.data(), Bytes);
           copy(Item, From, To, Chunk);
         });
   }
@@ -162,8 +193,119 @@
   std::vector<std::shared_ptr<Pipe>> Pipes;
 };
 
+/// A caller whose connection to the node is cut off by a short partition, so
+/// that its calls are sent again on a second connection while their first
+/// copies are still on their way on the closed one.
+struct PartitionFixture : ProxyFixture {
+  TestClientListener Caller{"caller"};
+  StallingForwarder Forwarder{Loop, Address};
+  PeerClient Client{Loop, Time, "server", Forwarder.Address, Caller};
+  std::vector<PeerAnswer> Answers;
+
+  PartitionFixture() {
+    send(64, "connect");
+    awaitAnswers(1);
+    Backend.Arrivals = 0;
+    Answers.clear();
+    Forwarder.stallOpenConnections();
+  }
+
+  /// Sends a non-idempotent call.
+  void send(std::uint64_t Id, const std::string &Body) {
+    Client.call(call(Id, Body, false), [this](PeerAnswer Value) {
+      Answers.push_back(std::move(Value));
+    });
+  }
+
+  void awaitAnswers(std::size_t Count) {
+    runUntil(Loop, Duration::seconds(2),
+             [&] { return Answers.size() == Count; });
+    cr_assert_eq(Answers.size(), Count);
+  }
+
+  /// Ends the partition, and waits until the late copies have been processed.
+  void endPartition() {
+    Forwarder.releaseStalledBytes();
+    runUntil(Loop, Duration::millis(200), [] { return false; });
+  }
+};
+
 } // namespace
 
+// Guards against a non-idempotent request that runs twice: a copy of the call
+// arrives on the caller's closed connection after the answer to the copy on
+// the newer connection was acknowledged.
+Test(PeerServer, lateCopyOfAcknowledgedCallDoesNotRun) {
+  PartitionFixture Fixture;
+  Fixture.send(65, "one");
+  Fixture.awaitAnswers(1);
+  // The next call carries the acknowledgement of the answer.
+  Fixture.send(66, "two");
+  Fixture.awaitAnswers(2);
+  Fixture.endPartition();
+  cr_assert_eq(Fixture.Backend.Arrivals, 2);
+}
+
+// Guards against a request that runs after its client was told that it did not
+// run: the copy on the newer connection is refused, and a copy arrives later on
+// the caller's closed connection.
+Test(PeerServer, lateCopyOfRefusedCallDoesNotRun) {
+  PartitionFixture Fixture;
+  Fixture.Proxy.awaitDepartures();
+  Fixture.send(65, "one");
+  Fixture.awaitAnswers(1);
+  cr_assert_eq(Fixture.Answers.front().verdict(), Verdict::NotRun);
+  Fixture.send(66, "two");
+  Fixture.awaitAnswers(2);
+  Fixture.Proxy.restoreDepartures({});
+  Fixture.endPartition();
+  cr_assert_eq(Fixture.Backend.Arrivals, 0);
+}
+
+// Guards against a non-idempotent request that runs twice: its client leaves
+// while it runs, and a copy arrives later on the caller's closed connection.
+Test(PeerServer, lateCopyOfCancelledCallDoesNotRun) {
+  PartitionFixture Fixture;
+  Fixture.Hold = true;
+  Fixture.send(65, "one");
+  runUntil(Fixture.Loop, Duration::seconds(2),
+           [&] { return Fixture.Held.size() == 1; });
+  Fixture.Client.cancel(65);
+  runUntil(Fixture.Loop, Duration::millis(50), [] { return false; });
+  Fixture.endPartition();
+  cr_assert_eq(Fixture.Backend.Arrivals, 1);
+}
+
+// Guards against a newer connection that is closed because the hello of an
+// older one arrives after its own, and against an answer that is lost with it.
+Test(PeerServer, lateHelloDoesNotReplaceNewerConnection) {
+  ProxyFixture Fixture;
+  TestClientListener Listener("caller");
+  PeerHello Older = Listener.hello();
+  PeerClient Client(Fixture.Loop, Fixture.Time, "server", Fixture.Address,
+                    Listener);
+  Client.open();
+  runUntil(Fixture.Loop, Duration::seconds(2),
+           [&] { return Client.connected(); });
+  Fixture.Hold = true;
+  std::string Answer;
+  Client.call(ProxyFixture::call(64, "one", false),
+              [&](const PeerAnswer &Value) { Answer = Value.Body; });
+  runUntil(Fixture.Loop, Duration::seconds(2),
+           [&] { return Fixture.Held.size() == 1; });
+  RawClient Late(Fixture.Loop, Fixture.Address);
+  std::string Bytes;
+  detail::encodeFrame(Older, Bytes);
+  Late.send(Bytes);
+  runUntil(Fixture.Loop, Duration::seconds(2), [&] { return Late.Ended; });
+  cr_assert(Late.Ended);
+  cr_assert(Client.connected());
+  ProxyFixture::answer(Fixture.Held.front());
+  runUntil(Fixture.Loop, Duration::seconds(2), [&] { return !Answer.empty(); });
+  cr_assert_eq(Answer, std::string("one"));
+  cr_assert_eq(Fixture.Backend.Arrivals, 1);
+}
+
 // Guards against answers that reach the caller of another node: the hash of a
 // short name with an incarnation as its seed equals that of another name with
 // a nearby incarnation, so calls must not be told apart by such a hash.
