Bound the bytes of bodies and unsent answers that a node holds for its callers

Cause: each body and each answer was limited, their sum was not. A body is held three times while it is passed on and five times while it is encoded; answers were held until the caller had read them.

Change: the sessions of callers share a ByteBudget of a third of the node's memory. A request reserves three times its announced body; if that does not fit, it gets 503 before its body is read, and the rest of the body is dropped without a reset, so that the refusal arrives. An answer reserves its size until it has been written; one that does not fit becomes 502, since its request has run. One message may take half of what is free, so small ones still fit.

--- a/packages/gateway/camphorpin/src/Gateway/AsyncHttpServer.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/AsyncHttpServer.cpp
@@ -16,6 +16,10 @@
     Owner->flush();
 }
 
+HttpReply HttpRequestHandler::refuseBody(const HttpRequest &) {
+  return detail::textReply(503, toString(RefusalReason::NodeBusy));
+}
+
 std::string AsyncHttpServer::listen(const HostAddress &Address) {
   return Acceptor.listen(Address);
 }
--- a/packages/gateway/camphorpin/src/Gateway/AsyncHttpServer.h
+++ b/packages/gateway/camphorpin/src/Gateway/AsyncHttpServer.h
@@ -1,6 +1,7 @@
 #ifndef CAMPHORPIN_SRC_GATEWAY_ASYNCHTTPSERVER_H
 #define CAMPHORPIN_SRC_GATEWAY_ASYNCHTTPSERVER_H
 
+#include "camphorpin/src/Gateway/ByteBudget.h"
 #include "camphorpin/src/Gateway/EventLoop.h"
 #include "camphorpin/src/Gateway/FleetConfiguration.h"
 #include "camphorpin/src/Gateway/HttpMessages.h"
@@ -28,6 +29,11 @@
   /// Moves the body out of the request to avoid copying it.
   std::string takeBody() { return std::move(Request.body()); }
 
+  /// Replaces what the request holds of the server's byte budget by \p Bytes
+  /// for its response.
+  /// \returns false if the budget does not allow it.
+  bool reserve(std::size_t Bytes) { return !Held || Held->resize(Bytes); }
+
   /// Sends the response once those of earlier requests on the connection have
   /// been sent. Calls after the first have no effect.
   void reply(HttpReply Response);
@@ -46,6 +52,8 @@
   std::function<void()> DisconnectHandler;
   bool Answered = false;
   HttpReply Response;
+  /// The bytes of the request, and later of its response.
+  std::unique_ptr<BudgetShare> Held;
 };
 
 /// \class HttpRequestHandler
@@ -54,6 +62,11 @@
 public:
   virtual ~HttpRequestHandler() = default;
   virtual void onRequest(const std::shared_ptr<HttpExchange> &Exchange) = 0;
+  /// The body of a request is not read, because the server's byte budget does
+  /// not allow it.
+  /// \param Head the request without its body.
+  /// \returns the response, which must say that the request did not run.
+  virtual HttpReply refuseBody(const HttpRequest &Head);
 };
 
 /// \class AsyncHttpServer
@@ -77,6 +90,12 @@
   void setLimits(const RequestLimits &Value) { Limits = Value; }
   const RequestLimits &limits() const { return Limits; }
 
+  /// Bounds the bytes of request bodies and of unsent responses over all
+  /// connections. There is no bound by default.
+  void setByteBudget(std::shared_ptr<ByteBudget> Value) {
+    Budget = std::move(Value);
+  }
+
   /// Closes each connection after its last pending response.
   void drain() { Draining = true; }
   bool draining() const { return Draining; }
@@ -98,6 +117,7 @@
   detail::AcceptLoop Acceptor;
   HttpRequestHandler &Handler;
   RequestLimits Limits;
+  std::shared_ptr<ByteBudget> Budget;
   bool Draining = false;
   std::set<std::shared_ptr<detail::HttpSession>> Sessions;
 };
--- a/packages/gateway/camphorpin/src/Gateway/ByteBudget.h
+++ b/packages/gateway/camphorpin/src/Gateway/ByteBudget.h
@@ -9,9 +9,10 @@
 /// \class ByteBudget
 /// \brief The bytes that a node may hold for messages in transit.
 ///
-/// The node's memory is limited, and a faulty server or peer may send without
-/// end. One message may take half of what is free, so that it never keeps all
-/// others from being received.
+/// The node's memory is limited, a faulty server or peer may send without end,
+/// and callers may read slowly or send large bodies at the same time. One
+/// message may take half of what is free, so that it never keeps all others
+/// from being received.
 class ByteBudget {
 public:
   /// \param Capacity in bytes.
@@ -43,7 +44,13 @@
   /// size.
   bool resize(std::size_t Value);
 
-  void clear() { (void)resize(0); }
+  /// Changes the size of the share for bytes that are held already, whatever
+  /// the budget allows.
+  void set(std::size_t Value);
+
+  std::size_t bytes() const { return Bytes; }
+
+  void clear() { set(0); }
 
 private:
   std::shared_ptr<ByteBudget> Budget;
--- a/packages/gateway/camphorpin/src/Gateway/CallFailure.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/CallFailure.cpp
@@ -8,6 +8,7 @@
   case RefusalReason::Shed:
   case RefusalReason::BackendShed:
   case RefusalReason::Deadline:
+  case RefusalReason::NodeBusy:
     return CallFailure::Overload;
   case RefusalReason::NoBackend:
   case RefusalReason::Draining:
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
@@ -20,6 +20,9 @@
 /// node not ready twice; the delay keeps the loss of capacity during a rolling
 /// restart short.
 constexpr Duration BackendDrainDelay = Duration::millis(2000);
+/// Part of the node's memory for request bodies and answers of callers. The
+/// same number of bytes is needed again while a message is decoded and encoded.
+constexpr std::size_t CallMemoryDivisor = 3;
 /// Time after the start of a drain from which new requests are refused: they
 /// might not end within the stop grace.
 constexpr Duration OutboundDrainDelay = Duration::millis(2800);
@@ -123,7 +126,10 @@
                    StoreFeed::Members),
       Departures(Loop, RandomSource, Settings.StoreAddress, Protocol,
                  Settings.Node),
-      Signals(Loop, SIGTERM, SIGINT, SIGHUP), TickTimer(Loop) {}
+      Signals(Loop, SIGTERM, SIGINT, SIGHUP), TickTimer(Loop) {
+  CallServer.setByteBudget(
+      std::make_shared<ByteBudget>(Settings.MemoryBytes / CallMemoryDivisor));
+}
 
 std::string Gateway::start() {
   std::string Error = Peers.listen(Settings.PeerAddress);
--- a/packages/gateway/camphorpin/src/Gateway/HttpSession.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/HttpSession.cpp
@@ -20,11 +20,22 @@
 /// Unsent bytes above which no further request is parsed, to bound the memory
 /// that a slow reader uses.
 constexpr std::size_t MaxUnsentBytes = 1U << 20U;
-/// How long a connection that this side has closed waits for the caller.
+/// How often the body of a request is held while it is passed on: for a retry
+/// on another node, by the call, and encoded for the connection to the node.
+constexpr std::size_t BodyCopies = 3;
+/// How long a connection that this side has closed waits for the caller, or for
+/// further bytes of a body that is dropped.
 constexpr Duration LingerTimeout = Duration::seconds(1);
 /// How long sent bytes may stay unacknowledged.
 constexpr Duration AckTimeout = Duration::seconds(10);
 
+/// Empties \p Buffer, and returns its memory if it was large.
+void releaseBytes(std::string &Buffer) {
+  Buffer.clear();
+  if (Buffer.capacity() > MaxUnsentBytes)
+    Buffer.shrink_to_fit();
+}
+
 bool mayHaveBody(const HttpExchange &Exchange, unsigned Status) {
   return Exchange.request().method() != http::verb::head && Status != 204 &&
          Status != 304;
@@ -34,7 +45,7 @@
 
 HttpSession::HttpSession(TcpSocket Socket, AsyncHttpServer &Server)
     : Socket(std::move(Socket)), Server(&Server),
-      Timer(this->Socket.get_executor()),
+      Timer(this->Socket.get_executor()), Unsent(Server.Budget),
       LastActivity(std::chrono::steady_clock::now()) {}
 
 void HttpSession::start() {
@@ -75,6 +86,7 @@
                   "Content-Length: " + std::to_string(Reply.Body.size()) +
                   "\r\nConnection: close\r\n\r\n" + Reply.Body;
   CurrentParser.reset();
+  BodyShare.reset();
   Buffer.consume(Buffer.size());
   write();
 }
@@ -100,7 +112,11 @@
   }
   Buffer.commit(Bytes);
   if (Lingering) {
+    DroppedBytes += Buffer.size();
     Buffer.consume(Buffer.size());
+    // A caller that still sends a body would lose the response to a reset.
+    if (DroppedBytes <= Server->Limits.BodyBytes)
+      armTimer(LingerTimeout);
     read();
     return;
   }
@@ -128,6 +144,10 @@
     ErrorCode Error;
     const std::size_t Used = CurrentParser->put(Buffer.data(), Error);
     Buffer.consume(Used);
+    if ((!Error || Error == http::error::need_more) && !reserveBody()) {
+      rejectWith(Server->Handler.refuseBody(CurrentParser->get()));
+      return;
+    }
     if (Error == http::error::need_more)
       break;
     if (Error) {
@@ -153,10 +173,24 @@
   HeaderTimerArmed = hasPartialRequest();
 }
 
+bool HttpSession::reserveBody() {
+  if (!Server->Budget || !CurrentParser->is_header_done())
+    return true;
+  if (!BodyShare)
+    BodyShare = std::make_unique<BudgetShare>(Server->Budget);
+  // The parser allocates a body of known length at once.
+  const std::uint64_t Announced =
+      CurrentParser->content_length().value_or(std::uint64_t(0));
+  const std::size_t Bytes =
+      std::max<std::size_t>(Announced, CurrentParser->get().body().size());
+  return BodyShare->resize(Bytes * BodyCopies);
+}
+
 void HttpSession::dispatch(HttpRequest Request) {
   NoMoreRequests = !Request.keep_alive();
   const auto Exchange = std::make_shared<HttpExchange>(
       std::move(Request), std::weak_ptr<HttpSession>(weak_from_this()));
+  Exchange->Held = std::move(BodyShare);
   Pending.push_back(Exchange);
   try {
     Server->Handler.onRequest(Exchange);
@@ -174,13 +208,18 @@
     Status = 413;
   if (Error == http::error::header_limit)
     Status = 431;
+  rejectWith(textReply(Status, Error.message()));
+}
+
+void HttpSession::rejectWith(HttpReply Reply) {
   NoMoreRequests = true;
   CurrentParser.reset();
+  BodyShare.reset();
   Buffer.consume(Buffer.size());
   const auto Exchange = std::make_shared<HttpExchange>(
       HttpRequest(), std::weak_ptr<HttpSession>(weak_from_this()));
   Pending.push_back(Exchange);
-  Exchange->reply(textReply(Status, Error.message()));
+  Exchange->reply(std::move(Reply));
 }
 
 void HttpSession::append(const HttpExchange &Exchange) {
@@ -205,11 +244,18 @@
     return;
   while (!Pending.empty() && Pending.front()->Answered) {
     append(*Pending.front());
+    // The bytes are counted with those of OutputBuffer from here on.
+    Pending.front()->Held.reset();
     Pending.pop_front();
   }
+  countUnsentBytes();
   write();
 }
 
+void HttpSession::countUnsentBytes() {
+  Unsent.set(OutputBuffer.size() + InFlight.size());
+}
+
 void HttpSession::write() {
   if (Writing || Closed || OutputBuffer.empty())
     return;
@@ -224,7 +270,8 @@
 
 void HttpSession::onWritten(const ErrorCode &Error) {
   Writing = false;
-  InFlight.clear();
+  releaseBytes(InFlight);
+  countUnsentBytes();
   if (Closed)
     return;
   if (Error) {
@@ -276,6 +323,7 @@
     if (!Exchange->Answered && Exchange->DisconnectHandler)
       Exchange->DisconnectHandler();
   Pending.clear();
+  BodyShare.reset();
   Server->Sessions.erase(Self);
 }
 
--- a/packages/gateway/camphorpin/src/Gateway/HttpSession.h
+++ b/packages/gateway/camphorpin/src/Gateway/HttpSession.h
@@ -36,8 +36,16 @@
   void read();
   void onRead(const ErrorCode &Error, std::size_t Bytes);
   void parse();
+  /// Reserves bytes for the body of the request that is being read.
+  /// \returns false if the byte budget does not allow it.
+  bool reserveBody();
   void dispatch(HttpRequest Request);
   void reject(const ErrorCode &Error);
+  /// Answers the request that is being read, whose rest is dropped, and reads
+  /// no further one.
+  void rejectWith(HttpReply Reply);
+  /// Updates the bytes that this connection holds of responses.
+  void countUnsentBytes();
   void append(const HttpExchange &Exchange);
   void write();
   void onWritten(const ErrorCode &Error);
@@ -56,8 +64,12 @@
   std::optional<Parser> CurrentParser;
   /// Requests whose response has not been sent, oldest first.
   std::deque<std::shared_ptr<HttpExchange>> Pending;
+  /// The bytes of the body that is being read; handed over to its exchange.
+  std::unique_ptr<BudgetShare> BodyShare;
   std::string OutputBuffer;
   std::string InFlight;
+  /// The bytes of OutputBuffer and InFlight.
+  BudgetShare Unsent;
   std::chrono::steady_clock::time_point LastActivity;
   bool Writing = false;
   bool Reading = false;
@@ -66,6 +78,8 @@
   bool NoMoreRequests = false;
   /// The last response has been sent; the caller has not closed yet.
   bool Lingering = false;
+  /// Bytes that were read and dropped after the last response.
+  std::size_t DroppedBytes = 0;
   bool Closed = false;
   bool HeaderTimerArmed = false;
 };
--- a/packages/gateway/camphorpin/src/Gateway/OutboundHandler.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/OutboundHandler.cpp
@@ -108,13 +108,23 @@
 void OutboundHandler::rejectUntracked(HttpExchange &Exchange,
                                       std::string_view Reason,
                                       Duration RetryAfter) {
+  Exchange.reply(refusal(Exchange.request(), Reason, RetryAfter));
+}
+
+HttpReply OutboundHandler::refusal(const HttpRequest &Request,
+                                   std::string_view Reason,
+                                   Duration RetryAfter) {
   const std::string_view Id =
-      detail::headerOf(Exchange.request(), Protocol.headers().RequestId);
+      detail::headerOf(Request, Protocol.headers().RequestId);
   Log.write(LogEvent::RequestTurnedAway,
             {{"request", std::string(Id)}, {"reason", std::string(Reason)}});
   HttpReply Reply = detail::textReply(503, Reason);
   Reply.Head += detail::headerLine("Retry-After", formatSeconds(RetryAfter));
-  Exchange.reply(std::move(Reply));
+  return Reply;
+}
+
+HttpReply OutboundHandler::refuseBody(const HttpRequest &Head) {
+  return refusal(Head, toString(RefusalReason::NodeBusy), DefaultRetryAfter);
 }
 
 void OutboundHandler::begin(std::uint64_t Id,
@@ -267,6 +277,13 @@
 
 void OutboundHandler::deliver(std::uint64_t Id, OutboundCall &Item,
                               PeerAnswer &&Answer) {
+  if (!Item.Exchange->reserve(Answer.Head.size() + Answer.Body.size())) {
+    // Slow readers hold the node's memory. The request has run.
+    reportFailure(Item, 502, RefusalReason::NodeBusy);
+    record(Item, Verdict::Ran, RefusalReason::NodeBusy);
+    finish(Id, detail::textReply(502, toString(RefusalReason::NodeBusy)));
+    return;
+  }
   if (Answer.StatusCode >= 500)
     reportFailure(Item, Answer.StatusCode,
                   Answer.Reason == RefusalReason::None
--- a/packages/gateway/camphorpin/src/Gateway/OutboundHandler.h
+++ b/packages/gateway/camphorpin/src/Gateway/OutboundHandler.h
@@ -39,6 +39,8 @@
   /// Ends all requests without a final response with status 504.
   void abortAll();
 
+  HttpReply refuseBody(const HttpRequest &Head) override;
+
   std::size_t active() const { return Calls.size(); }
 
 private:
@@ -74,6 +76,9 @@
   /// Rejects a request before it is tracked.
   void rejectUntracked(HttpExchange &Exchange, std::string_view Reason,
                        Duration RetryAfter);
+  /// \returns the refusal of a request that is not tracked.
+  HttpReply refusal(const HttpRequest &Request, std::string_view Reason,
+                    Duration RetryAfter);
   /// Tracks a request and sends its first attempt.
   void begin(std::uint64_t Id, const std::shared_ptr<HttpExchange> &Exchange,
              const std::shared_ptr<const RouteRule> &Route);
