Bound the bytes of the bodies that a node holds for its backend server

Change: queued and running requests share a ByteBudget of a quarter of the node's memory. What does not fit is refused as not run (node-busy), and the caller's node tries another one.

Evidence: bodiesForTheBackendServerAreBounded of ByteBudgetTest. Without the budget nothing refuses the second of its two bodies.

--- a/packages/gateway/camphorpin/src/Gateway/BackendProxy.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/BackendProxy.cpp
@@ -25,6 +25,12 @@
 /// Part of the node's memory for responses that are being received. Each is
 /// copied two or three times until it has been forwarded.
 constexpr std::size_t ResponseMemoryDivisor = 6;
+/// Part of the node's memory for the bodies of requests that are queued or
+/// running.
+constexpr std::size_t RequestMemoryDivisor = 4;
+/// How often the body of a request is held: by the call, and in the bytes that
+/// are sent to the backend server.
+constexpr std::size_t BodyCopies = 2;
 /// Largest accepted body of the answer to a health check.
 constexpr std::uint64_t MaxProbeBytes = 64U << 10U;
 
@@ -50,6 +56,8 @@
       Pool(Loop, Settings.BackendAddress,
            std::make_shared<ByteBudget>(Settings.MemoryBytes /
                                         ResponseMemoryDivisor)),
+      RequestBudget(std::make_shared<ByteBudget>(Settings.MemoryBytes /
+                                                 RequestMemoryDivisor)),
       QueueTimer(Loop) {
   Detector.setCrashListener(
       [this](std::size_t LostRuns, const PeerCrashes &Crashes) {
@@ -175,7 +183,7 @@
   Ticket.Objective = Call.Objective;
   Ticket.Age = Call.Age;
   Ticket.Deadline = Now + Call.TimeLeft;
-  Run &Item = Runs[RunId];
+  Run &Item = Runs.try_emplace(RunId, RequestBudget).first->second;
   Item.Deadline = Ticket.Deadline;
   Item.Call = std::move(Call);
   Item.Done = std::move(Done);
@@ -184,6 +192,10 @@
            DefaultRetryAfter);
     return RunId;
   }
+  if (!Item.Held.resize(Item.Call.Body.size() * BodyCopies)) {
+    refuse(RunId, RefusalReason::NodeBusy, DefaultRetryAfter);
+    return RunId;
+  }
   const AdmissionResult Decision = Admission.offer(Ticket, Now);
   if (Decision.Choice == AdmissionChoice::Start)
     start(RunId);
--- a/packages/gateway/camphorpin/src/Gateway/BackendProxy.h
+++ b/packages/gateway/camphorpin/src/Gateway/BackendProxy.h
@@ -4,6 +4,7 @@
 #include "camphorpin/src/Daemon/EventLog.h"
 #include "camphorpin/src/Gateway/BackendAdmission.h"
 #include "camphorpin/src/Gateway/BackendTracker.h"
+#include "camphorpin/src/Gateway/ByteBudget.h"
 #include "camphorpin/src/Gateway/CrashDetector.h"
 #include "camphorpin/src/Gateway/GatewaySettings.h"
 #include "camphorpin/src/Gateway/HttpConnectionPool.h"
@@ -122,6 +123,10 @@
     std::unique_ptr<boost::asio::steady_timer> Timer;
     bool Started = false;
     Instant StartTime;
+    /// The bytes of the request's body.
+    BudgetShare Held;
+    explicit Run(std::shared_ptr<ByteBudget> Budget)
+        : Held(std::move(Budget)) {}
   };
 
   bool available() const;
@@ -165,6 +170,8 @@
   BackendAdmission Admission;
   CrashDetector Detector;
   HttpConnectionPool Pool;
+  /// Bounds the bytes of the requests in Runs.
+  std::shared_ptr<ByteBudget> RequestBudget;
   std::function<void()> StatusListener;
   std::function<void(const PeerCrashes &)> CrashListener;
   std::function<void(std::span<const BackendDeparture>)> DepartureListener;
