--- a/packages/gateway/camphorpin/src/Gateway/BackendProxy.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/BackendProxy.cpp
@@ -28,7 +28,7 @@
 /// Part of the node's memory for the bodies of requests that are queued or
 /// running.
 constexpr std::size_t RequestMemoryDivisor = 4;
-/// How often the body of a request is held: by the call, and in the bytes that
+/// Copies of a request's body that are held: in the call, and in the bytes that
 /// are sent to the backend server.
 constexpr std::size_t BodyCopies = 2;
 /// Largest accepted body of the answer to a health check.
--- a/packages/gateway/camphorpin/src/Gateway/ByteBudget.h
+++ b/packages/gateway/camphorpin/src/Gateway/ByteBudget.h
@@ -48,8 +48,6 @@
   /// the budget allows.
   void set(std::size_t Value);
 
-  std::size_t bytes() const { return Bytes; }
-
   void clear() { set(0); }
 
 private:
--- a/packages/gateway/camphorpin/src/Gateway/HttpSession.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/HttpSession.cpp
@@ -20,8 +20,8 @@
 /// Unsent bytes above which no further request is parsed, to bound the memory
 /// that a slow reader uses.
 constexpr std::size_t MaxUnsentBytes = 1U << 20U;
-/// How often the body of a request is held while it is passed on: for a retry
-/// on another node, by the call, and encoded for the connection to the node.
+/// Copies of a request's body that a node holds while it passes the request on:
+/// for a retry on another node, in the call, and encoded for the connection.
 constexpr std::size_t BodyCopies = 3;
 /// How long a connection that this side has closed waits for the caller, or for
 /// further bytes of a body that is dropped.
--- a/packages/gateway/tests/ByteBudgetTest.cpp
+++ b/packages/gateway/tests/ByteBudgetTest.cpp
@@ -114,7 +114,7 @@
         std::make_unique<RawClient>(Fixture.Loop, Fixture.Address));
     Callers.back()->send(post(0));
     Fixture.run([&] { return Fixture.Deferred.size() == Count; });
-    // Nothing is written before the loop runs, as if no caller read.
+    // The answers are never written, as if no caller read.
     HttpExchange &Exchange = *Fixture.Deferred.back();
     const bool Fits = Exchange.reserve(AnswerBytes);
     Reserved += Fits ? 1 : 0;
