Reject answers with a status that HTTP does not have

What callers saw: a backend server's answer with the status 000, passed on by a hosted node as "HTTP/1.1 0 ...". Cause: the parser of Beast accepts any three digits as a status, and HttpConnection checked only whether an answer that it had parsed belongs to the request.

Change: HttpConnection checks the head as soon as it has arrived (isValidHead): a status outside 100 to 599, and 101, which no request of a node asks for, end the exchange as Malformed, which callers get as 502. The check of the transfer coding moved there, so that such an answer no longer waits for the deadline. As all answers of backend servers and of the store to hosted nodes pass through HttpConnection, one check covers them.

--- a/packages/gateway/camphorpin/src/Gateway/HttpConnection.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/HttpConnection.cpp
@@ -101,8 +101,8 @@
 }
 
 void HttpConnection::newParser() {
+  HeadAccepted = false;
   CurrentParser.emplace();
-  CurrentParser->eager(true);
   CurrentParser->header_limit(MaxHeadBytes);
   CurrentParser->body_limit(Request.MaxBodyBytes);
   if (Request.IsHeadRequest)
@@ -149,8 +149,7 @@
     ErrorCode EndError;
     CurrentParser->put_eof(EndError);
     if (!EndError && CurrentParser->is_done() &&
-        matchOf(CurrentParser->get()) == ResponseMatch::Expected &&
-        !detail::hasUnsupportedTransferCoding(CurrentParser->get())) {
+        matchOf(CurrentParser->get()) == ResponseMatch::Expected) {
       finish(ExchangeOutcome::Complete, CurrentParser->release());
       return;
     }
@@ -165,7 +164,7 @@
     Buffer.consume(Used);
     if (Error == http::error::need_more)
       return;
-    if (Error) {
+    if (Error || !acceptHead()) {
       finish(ExchangeOutcome::Malformed, {});
       return;
     }
@@ -184,10 +183,6 @@
       finish(ExchangeOutcome::Malformed, {});
       return;
     }
-    if (detail::hasUnsupportedTransferCoding(Response)) {
-      finish(ExchangeOutcome::Malformed, {});
-      return;
-    }
     updateKeepAlive(Response);
     // Surplus bytes belong to no request, so the connection can't be reused.
     if (Buffer.size() > 0)
@@ -196,6 +191,12 @@
   }
 }
 
+bool HttpConnection::acceptHead() {
+  if (!HeadAccepted && CurrentParser->is_header_done())
+    HeadAccepted = detail::isValidHead(CurrentParser->get());
+  return HeadAccepted || !CurrentParser->is_header_done();
+}
+
 bool HttpConnection::withinLimits() {
   const std::size_t BodyBytes = CurrentParser->get().body().size();
   return Buffer.size() <= MaxHeadBytes &&
--- a/packages/gateway/camphorpin/src/Gateway/HttpConnection.h
+++ b/packages/gateway/camphorpin/src/Gateway/HttpConnection.h
@@ -101,6 +101,8 @@
   void read();
   void onRead(const ErrorCode &Error, std::size_t Bytes);
   void parse();
+  /// \returns false if the head of the response has arrived and is invalid.
+  bool acceptHead();
   /// Counts the bytes of the response that is being received.
   /// \returns false if they exceed a limit.
   bool withinLimits();
@@ -125,6 +127,8 @@
   bool Open = false;
   bool Closed = false;
   bool Written = false;
+  /// The head of the response that is being received is valid.
+  bool HeadAccepted = false;
   bool KeepAlive = true;
 };
 
--- a/packages/gateway/camphorpin/src/Gateway/HttpMessages.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/HttpMessages.cpp
@@ -58,14 +58,22 @@
          !boost::beast::iequals(Coding->value(), "chunked");
 }
 
+/// \returns true if the status \p Code exists. 101 answers a request for
+/// another protocol, which a node never makes.
+bool isPossibleStatus(unsigned Code) {
+  constexpr unsigned SwitchingProtocols = 101;
+  return Code >= 100 && Code <= 599 && Code != SwitchingProtocols;
+}
+
 } // namespace
 
 bool hasUnsupportedTransferCoding(const HttpRequest &Message) {
   return isTransferCodingUnsupported(Message);
 }
 
-bool hasUnsupportedTransferCoding(const HttpResponse &Message) {
-  return isTransferCodingUnsupported(Message);
+bool isValidHead(const HttpResponse &Response) {
+  return isPossibleStatus(Response.result_int()) &&
+         !isTransferCodingUnsupported(Response);
 }
 
 std::string headerLine(std::string_view Name, std::string_view Value) {
