Treat an answer as broken if its connection was reset during the upload

What callers saw: a backend server that answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection; callers of a hosted node got that part as a complete answer. Cause: the kernel reports a reset once. While the request is being written, the write takes the error (ECONNRESET), and the pending read then returns 0 bytes, as after an orderly end. An answer without a length is complete at the end of its connection, so HttpConnection took it for whole.

Evidence: resetDuringUploadIsAFailure sends 12 MB to a stand-in that does not read them, answers without a length and resets. It failed before with a body of 3 bytes, which counted as run; resetAfterShortRequestIsAFailure passed before, because the read gets the error there.

Change: HttpConnection notes an error of the write other than EPIPE, and an end after it is a lost connection. EPIPE stays harmless: for a reset that follows an orderly end the kernel reports EPIPE, and then the answer is complete (completeAnswerSurvivesALaterReset, with and without a long upload). The order holds because the reactor performs the pending write before the pending read, and completions are run in that order.

--- a/packages/gateway/camphorpin/src/Gateway/HttpConnection.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/HttpConnection.cpp
@@ -96,7 +96,10 @@
         if (Self->Closed)
           return;
         Self->Written = !Error;
-        // The pending read reports why the connection failed.
+        // With EPIPE, the server had ended its side in order before.
+        Self->BrokenInWrite = Error && Error != boost::asio::error::broken_pipe;
+        // The pending read ends the exchange, after it has received what the
+        // server sent before.
       });
 }
 
@@ -145,7 +148,8 @@
     close();
     return;
   }
-  if (Error == boost::asio::error::eof && CurrentParser->got_some()) {
+  const bool OrderlyEnd = Error == boost::asio::error::eof && !BrokenInWrite;
+  if (OrderlyEnd && CurrentParser->got_some()) {
     ErrorCode EndError;
     CurrentParser->put_eof(EndError);
     if (!EndError && CurrentParser->is_done() &&
--- a/packages/gateway/camphorpin/src/Gateway/HttpConnection.h
+++ b/packages/gateway/camphorpin/src/Gateway/HttpConnection.h
@@ -127,6 +127,9 @@
   bool Open = false;
   bool Closed = false;
   bool Written = false;
+  /// The connection broke while the request was being written. The write took
+  /// the error from the socket, so that a read then sees an orderly end.
+  bool BrokenInWrite = false;
   /// The head of the response that is being received is valid.
   bool HeadAccepted = false;
   bool KeepAlive = true;
--- a/packages/gateway/tests/BrokenAnswerTest.cpp
+++ b/packages/gateway/tests/BrokenAnswerTest.cpp
@@ -118,6 +118,20 @@
   expectFailures(malformedChunks(Fields));
 }
 
+// Guards against an answer without a length whose connection was reset while
+// the request was still being written: the failed write reports the reset, and
+// the read then only sees an end, which looks like an orderly one.
+Test(BrokenAnswer, resetDuringUploadIsAFailure) {
+  const std::string Upload(LongUploadBytes, 'u');
+  for (const std::size_t Bytes : {std::size_t(3), LongAnswerBytes}) {
+    const PeerAnswer Got =
+        run({answer(StatusOk, "", std::string(Bytes, 'b')), AfterAnswer::Reset},
+            Upload);
+    cr_assert_eq(Got.verdict(), Verdict::MayHaveRun, "%zu bytes", Bytes);
+    cr_assert(Got.Body.empty(), "%zu bytes", Bytes);
+  }
+}
+
 // Guards against answers without a length that end with a reset, with a request
 // that was written whole.
 Test(BrokenAnswer, resetAfterShortRequestIsAFailure) {
