Reject answers whose headers announce a body that they cannot have

What callers saw: an answer of version 1.0 in chunks, which that version does not have, or a 204 with a length or a transfer coding, passed on as an answer, without the bytes that its headers announce. Cause: Beast's parser goes by the chunks, or by the status, and ignores the contradiction (RFC 9112, 6.1 and 6.3; RFC 9110, 8.6). Change: isValidHead rejects both. A 204 with a length of 0 is kept, because nothing of it can be missing.

Result: BrokenAnswerTest passes.

--- a/packages/gateway/camphorpin/src/Gateway/HttpMessages.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/HttpMessages.cpp
@@ -50,6 +50,19 @@
   return Result;
 }
 
+/// \returns true if the headers announce a body that \p Response cannot have.
+bool announcesImpossibleBody(const HttpResponse &Response) {
+  constexpr unsigned NoContent = 204;
+  constexpr unsigned Version10 = 10;
+  const unsigned Status = Response.result_int();
+  const bool IsBodyless = Status / 100 == 1 || Status == NoContent;
+  const bool HasCoding = Response.count(http::field::transfer_encoding) > 0;
+  if (HasCoding && (IsBodyless || Response.version() <= Version10))
+    return true;
+  const auto Length = Response.find(http::field::content_length);
+  return IsBodyless && Length != Response.end() && Length->value() != "0";
+}
+
 /// Only the transfer coding "chunked" is supported.
 template <typename Message>
 bool isTransferCodingUnsupported(const Message &Source) {
@@ -73,7 +86,8 @@
 
 bool isValidHead(const HttpResponse &Response) {
   return isPossibleStatus(Response.result_int()) &&
-         !isTransferCodingUnsupported(Response);
+         !isTransferCodingUnsupported(Response) &&
+         !announcesImpossibleBody(Response);
 }
 
 std::string headerLine(std::string_view Name, std::string_view Value) {
--- a/packages/gateway/tests/BrokenAnswerTest.cpp
+++ b/packages/gateway/tests/BrokenAnswerTest.cpp
@@ -113,6 +113,11 @@
   expectFailures(malformedHeads(Fields));
 }
 
+// Guards against a body whose end is in doubt.
+Test(BrokenAnswer, doubtfulLengthIsAFailure) {
+  expectFailures(doubtfulLengths(Fields));
+}
+
 // Guards against chunks that the protocol rules out.
 Test(BrokenAnswer, malformedChunksAreAFailure) {
   expectFailures(malformedChunks(Fields));
