Keep trailers out of the head of an answer

What callers saw: the trailers of a chunked answer among its headers, and worse, a trailer Not-Executed (Camphorpin-Shed) after a whole 200 made the node say that the request had not run, though it had; a trailer could also add the stamp that a success lacks. Cause: Beast's parser adds trailers to the headers, against RFC 9110, 6.5.1. Change: HttpConnection keeps the headers of a chunked answer as they were when the head had arrived, and drops the trailers.

Evidence: trailersAreNoPartOfTheHead failed before, with the verdict "not run". Result: BrokenAnswerTest passes.

--- a/packages/gateway/camphorpin/src/Gateway/HttpConnection.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/HttpConnection.cpp
@@ -105,6 +105,7 @@
 
 void HttpConnection::newParser() {
   HeadAccepted = false;
+  ChunkedHead.reset();
   CurrentParser.emplace();
   CurrentParser->header_limit(MaxHeadBytes);
   CurrentParser->body_limit(Request.MaxBodyBytes);
@@ -177,7 +178,7 @@
         return;
       continue;
     }
-    HttpResponse Response = CurrentParser->release();
+    HttpResponse Response = takeResponse();
     const ResponseMatch Match = matchOf(Response);
     if (Match == ResponseMatch::Other && ++Skipped <= MaxSkippedResponses) {
       newParser();
@@ -196,9 +197,19 @@
 }
 
 bool HttpConnection::acceptHead() {
-  if (!HeadAccepted && CurrentParser->is_header_done())
-    HeadAccepted = detail::isValidHead(CurrentParser->get());
-  return HeadAccepted || !CurrentParser->is_header_done();
+  if (HeadAccepted || !CurrentParser->is_header_done())
+    return true;
+  HeadAccepted = detail::isValidHead(CurrentParser->get());
+  if (CurrentParser->chunked())
+    ChunkedHead = CurrentParser->get();
+  return HeadAccepted;
+}
+
+HttpResponse HttpConnection::takeResponse() {
+  HttpResponse Result = CurrentParser->release();
+  if (ChunkedHead)
+    static_cast<http::fields &>(Result) = *std::move(ChunkedHead);
+  return Result;
 }
 
 bool HttpConnection::withinLimits() {
--- a/packages/gateway/camphorpin/src/Gateway/HttpConnection.h
+++ b/packages/gateway/camphorpin/src/Gateway/HttpConnection.h
@@ -108,6 +108,8 @@
   bool withinLimits();
   ResponseMatch matchOf(const HttpResponse &Response);
   void newParser();
+  /// \returns the response that the parser has completed.
+  HttpResponse takeResponse();
   void updateKeepAlive(const HttpResponse &Response);
   void finish(ExchangeOutcome Outcome, HttpResponse Response);
 
@@ -132,6 +134,9 @@
   bool BrokenInWrite = false;
   /// The head of the response that is being received is valid.
   bool HeadAccepted = false;
+  /// The headers of a chunked response. The parser adds the trailers to them,
+  /// which are no part of the head (RFC 9110, 6.5.1).
+  std::optional<boost::beast::http::fields> ChunkedHead;
   bool KeepAlive = true;
 };
 
--- a/packages/gateway/tests/BrokenAnswerTest.cpp
+++ b/packages/gateway/tests/BrokenAnswerTest.cpp
@@ -176,6 +176,21 @@
   }
 }
 
+// Guards against a trailer that counts as a part of the head: it could say that
+// a request did not run, or replace the stamp that an answer lacks.
+Test(BrokenAnswer, trailersAreNoPartOfTheHead) {
+  const std::string Start = "3\r\none\r\n0\r\n";
+  const PeerAnswer Ran = run({answer(
+      StatusOk, Chunked, Start + "Camphorpin-Shed: 1\r\nX: y\r\n\r\n")});
+  cr_assert_eq(Ran.verdict(), Verdict::Ran);
+  cr_assert_eq(Ran.Body, std::string("one"));
+  cr_assert_eq(Ran.Head.find("X: y"), std::string::npos);
+  const PeerAnswer Unstamped =
+      run({"HTTP/1.1 200 OK\r\nCamphorpin-Request: 1\r\n" + Chunked + "\r\n" +
+           Start + "Camphorpin-Stamp: s\r\n\r\n"});
+  cr_assert_eq(Unstamped.verdict(), Verdict::MayHaveRun);
+}
+
 // Guards the answers that the protocol allows against the checks of the others.
 Test(BrokenAnswer, allowedFormsAreDelivered) {
   for (const NamedAnswer &Item : allowedForms(Fields)) {
