Check the head of an answer that another node passes on

What callers saw: while nodes of two versions run, one that still takes the status 000 for an answer passes it on, and the node beside the caller delivered it. Cause: readAnswer checked that a frame decodes, not that an answer marked as complete has the head of a final HTTP response. Change: such an answer is decoded as Failed, which callers get as 502. Truncated frames were handled already: the length of a frame comes first, and callsRoundTripAndTruncationsAreIncomplete shows it for each cut.

Evidence: PeerCodecTest answerWithoutAValidHeadIsAFailure failed before.

--- a/packages/gateway/camphorpin/src/Gateway/PeerCodec.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerCodec.cpp
@@ -205,6 +205,19 @@
   return Result;
 }
 
+/// \returns true if the head of \p Answer is that of a final HTTP response, as
+/// responseHead() makes it. A node of an earlier version passes on more.
+bool hasValidHead(const PeerAnswer &Answer) {
+  constexpr std::uint16_t FirstFinalStatus = 200;
+  constexpr std::uint16_t LastStatus = 599;
+  const std::string Start =
+      "HTTP/1.1 " + std::to_string(Answer.StatusCode) + " ";
+  return Answer.StatusCode >= FirstFinalStatus &&
+         Answer.StatusCode <= LastStatus && Answer.Head.starts_with(Start) &&
+         Answer.Head.ends_with("\r\n") &&
+         Answer.Head.find("\r\n\r\n") == std::string::npos;
+}
+
 PeerAnswer readAnswer(peer::Answer::Reader Source) {
   PeerAnswer Result;
   Result.Id = Source.getId();
@@ -224,6 +237,12 @@
   Result.RouteTime = Duration::ticks(Source.getRouteUs());
   Result.Configuration = Source.getConfiguration();
   Result.CrashCount = Source.getCrashCount();
+  if (Result.Outcome == CallOutcome::Answered && !hasValidHead(Result)) {
+    Result.Outcome = CallOutcome::Failed;
+    Result.Reason = RefusalReason::BackendFailed;
+    Result.Head.clear();
+    Result.Body.clear();
+  }
   return Result;
 }
 
--- a/packages/gateway/tests/PeerCodecTest.cpp
+++ b/packages/gateway/tests/PeerCodecTest.cpp
@@ -26,8 +26,38 @@
   return Call;
 }
 
+/// \returns an answer of a peer that passes on the status line
+/// "HTTP/1.1 <Line>", as it is decoded.
+PeerAnswer decodedAnswer(std::uint16_t Status, const std::string &Line) {
+  PeerAnswer Answer;
+  Answer.Id = 77;
+  Answer.Outcome = CallOutcome::Answered;
+  Answer.StatusCode = Status;
+  Answer.Head = "HTTP/1.1 " + Line + "\r\nX: y\r\n";
+  Answer.Body = "one";
+  std::string Stream;
+  encodeFrame(Answer, Stream);
+  return std::get<PeerAnswer>(decodeFrame(Stream).Frame);
+}
+
 } // namespace
 
+// Guards against a peer of an earlier version that passes on an answer that is
+// none of the protocol: callers must not get it.
+Test(PeerCodec, answerWithoutAValidHeadIsAFailure) {
+  for (const std::uint16_t Status : {0, 1, 99, 100, 101, 199, 600, 999, 65535})
+    cr_assert_eq(decodedAnswer(Status, std::to_string(Status) + " Odd").Outcome,
+                 CallOutcome::Failed, "status %d", Status);
+  cr_assert_eq(decodedAnswer(200, "404 Not Found").Outcome,
+               CallOutcome::Failed);
+  cr_assert_eq(decodedAnswer(200, "200 OK\r\n\r\nX: y").Outcome,
+               CallOutcome::Failed);
+  const PeerAnswer Whole = decodedAnswer(200, "200 OK");
+  cr_assert_eq(Whole.verdict(), Verdict::Ran);
+  cr_assert_eq(Whole.Body, std::string("one"));
+  cr_assert_eq(decodedAnswer(599, "599 Odd").verdict(), Verdict::Ran);
+}
+
 // Guards against bodies that are changed or truncated between nodes.
 Test(PeerCodec, callsRoundTripAndTruncationsAreIncomplete) {
   cr_assert(rc::check([](const std::string &Body) {
