Move the HTTP client of the gateway to a package of its own

Cause: stand-alone nodes, the client of the platform's log and camphorctl read answers with cpp-httplib, which takes many forms for answers that HTTP rules out, and cannot use the checks of the gateway's client, because the gateway depends on them. Change: EventLoop, HttpConnection, HttpConnectionPool, HttpMessages and ByteBudget move to packages/http; only paths of includes change.

--- a/packages/gateway/camphorpin/src/Gateway/AsyncHttpServer.h
+++ b/packages/gateway/camphorpin/src/Gateway/AsyncHttpServer.h
@@ -1,10 +1,10 @@
 #ifndef CAMPHORPIN_SRC_GATEWAY_ASYNCHTTPSERVER_H
 #define CAMPHORPIN_SRC_GATEWAY_ASYNCHTTPSERVER_H
 
-#include "camphorpin/src/Gateway/ByteBudget.h"
-#include "camphorpin/src/Gateway/EventLoop.h"
 #include "camphorpin/src/Gateway/FleetConfiguration.h"
-#include "camphorpin/src/Gateway/HttpMessages.h"
+#include "camphorpin/src/Http/ByteBudget.h"
+#include "camphorpin/src/Http/EventLoop.h"
+#include "camphorpin/src/Http/HttpMessages.h"
 
 #include <functional>
 #include <memory>
--- a/packages/gateway/camphorpin/src/Gateway/BackendProxy.h
+++ b/packages/gateway/camphorpin/src/Gateway/BackendProxy.h
@@ -4,12 +4,12 @@
 #include "camphorpin/src/Daemon/EventLog.h"
 #include "camphorpin/src/Gateway/BackendAdmission.h"
 #include "camphorpin/src/Gateway/BackendTracker.h"
-#include "camphorpin/src/Gateway/ByteBudget.h"
 #include "camphorpin/src/Gateway/CrashDetector.h"
 #include "camphorpin/src/Gateway/GatewaySettings.h"
-#include "camphorpin/src/Gateway/HttpConnectionPool.h"
 #include "camphorpin/src/Gateway/PeerMessages.h"
 #include "camphorpin/src/Gateway/PlatformProtocol.h"
+#include "camphorpin/src/Http/ByteBudget.h"
+#include "camphorpin/src/Http/HttpConnectionPool.h"
 
 #include <functional>
 #include <map>
--- a/packages/gateway/camphorpin/src/Gateway/CrashDetector.h
+++ b/packages/gateway/camphorpin/src/Gateway/CrashDetector.h
@@ -2,8 +2,8 @@
 #define CAMPHORPIN_SRC_GATEWAY_CRASHDETECTOR_H
 
 #include "camphorpin/src/Crash/CrashGuard.h"
-#include "camphorpin/src/Gateway/EventLoop.h"
 #include "camphorpin/src/Gateway/PeerMessages.h"
+#include "camphorpin/src/Http/EventLoop.h"
 
 #include <functional>
 #include <vector>
--- a/packages/gateway/camphorpin/src/Gateway/NetworkDisseminatorContext.h
+++ b/packages/gateway/camphorpin/src/Gateway/NetworkDisseminatorContext.h
@@ -1,10 +1,10 @@
 #ifndef CAMPHORPIN_SRC_GATEWAY_NETWORKDISSEMINATORCONTEXT_H
 #define CAMPHORPIN_SRC_GATEWAY_NETWORKDISSEMINATORCONTEXT_H
 
-#include "camphorpin/src/Gateway/EventLoop.h"
 #include "camphorpin/src/Gateway/PeerNetwork.h"
 #include "camphorpin/src/Gateway/PeerServer.h"
 #include "camphorpin/src/Gateway/UpdateDisseminator.h"
+#include "camphorpin/src/Http/EventLoop.h"
 
 #include <functional>
 #include <string>
--- a/packages/gateway/camphorpin/src/Gateway/PeerChannel.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerChannel.h
@@ -1,8 +1,8 @@
 #ifndef CAMPHORPIN_SRC_GATEWAY_PEERCHANNEL_H
 #define CAMPHORPIN_SRC_GATEWAY_PEERCHANNEL_H
 
-#include "camphorpin/src/Gateway/EventLoop.h"
 #include "camphorpin/src/Gateway/PeerMessages.h"
+#include "camphorpin/src/Http/EventLoop.h"
 
 #include <functional>
 #include <memory>
--- a/packages/gateway/camphorpin/src/Gateway/PlatformProtocol.h
+++ b/packages/gateway/camphorpin/src/Gateway/PlatformProtocol.h
@@ -3,7 +3,7 @@
 
 #include "camphorpin/src/Gateway/BackendReport.h"
 #include "camphorpin/src/Gateway/FleetConfiguration.h"
-#include "camphorpin/src/Gateway/HttpMessages.h"
+#include "camphorpin/src/Http/HttpMessages.h"
 
 #include <cstdint>
 #include <optional>
--- a/packages/gateway/camphorpin/src/Gateway/StoreReader.h
+++ b/packages/gateway/camphorpin/src/Gateway/StoreReader.h
@@ -1,9 +1,9 @@
 #ifndef CAMPHORPIN_SRC_GATEWAY_STOREREADER_H
 #define CAMPHORPIN_SRC_GATEWAY_STOREREADER_H
 
-#include "camphorpin/src/Gateway/HttpConnectionPool.h"
 #include "camphorpin/src/Gateway/PlatformProtocol.h"
 #include "camphorpin/src/Gateway/StoreReadPacing.h"
+#include "camphorpin/src/Http/HttpConnectionPool.h"
 
 #include <memory>
 #include <optional>
--- a/packages/gateway/camphorpin/src/Gateway/StoreWriter.h
+++ b/packages/gateway/camphorpin/src/Gateway/StoreWriter.h
@@ -1,8 +1,8 @@
 #ifndef CAMPHORPIN_SRC_GATEWAY_STOREWRITER_H
 #define CAMPHORPIN_SRC_GATEWAY_STOREWRITER_H
 
-#include "camphorpin/src/Gateway/HttpConnectionPool.h"
 #include "camphorpin/src/Gateway/PlatformProtocol.h"
+#include "camphorpin/src/Http/HttpConnectionPool.h"
 
 #include <memory>
 #include <optional>
--- a/packages/gateway/tests/AcceptLoopTest.cpp
+++ b/packages/gateway/tests/AcceptLoopTest.cpp
@@ -1,5 +1,5 @@
 #include "FreeAddress.h"
-#include "camphorpin/src/Gateway/EventLoop.h"
+#include "camphorpin/src/Http/EventLoop.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <criterion/criterion.h>
--- a/packages/gateway/camphorpin/src/Gateway/ByteBudget.cpp
+++ b/packages/http/camphorpin/src/Http/ByteBudget.cpp
@@ -1,4 +1,4 @@
-#include "camphorpin/src/Gateway/ByteBudget.h"
+#include "camphorpin/src/Http/ByteBudget.h"
 
 #include <algorithm>
 
--- a/packages/gateway/camphorpin/src/Gateway/EventLoop.cpp
+++ b/packages/http/camphorpin/src/Http/EventLoop.cpp
@@ -1,4 +1,4 @@
-#include "camphorpin/src/Gateway/EventLoop.h"
+#include "camphorpin/src/Http/EventLoop.h"
 
 #include <algorithm>
 #include <netinet/in.h>
--- a/packages/gateway/camphorpin/src/Gateway/HttpConnection.cpp
+++ b/packages/http/camphorpin/src/Http/HttpConnection.cpp
@@ -1,4 +1,4 @@
-#include "camphorpin/src/Gateway/HttpConnection.h"
+#include "camphorpin/src/Http/HttpConnection.h"
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
--- a/packages/gateway/camphorpin/src/Gateway/HttpConnection.h
+++ b/packages/http/camphorpin/src/Http/HttpConnection.h
@@ -1,9 +1,9 @@
-#ifndef CAMPHORPIN_SRC_GATEWAY_HTTPCONNECTION_H
-#define CAMPHORPIN_SRC_GATEWAY_HTTPCONNECTION_H
+#ifndef CAMPHORPIN_SRC_HTTP_HTTPCONNECTION_H
+#define CAMPHORPIN_SRC_HTTP_HTTPCONNECTION_H
 
-#include "camphorpin/src/Gateway/ByteBudget.h"
-#include "camphorpin/src/Gateway/EventLoop.h"
-#include "camphorpin/src/Gateway/HttpMessages.h"
+#include "camphorpin/src/Http/ByteBudget.h"
+#include "camphorpin/src/Http/EventLoop.h"
+#include "camphorpin/src/Http/HttpMessages.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
--- a/packages/gateway/camphorpin/src/Gateway/HttpConnectionPool.cpp
+++ b/packages/http/camphorpin/src/Http/HttpConnectionPool.cpp
@@ -1,4 +1,4 @@
-#include "camphorpin/src/Gateway/HttpConnectionPool.h"
+#include "camphorpin/src/Http/HttpConnectionPool.h"
 
 #include <algorithm>
 
--- a/packages/gateway/camphorpin/src/Gateway/HttpConnectionPool.h
+++ b/packages/http/camphorpin/src/Http/HttpConnectionPool.h
@@ -1,7 +1,7 @@
-#ifndef CAMPHORPIN_SRC_GATEWAY_HTTPCONNECTIONPOOL_H
-#define CAMPHORPIN_SRC_GATEWAY_HTTPCONNECTIONPOOL_H
+#ifndef CAMPHORPIN_SRC_HTTP_HTTPCONNECTIONPOOL_H
+#define CAMPHORPIN_SRC_HTTP_HTTPCONNECTIONPOOL_H
 
-#include "camphorpin/src/Gateway/HttpConnection.h"
+#include "camphorpin/src/Http/HttpConnection.h"
 
 #include <memory>
 #include <vector>
--- a/packages/gateway/camphorpin/src/Gateway/HttpMessages.cpp
+++ b/packages/http/camphorpin/src/Http/HttpMessages.cpp
@@ -1,4 +1,4 @@
-#include "camphorpin/src/Gateway/HttpMessages.h"
+#include "camphorpin/src/Http/HttpMessages.h"
 
 #include <algorithm>
 #include <array>
--- a/packages/gateway/camphorpin/src/Gateway/HttpMessages.h
+++ b/packages/http/camphorpin/src/Http/HttpMessages.h
@@ -1,5 +1,5 @@
-#ifndef CAMPHORPIN_SRC_GATEWAY_HTTPMESSAGES_H
-#define CAMPHORPIN_SRC_GATEWAY_HTTPMESSAGES_H
+#ifndef CAMPHORPIN_SRC_HTTP_HTTPMESSAGES_H
+#define CAMPHORPIN_SRC_HTTP_HTTPMESSAGES_H
 
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
