Reject answers with a line that begins with a blank

What callers saw: a header line whose name begins with a blank was joined to the value of the header before it, so that a stamp was passed on with more than the server's bytes, or a length was lost and the body ended elsewhere. Cause: Beast's parser takes such a line for the continuation of the one before, which HTTP/1.1 rules out for senders (RFC 9112, 5.2); the parsed headers no longer show it. Change: HttpConnection looks for it in the bytes that the parser has consumed for the head, and ends the exchange as Malformed.

Evidence: malformedHeadIsAFailure failed without the check at "blank before a later name". Result: BrokenAnswerTest passes.

--- a/packages/http/camphorpin/src/Http/HttpConnection.cpp
+++ b/packages/http/camphorpin/src/Http/HttpConnection.cpp
@@ -166,10 +166,13 @@
   while (Done && detail::canParse(*CurrentParser, Buffer.size())) {
     ErrorCode Error;
     const std::size_t Used = CurrentParser->put(Buffer.data(), Error);
+    const std::string_view Parsed(
+        static_cast<const char *>(Buffer.data().data()), Used);
+    const bool HeadValid = acceptHead(Parsed);
     Buffer.consume(Used);
     if (Error == http::error::need_more)
       return;
-    if (Error || !acceptHead()) {
+    if (Error || !HeadValid) {
       finish(ExchangeOutcome::Malformed, {});
       return;
     }
@@ -196,10 +199,12 @@
   }
 }
 
-bool HttpConnection::acceptHead() {
+bool HttpConnection::acceptHead(std::string_view Parsed) {
   if (HeadAccepted || !CurrentParser->is_header_done())
     return true;
-  HeadAccepted = detail::isValidHead(CurrentParser->get());
+  // The parser reads a head only when all of it has arrived.
+  HeadAccepted = !detail::hasFoldedLine(Parsed) &&
+                 detail::isValidHead(CurrentParser->get());
   if (CurrentParser->chunked())
     ChunkedHead = CurrentParser->get();
   return HeadAccepted;
--- a/packages/http/camphorpin/src/Http/HttpConnection.h
+++ b/packages/http/camphorpin/src/Http/HttpConnection.h
@@ -101,8 +101,9 @@
   void read();
   void onRead(const ErrorCode &Error, std::size_t Bytes);
   void parse();
+  /// \param Parsed the bytes that the parser has just consumed.
   /// \returns false if the head of the response has arrived and is invalid.
-  bool acceptHead();
+  bool acceptHead(std::string_view Parsed);
   /// Counts the bytes of the response that is being received.
   /// \returns false if they exceed a limit.
   bool withinLimits();
--- a/packages/http/camphorpin/src/Http/HttpMessages.cpp
+++ b/packages/http/camphorpin/src/Http/HttpMessages.cpp
@@ -90,6 +90,11 @@
          !announcesImpossibleBody(Response);
 }
 
+bool hasFoldedLine(std::string_view Head) {
+  return Head.find("\r\n ") != std::string_view::npos ||
+         Head.find("\r\n\t") != std::string_view::npos;
+}
+
 std::string headerLine(std::string_view Name, std::string_view Value) {
   std::string Result;
   Result.reserve(Name.size() + Value.size() + 4);
