Read the answers of a stand-alone node's backend server strictly

What callers of a stand-alone node saw: answers with the status 000 and other impossible ones; answers whose head held malformed names, lines without a colon, control bytes, two lengths or a length that is no number, some of them with a body that was not the server's; escaped bytes of a header's value decoded, so that one header became two; and 502 in place of answers that were complete, if they had no length, or came during an upload that then broke off.

Cause: BackendClient read answers with cpp-httplib, which is lenient in all of this and writes the whole request before it reads. Change: BlockingHttpClient runs an exchange of HttpConnection for a thread that waits, and BackendClient uses it. The rule that an answer without a length is never believed goes: an orderly end is told from a reset. A run whose time ends before there is a connection is not run now, and one that waits for an answer is closed at the deadline of the request as a whole, not of each read.

Evidence: BackendAnswerTest failed before in 8 of its 9 tests (resetIsAFailure passed).

--- a/packages/daemon/camphorpin/src/Daemon/BackendClient.h
+++ b/packages/daemon/camphorpin/src/Daemon/BackendClient.h
@@ -1,11 +1,10 @@
 #ifndef CAMPHORPIN_SRC_DAEMON_BACKENDCLIENT_H
 #define CAMPHORPIN_SRC_DAEMON_BACKENDCLIENT_H
 
+#include "camphorpin/Http.h"
 #include "camphorpin/src/Daemon/BackendRunners.h"
 
 #include <cstddef>
-#include <httplib.h>
-#include <memory>
 #include <string>
 
 namespace camphorpin {
@@ -27,13 +26,15 @@
   void cancel(const std::string &Token);
 
 private:
-  httplib::Headers headersFor(const BackendJob &Job, Duration Remaining) const;
-  BackendDone interpret(const BackendJob &Job, const httplib::Result &Result);
+  std::string requestBytes(const BackendJob &Job, Duration Remaining) const;
+  BackendDone interpret(const BackendJob &Job, ExchangeResult Result);
+  BackendDone interpretResponse(const BackendJob &Job, HttpResponse Response);
+  BackendDone lost(const BackendJob &Job) const;
 
   const HostAddress Address;
   const std::size_t MaxBody;
   const Clock &Time;
-  httplib::Client Client;
+  BlockingHttpClient Client;
 };
 
 } // namespace camphorpin
--- a/packages/daemon/camphorpin/src/Daemon/HttpHeaders.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/HttpHeaders.cpp
@@ -51,6 +51,15 @@
   return Result;
 }
 
+std::vector<HeaderField> endToEndHeaders(const HttpResponse &Source) {
+  std::vector<HeaderField> Result;
+  for (const auto &Field : Source)
+    if (!isLocal(Field.name_string()))
+      Result.push_back(
+          {std::string(Field.name_string()), std::string(Field.value())});
+  return Result;
+}
+
 std::string_view headerValue(const Payload &Source, std::string_view Name) {
   for (const HeaderField &Field : Source.Headers)
     if (sameHeader(Field.Name, Name))
--- a/packages/daemon/camphorpin/src/Daemon/HttpHeaders.h
+++ b/packages/daemon/camphorpin/src/Daemon/HttpHeaders.h
@@ -1,6 +1,7 @@
 #ifndef CAMPHORPIN_SRC_DAEMON_HTTPHEADERS_H
 #define CAMPHORPIN_SRC_DAEMON_HTTPHEADERS_H
 
+#include "camphorpin/Http.h"
 #include "camphorpin/Wire.h"
 
 #include <httplib.h>
@@ -29,6 +30,7 @@
 
 /// \returns the headers of \p Source that travel end to end.
 std::vector<HeaderField> endToEndHeaders(const httplib::Headers &Source);
+std::vector<HeaderField> endToEndHeaders(const HttpResponse &Source);
 
 /// \returns true if the names are equal without regard to case.
 bool sameHeader(std::string_view First, std::string_view Second);
--- a/packages/http/camphorpin/src/Http/HttpConnection.h
+++ b/packages/http/camphorpin/src/Http/HttpConnection.h
@@ -73,6 +73,9 @@
   /// Closes the connection without calling the handler.
   void close();
 
+  /// \returns true if the connection was established.
+  bool connected() const { return Open; }
+
   /// \returns true if another exchange can start.
   bool reusable() const;
 
