Read the replies of the platform's log strictly

What operators and nodes saw: an append counted as accepted, and records as read, by a reply whose head HTTP rules out (a blank or a control byte in a name, a line without a colon, two lengths, an unknown coding). Cause: HttpPlatformLog read replies with cpp-httplib. Change: it uses BlockingHttpClient; such a reply to an append is Unknown, and one to a read Unavailable. Its settings hold an address in place of a host name and a port, because both users made them from an address, and one timeout for a call in place of one for each read.

Result: LogAnswerTest and HttpPlatformLogTest pass, and all process tests, LogFailureTest among them.

--- a/packages/client/main.cpp
+++ b/packages/client/main.cpp
@@ -98,8 +98,7 @@
   if (!Address)
     return usageError("--log is an address such as 127.0.0.1:9000");
   HttpLogSettings Settings;
-  Settings.Host = FLAGS_log.substr(0, FLAGS_log.find(':'));
-  Settings.Port = Address->Port;
+  Settings.Address = *Address;
   Settings.ReplyTimeout = Duration::millis(FLAGS_timeout_ms);
   HttpPlatformLog Log(Settings);
   PolicyOptions Options;
--- a/packages/daemon/camphorpin/src/Daemon/LogThreads.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/LogThreads.cpp
@@ -30,9 +30,7 @@
 
 HttpLogSettings LogThreads::settingsFor(const HostAddress &Address) {
   HttpLogSettings Result;
-  const std::string Text = Address.toString();
-  Result.Host = Text.substr(0, Text.find(':'));
-  Result.Port = Address.Port;
+  Result.Address = Address;
   return Result;
 }
 
--- a/packages/logclient/camphorpin/src/LogClient/HttpPlatformLog.cpp
+++ b/packages/logclient/camphorpin/src/LogClient/HttpPlatformLog.cpp
@@ -1,41 +1,36 @@
 #include "camphorpin/src/LogClient/HttpPlatformLog.h"
 
+#include "camphorpin/Http.h"
 #include "camphorpin/src/LogClient/LogReply.h"
 
 #include <boost/leaf/error.hpp>
 #include <cassert>
-#include <chrono>
-#include <httplib.h>
 #include <optional>
+#include <string>
+#include <utility>
 
 namespace camphorpin {
 
 namespace {
 
-constexpr const char *RecordsPath = "/v1/records";
-constexpr int StatusOk = 200;
-
-std::chrono::microseconds toChrono(Duration Span) {
-  return std::chrono::microseconds(Span.ticks());
-}
+constexpr std::string_view RecordsPath = "/v1/records";
+constexpr unsigned StatusOk = 200;
 
 /// \brief The outcome of one HTTP request.
 struct Reply {
+  ExchangeOutcome Outcome = ExchangeOutcome::ConnectionLost;
   /// The HTTP status, or nothing if no complete reply was received.
-  std::optional<int> Status;
-  httplib::Error Error = httplib::Error::Success;
+  std::optional<unsigned> Status;
   std::string Body;
 
-  bool failedToConnect() const {
-    return Error == httplib::Error::Connection ||
-           Error == httplib::Error::ConnectionTimeout ||
-           Error == httplib::Error::BindIPAddress;
-  }
-
   std::string describeFailure() const {
     if (Status)
       return "the log replied with HTTP status " + std::to_string(*Status);
-    return "no complete reply from the log: " + httplib::to_string(Error);
+    if (Outcome == ExchangeOutcome::NotSent)
+      return "cannot connect to the log";
+    if (Outcome == ExchangeOutcome::Malformed)
+      return "the reply of the log is no valid HTTP, or too large";
+    return "no complete reply from the log";
   }
 };
 
@@ -50,42 +45,32 @@
 class HttpPlatformLog::Connection {
 public:
   explicit Connection(const HttpLogSettings &Settings)
-      : Settings(Settings), Client(Settings.Host, Settings.Port) {
-    Client.set_keep_alive(true);
-    Client.set_tcp_nodelay(true);
-    Client.set_connection_timeout(toChrono(Settings.ConnectTimeout));
-    Client.set_read_timeout(toChrono(Settings.ReplyTimeout));
-    Client.set_write_timeout(toChrono(Settings.ReplyTimeout));
-  }
+      : Settings(Settings), Client(Settings.Address) {}
 
-  /// Sends \p Request and receives a reply with a body of at most
+  /// Sends a request and receives a reply with a body of at most
   /// MaxReplyBytes.
-  Reply sendRequest(httplib::Request Request) {
-    Reply Received;
-    std::optional<Instant> BodyDeadline;
-    Request.content_receiver = [&](const char *Data, std::size_t Size,
-                                   std::uint64_t, std::uint64_t) {
-      const Instant Now = Time.now();
-      if (!BodyDeadline)
-        BodyDeadline = Now + Settings.ReplyTimeout;
-      if (Now > *BodyDeadline ||
-          Received.Body.size() + Size > Settings.MaxReplyBytes)
-        return false;
-      Received.Body.append(Data, Size);
-      return true;
-    };
-    httplib::Response Response;
-    if (Client.send(Request, Response, Received.Error))
-      Received.Status = Response.status;
-    else
-      Client.stop();
+  /// \param RequestLine without the version.
+  /// \param Extra further headers, each with CRLF.
+  Reply sendRequest(std::string_view RequestLine, std::string_view Extra,
+                    std::string_view Body) {
+    ExchangeRequest Request;
+    Request.Bytes = std::string(RequestLine) + " HTTP/1.1\r\n" +
+                    detail::headerLine("Host", Settings.Address.toString());
+    Request.Bytes.append(Extra).append("\r\n").append(Body);
+    Request.MaxBodyBytes = Settings.MaxReplyBytes;
+    ExchangeResult Result =
+        Client.exchange(std::move(Request), Settings.ReplyTimeout);
+    Reply Received{Result.Outcome, {}, {}};
+    if (Result.Outcome == ExchangeOutcome::Complete) {
+      Received.Status = Result.Response.result_int();
+      Received.Body = std::move(Result.Response.body());
+    }
     return Received;
   }
 
 private:
   HttpLogSettings Settings;
-  SystemClock Time;
-  httplib::Client Client;
+  BlockingHttpClient Client;
 };
 
 HttpPlatformLog::HttpPlatformLog(const HttpLogSettings &Settings)
@@ -94,15 +79,14 @@
 HttpPlatformLog::~HttpPlatformLog() = default;
 
 AppendOutcome HttpPlatformLog::append(std::string_view Record) {
-  httplib::Request Request;
-  Request.method = "POST";
-  Request.path = RecordsPath;
-  Request.set_header("Content-Type", "application/json");
-  Request.body = Record;
-  const Reply Received = LogConnection->sendRequest(std::move(Request));
+  const std::string Extra =
+      detail::headerLine("Content-Type", "application/json") +
+      detail::headerLine("Content-Length", std::to_string(Record.size()));
+  const Reply Received = LogConnection->sendRequest(
+      "POST " + std::string(RecordsPath), Extra, Record);
   const bool Rejected =
       Received.Status && *Received.Status >= 400 && *Received.Status < 500;
-  if (Received.failedToConnect() || Rejected)
+  if (Received.Outcome == ExchangeOutcome::NotSent || Rejected)
     return {AppendStatus::Unavailable, 0, Received.describeFailure()};
   if (Received.Status != StatusOk)
     return {AppendStatus::Unknown, 0, Received.describeFailure()};
@@ -117,11 +101,10 @@
 boost::leaf::result<LogBatch> HttpPlatformLog::read(LogOffset From,
                                                     std::size_t Max) {
   assert(Max > 0 && "a read must request at least one record");
-  httplib::Request Request;
-  Request.method = "GET";
-  Request.path = std::string(RecordsPath) + "?from=" + std::to_string(From) +
-                 "&max=" + std::to_string(Max);
-  const Reply Received = LogConnection->sendRequest(std::move(Request));
+  const std::string Line = "GET " + std::string(RecordsPath) +
+                           "?from=" + std::to_string(From) +
+                           "&max=" + std::to_string(Max);
+  const Reply Received = LogConnection->sendRequest(Line, {}, {});
   if (Received.Status != StatusOk)
     return makeReadError(LogReadError::Cause::Unavailable,
                          Received.describeFailure());
--- a/packages/logclient/camphorpin/src/LogClient/HttpPlatformLog.h
+++ b/packages/logclient/camphorpin/src/LogClient/HttpPlatformLog.h
@@ -5,21 +5,16 @@
 #include "camphorpin/src/LogClient/PlatformLog.h"
 
 #include <cstddef>
-#include <cstdint>
 #include <memory>
-#include <string>
+#include <string_view>
 
 namespace camphorpin {
 
 /// \class HttpLogSettings
-/// \brief The address, timeouts and limits of the connection to the log.
+/// \brief The address, timeout and limit of the connection to the log.
 struct HttpLogSettings {
-  /// IPv4 address or host name.
-  std::string Host = "127.0.0.1";
-  std::uint16_t Port = 0;
-  Duration ConnectTimeout = Duration::seconds(1);
-  /// Timeout of each read and write on the connection, and of receiving the
-  /// whole body of a reply.
+  HostAddress Address;
+  /// Time from a call to the end of its reply.
   Duration ReplyTimeout = Duration::seconds(5);
   /// A reply with a longer body is discarded, which bounds the memory of a
   /// call.
--- a/packages/logclient/tests/HttpPlatformLogTest.cpp
+++ b/packages/logclient/tests/HttpPlatformLogTest.cpp
@@ -37,7 +37,7 @@
 
   HttpLogSettings settings() const {
     HttpLogSettings Settings;
-    Settings.Port = static_cast<std::uint16_t>(Port);
+    Settings.Address = *HostAddress::parse("127.0.0.1:" + std::to_string(Port));
     Settings.MaxReplyBytes = 4096;
     return Settings;
   }
