Read the answers of a node's admin address strictly in camphorctl

What operators could see: the state of a node from an answer that HTTP rules out, or with a body that was not the node's. Cause: HttpAdminClient read answers with cpp-httplib. Change: it uses BlockingHttpClient. Names of services in paths were checked before, so that nothing has to be escaped.

Evidence: AdminAnswerTest malformedAnswersAreNotShown failed before at 52 forms of answers. Result: AdminAnswerTest and OperatorCommandsTest pass.

--- a/packages/client/camphorpin/src/Client/HttpAdminClient.cpp
+++ b/packages/client/camphorpin/src/Client/HttpAdminClient.cpp
@@ -1,42 +1,39 @@
 #include "camphorpin/src/Client/HttpAdminClient.h"
 
-#include <chrono>
-#include <httplib.h>
+#include "camphorpin/Http.h"
+
+#include <string_view>
+#include <utility>
 
 namespace camphorpin {
 
 namespace {
 
-std::string hostOf(HostAddress Address) {
-  const std::string Text = Address.toString();
-  return Text.substr(0, Text.find(':'));
-}
-
-void setTimeouts(httplib::Client &Client, Duration Timeout) {
-  const std::chrono::microseconds Span(Timeout.ticks());
-  Client.set_connection_timeout(Span);
-  Client.set_read_timeout(Span);
-  Client.set_write_timeout(Span);
-}
-
-std::optional<AdminReply> replyOf(const httplib::Result &Result) {
-  if (!Result)
+/// \param RequestLine without the version.
+std::optional<AdminReply> exchange(const HostAddress &Address, Duration Timeout,
+                                   std::string_view RequestLine,
+                                   std::string_view Extra) {
+  ExchangeRequest Request;
+  Request.Bytes = std::string(RequestLine) + " HTTP/1.1\r\n" +
+                  detail::headerLine("Host", Address.toString());
+  Request.Bytes.append(Extra).append("\r\n");
+  BlockingHttpClient Client(Address);
+  ExchangeResult Result = Client.exchange(std::move(Request), Timeout);
+  if (Result.Outcome != ExchangeOutcome::Complete)
     return std::nullopt;
-  return AdminReply{Result->status, Result->body};
+  return AdminReply{static_cast<int>(Result.Response.result_int()),
+                    std::move(Result.Response.body())};
 }
 
 } // namespace
 
 std::optional<AdminReply> HttpAdminClient::fetch(const std::string &Path) {
-  httplib::Client Client(hostOf(Address), Address.Port);
-  setTimeouts(Client, Timeout);
-  return replyOf(Client.Get(Path));
+  return exchange(Address, Timeout, "GET " + Path, {});
 }
 
 std::optional<AdminReply> HttpAdminClient::post(const std::string &Path) {
-  httplib::Client Client(hostOf(Address), Address.Port);
-  setTimeouts(Client, Timeout);
-  return replyOf(Client.Post(Path));
+  return exchange(Address, Timeout, "POST " + Path,
+                  detail::headerLine("Content-Length", "0"));
 }
 
 } // namespace camphorpin
--- a/packages/client/camphorpin/src/Client/HttpAdminClient.h
+++ b/packages/client/camphorpin/src/Client/HttpAdminClient.h
@@ -10,7 +10,7 @@
 /// \brief AdminClient over HTTP, with a new connection for each request.
 class HttpAdminClient final : public AdminClient {
 public:
-  /// \param Timeout for the connection and for the answer.
+  /// \param Timeout from a call to the end of the answer.
   HttpAdminClient(HostAddress Address, Duration Timeout)
       : Address(Address), Timeout(Timeout) {}
 
