Check the answers that another stand-alone node passes on

What callers saw: while nodes of two versions run, one that still takes the status 000, or a name of a header with a blank, for a part of an answer passes it on, and the node beside the caller delivered it. Cause: RpcChannel checked only that the payload has a known form; readPayload took any name without a line break. Change: readResponse also checks that the status is one of a final response, and names of headers are tokens. Such an answer counts as lost, and the connection goes on.

Evidence: ConnectionTest impossibleAnswerIsRefusedAlone failed before at the status 0, WireTest rejectsImpossibleResponses at the name "X y". The answers of the other cases of ConnectionTest had the status 0 and were believed; they have 200 now, so that oversizedAnswerIsRefusedAlone still fails for the size alone. Result: both pass.

--- a/packages/daemon/camphorpin/src/Daemon/RpcChannel.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/RpcChannel.cpp
@@ -109,9 +109,14 @@
   const std::optional<Verdict> Value = verdictFromCode(Source.getVerdict());
   const std::optional<RefusalReason> Reason =
       reasonFromCode(Source.getReason());
-  std::optional<Payload> Body = readPayload(Source.getPayload());
-  if (!Value || !Reason || !Body || Source.getLowestAccepted() >= MaxRanks ||
-      Body->Body.size() > Environment.Options.MaxBody) {
+  std::optional<Payload> Body;
+  if (Source.hasPayload())
+    Body = readResponse(Source.getPayload());
+  const bool IsBodyMalformed =
+      Source.hasPayload() &&
+      (!Body || Body->Body.size() > Environment.Options.MaxBody);
+  if (!Value || !Reason || IsBodyMalformed ||
+      Source.getLowestAccepted() >= MaxRanks) {
     finish(Call, {.Reason = RefusalReason::PeerFailed}, nullptr);
     return;
   }
@@ -122,7 +127,7 @@
                     .Leaving = Source.getLeaving(),
                     .DownstreamRefused = Source.getDownstreamRefused()};
   SharedPayload Shared;
-  if (Source.hasPayload())
+  if (Body)
     Shared = std::make_shared<const Payload>(*std::move(Body));
   finish(Call, Result, std::move(Shared));
 }
--- a/packages/daemon/tests/ConnectionTest.cpp
+++ b/packages/daemon/tests/ConnectionTest.cpp
@@ -139,6 +139,11 @@
   std::uint64_t LastCall = 0;
 };
 
+SharedPayload response(std::uint16_t Status, std::string Body = {}) {
+  return std::make_shared<Payload>(
+      Payload{.Status = Status, .Body = std::move(Body)});
+}
+
 } // namespace
 
 Test(Connection, silentOneIsReplacedAndItsCallsMayHaveRun) {
@@ -155,7 +160,7 @@
 
   const CallId Second = Client.call(Between.Address);
   CallArrived Arrived = Server.next<CallArrived>();
-  Arrived.Sink->deliver({.Verdict = Verdict::Ran}, std::make_shared<Payload>());
+  Arrived.Sink->deliver({.Verdict = Verdict::Ran}, response(200));
   const CallDone Done = Client.next<CallDone>();
   cr_assert(Done.Call == Second && Done.Result.Verdict == Verdict::Ran);
 }
@@ -170,7 +175,7 @@
   // Several comparisons pass while the answer is outstanding.
   while (Between.accepted() < 4)
     ::usleep(10000);
-  Arrived.Sink->deliver({.Verdict = Verdict::Ran}, std::make_shared<Payload>());
+  Arrived.Sink->deliver({.Verdict = Verdict::Ran}, response(200));
   const CallDone Done = Client.next<CallDone>();
   cr_assert(Done.Call == Call && Done.Result.Verdict == Verdict::Ran);
 }
@@ -195,12 +200,29 @@
   TestNode Client(Duration::seconds(60));
   Client.call(Server.Address);
   CallArrived Arrived = Server.next<CallArrived>();
-  Arrived.Sink->deliver(
-      {.Verdict = Verdict::Ran},
-      std::make_shared<Payload>(Payload{.Body = std::string(2000, 'x')}));
+  Arrived.Sink->deliver({.Verdict = Verdict::Ran},
+                        response(200, std::string(2000, 'x')));
   cr_assert(Client.next<CallDone>().Result.Verdict == Verdict::MayHaveRun);
   Client.call(Server.Address);
   Arrived = Server.next<CallArrived>();
-  Arrived.Sink->deliver({.Verdict = Verdict::Ran}, std::make_shared<Payload>());
+  Arrived.Sink->deliver({.Verdict = Verdict::Ran}, response(200));
+  cr_assert(Client.next<CallDone>().Result.Verdict == Verdict::Ran);
+}
+
+// Guards against a node of an earlier version that passes on an answer that is
+// none of the protocol: it counts as lost, and the connection's next calls are
+// answered.
+Test(Connection, impossibleAnswerIsRefusedAlone) {
+  TestNode Server(Duration::seconds(60));
+  TestNode Client(Duration::seconds(60));
+  for (const std::uint16_t Status : {0, 99, 101, 600}) {
+    Client.call(Server.Address);
+    Server.next<CallArrived>().Sink->deliver({.Verdict = Verdict::Ran},
+                                             response(Status));
+    cr_assert(Client.next<CallDone>().Result.Verdict == Verdict::MayHaveRun);
+  }
+  Client.call(Server.Address);
+  Server.next<CallArrived>().Sink->deliver({.Verdict = Verdict::Ran},
+                                           response(200));
   cr_assert(Client.next<CallDone>().Result.Verdict == Verdict::Ran);
 }
--- a/packages/wire/camphorpin/src/Wire/Codec.cpp
+++ b/packages/wire/camphorpin/src/Wire/Codec.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string_view>
+#include <utility>
 
 namespace camphorpin {
 
@@ -34,13 +35,6 @@
   return Ticks >= -MaxDuration.ticks() && Ticks <= MaxDuration.ticks();
 }
 
-/// Rejects line breaks and NUL, which would allow HTTP header injection.
-bool isValidHeaderText(std::string_view Text) {
-  return std::none_of(Text.begin(), Text.end(), [](char C) {
-    return C == '\r' || C == '\n' || C == '\0';
-  });
-}
-
 bool isSupportedMethod(std::string_view Text) {
   return Text.empty() || Text == "GET" || Text == "POST";
 }
@@ -146,7 +140,7 @@
   for (wire::Header::Reader Field : Source.getHeaders()) {
     const std::string_view Name = toStringView(Field.getName());
     const std::string_view Text = toStringView(Field.getValue());
-    if (Name.empty() || !isValidHeaderText(Name) || !isValidHeaderText(Text))
+    if (!isValidHeaderName(Name) || !isValidHeaderText(Text))
       return std::nullopt;
     Value.Headers.push_back({std::string(Name), std::string(Text)});
   }
@@ -155,6 +149,15 @@
   return Value;
 }
 
+std::optional<Payload> readResponse(wire::Payload::Reader Source) {
+  constexpr std::uint16_t FirstFinalStatus = 200;
+  constexpr std::uint16_t LastStatus = 599;
+  std::optional<Payload> Value = readPayload(Source);
+  const bool IsFinal =
+      Value && Value->Status >= FirstFinalStatus && Value->Status <= LastStatus;
+  return IsFinal ? std::move(Value) : std::nullopt;
+}
+
 std::optional<Verdict> verdictFromCode(std::uint8_t Code) {
   if (Code > static_cast<std::uint8_t>(Verdict::MayHaveRun))
     return std::nullopt;
--- a/packages/wire/camphorpin/src/Wire/Codec.h
+++ b/packages/wire/camphorpin/src/Wire/Codec.h
@@ -24,10 +24,15 @@
 void writePayload(wire::Payload::Builder Target, const Payload &Value);
 
 /// \returns the payload, or nothing if the method is unsupported, there are
-/// more than MaxHeaderFields headers, a header name is empty, or the query or a
-/// header contains a line break or NUL.
+/// more than MaxHeaderFields headers, a header name is no token, or the query
+/// or a header contains a line break or NUL.
 std::optional<Payload> readPayload(wire::Payload::Reader Source);
 
+/// \returns the payload of an answer, or nothing if it is malformed or its
+/// status is none of a final HTTP response. A node of an earlier version passes
+/// on such an answer of its backend server.
+std::optional<Payload> readResponse(wire::Payload::Reader Source);
+
 /// \brief The maximum number of headers in a payload.
 inline constexpr std::size_t MaxHeaderFields = 256;
 
--- a/packages/wire/camphorpin/src/Wire/Payload.h
+++ b/packages/wire/camphorpin/src/Wire/Payload.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace camphorpin {
@@ -15,6 +16,13 @@
   std::string Value;
 };
 
+/// \returns true if \p Name is a token (RFC 9110, 5.6.2).
+bool isValidHeaderName(std::string_view Name);
+
+/// \returns false if \p Text contains a line break or NUL, which would make
+/// two headers of one.
+bool isValidHeaderText(std::string_view Text);
+
 /// \class Payload
 /// \brief The content of an HTTP request or response, forwarded end to end. The
 /// decision library never sees it.
--- a/packages/wire/tests/WireTest.cpp
+++ b/packages/wire/tests/WireTest.cpp
@@ -101,6 +101,23 @@
   cr_assert_not(readPayload(Root.asReader()).has_value());
 }
 
+// Guards against a node of an earlier version that passes on an answer that is
+// none of the protocol: callers must not get it.
+Test(Wire, rejectsImpossibleResponses) {
+  capnp::MallocMessageBuilder Builder;
+  wire::Payload::Builder Root = Builder.initRoot<wire::Payload>();
+  for (const std::uint16_t Status : {0, 1, 99, 100, 101, 199, 600, 65535}) {
+    writePayload(Root, Payload{.Status = Status, .Body = "b"});
+    cr_assert_not(readResponse(Root.asReader()).has_value(), "%d", Status);
+  }
+  for (const char *Name : {"", "X y", "X\x01y", "X:", "X\xe9", "X\t"}) {
+    writePayload(Root, Payload{.Status = 200, .Headers = {{Name, "value"}}});
+    cr_assert_not(readResponse(Root.asReader()).has_value(), "%s", Name);
+  }
+  writePayload(Root, Payload{.Status = 599, .Headers = {{"X-Good", "a b"}}});
+  cr_assert(readResponse(Root.asReader()).has_value());
+}
+
 Test(Wire, gossipRoundTrips) {
   const GossipMessage Sent = sampleGossip();
   const std::optional<DatagramMessage> Decoded =
