Refuse requests whose headers would become several

What backend servers saw: a caller of a stand-alone node could put a second header, or a second request, into the value of a header with escaped line breaks (%0d%0a). Cause: cpp-httplib decodes values and takes any bytes before a colon for a name; towards the local backend server nothing checked them (towards other nodes the codec rejects line breaks). Change: HttpServer answers 400 to a name that is no token and to a value with a line break or NUL.

Evidence: HttpServerTest refusesHeadersThatWouldBecomeSeveral failed without the check, at all of its seven headers. Result: it passes.

--- a/packages/daemon/camphorpin/src/Daemon/HttpServer.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/HttpServer.cpp
@@ -92,6 +92,17 @@
   return Request.headers.size() <= MaxHeaderFields;
 }
 
+/// \returns false if a header cannot be passed on as it is. The HTTP library
+/// takes any bytes before a colon for a name, and decodes escaped bytes of
+/// values, such as line breaks.
+bool hasValidHeaders(const httplib::Request &Request) {
+  return std::all_of(Request.headers.begin(), Request.headers.end(),
+                     [](const std::pair<const std::string, std::string> &Item) {
+                       return isValidHeaderName(Item.first) &&
+                              isValidHeaderText(Item.second);
+                     });
+}
+
 bool hasBody(const httplib::Request &Request) {
   return Request.has_header("Transfer-Encoding") ||
          (Request.has_header("Content-Length") &&
@@ -197,6 +208,10 @@
     refuse(Response, 431, "there are too many headers");
     return HandlerResponse::Handled;
   }
+  if (!hasValidHeaders(Request)) {
+    refuse(Response, 400, "a header is malformed");
+    return HandlerResponse::Handled;
+  }
   const bool IsPost = Request.method == "POST";
   if (!IsPost && hasBody(Request)) {
     refuse(Response, 400, "only POST may have a body");
--- a/packages/daemon/tests/HttpServerTest.cpp
+++ b/packages/daemon/tests/HttpServerTest.cpp
@@ -130,6 +130,20 @@
   assertServes(Node);
 }
 
+// Guards against a request that is smuggled to the backend server inside a
+// header of another one.
+Test(HttpServer, refusesHeadersThatWouldBecomeSeveral) {
+  const EchoServer Node;
+  for (std::string_view Header :
+       {"X: a%0d%0aY: b", "X: a%0D%0A%0D%0AGET /hidden HTTP/1.1", "X: a%00b",
+        "X y: z", "X\ty: z", "X\x01y: z", ": z"}) {
+    const std::string Text = Node.answerTo("GET /a/b HTTP/1.1\r\n" +
+                                           std::string(Header) + "\r\n\r\n");
+    cr_expect(isRefusal(Text, "400"), "%s: %s", Header.data(), Text.c_str());
+  }
+  assertServes(Node);
+}
+
 // Guards R3: the backend server gets the body that the caller sent. The HTTP
 // library alone takes forms apart and waits for the end of the connection when
 // a POST has no length.
