--- a/packages/daemon/camphorpin/src/Daemon/BackendClient.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/BackendClient.cpp
@@ -89,8 +89,8 @@
   if (!IsGet)
     Result += detail::headerLine("Content-Length",
                                  std::to_string(Job.Body->Body.size()));
-  Result += "\r\n";
-  return IsGet ? Result : Result + Job.Body->Body;
+  // A GET has no body.
+  return Result.append("\r\n").append(Job.Body->Body);
 }
 
 BackendDone BackendClient::interpret(const BackendJob &Job,
--- a/tests/support/ScriptedServer.cpp
+++ b/tests/support/ScriptedServer.cpp
@@ -9,7 +9,9 @@
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
+#include <linux/sockios.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -20,7 +22,7 @@
 
 /// How often a wait looks whether the server stops.
 constexpr int StopCheckMillis = 20;
-/// Time for which a caller can read an answer before its connection is reset.
+/// Time from the delivery of an answer to the reset of its connection.
 constexpr std::chrono::milliseconds ResetDelay(50);
 
 int listenAt(const std::string &Ip, int Port) {
@@ -81,6 +83,17 @@
   return Result;
 }
 
+/// Waits until the caller's kernel has received what was sent: a reset drops
+/// the rest.
+void waitDelivered(int Socket, const std::atomic<bool> &Stopping) {
+  int Unsent = 1;
+  while (!Stopping && Unsent > 0) {
+    if (::ioctl(Socket, SIOCOUTQ, &Unsent) != 0)
+      return;
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+}
+
 void reset(int Socket) {
   const linger NoLinger{1, 0};
   ::setsockopt(Socket, SOL_SOCKET, SO_LINGER, &NoLinger, sizeof NoLinger);
@@ -135,6 +148,7 @@
   if (Then != AfterAnswer::Reset)
     ::shutdown(Socket, SHUT_WR);
   if (Then != AfterAnswer::Close) {
+    waitDelivered(Socket, Stopping);
     std::this_thread::sleep_for(ResetDelay);
     reset(Socket);
   }
