--- a/packages/daemon/tests/BackendAnswerTest.cpp
+++ b/packages/daemon/tests/BackendAnswerTest.cpp
@@ -50,17 +50,18 @@
   return Client.run(job(Time, std::move(Upload), Deadline));
 }
 
+void expectFailure(const std::string &Name, const BackendDone &Got) {
+  cr_expect_eq(Got.Result.Verdict, Verdict::MayHaveRun, "%s", Name.c_str());
+  cr_expect_not(Got.Body, "%s", Name.c_str());
+}
+
 /// Expects that no answer counts as run, whether its connection then stays open
 /// or ends.
 void expectFailures(std::span<const NamedAnswer> Answers) {
-  for (const NamedAnswer &Item : Answers) {
-    for (const AfterAnswer Then : {AfterAnswer::KeepOpen, AfterAnswer::Close}) {
-      const BackendDone Got = run({Item.Bytes, Then}, {}, Duration::seconds(1));
-      cr_expect_eq(Got.Result.Verdict, Verdict::MayHaveRun, "%s",
-                   Item.Name.c_str());
-      cr_expect_not(Got.Body, "%s", Item.Name.c_str());
-    }
-  }
+  for (const NamedAnswer &Item : Answers)
+    for (const AfterAnswer Then : {AfterAnswer::KeepOpen, AfterAnswer::Close})
+      expectFailure(Item.Name,
+                    run({Item.Bytes, Then}, {}, Duration::seconds(1)));
 }
 
 } // namespace
--- a/packages/gateway/tests/BrokenAnswerTest.cpp
+++ b/packages/gateway/tests/BrokenAnswerTest.cpp
@@ -30,7 +30,7 @@
 /// A node's proxy in front of a server that gives each request one answer.
 class BrokenAnswerFixture {
 public:
-  explicit BrokenAnswerFixture(ScriptedAnswer Given)
+  explicit BrokenAnswerFixture(const ScriptedAnswer &Given)
       : Backend([Given](std::string_view Head) {
           if (Head.starts_with("GET /health "))
             return ScriptedAnswer{std::string(HealthyHead) +
@@ -87,16 +87,17 @@
 const std::string Three = "Content-Length: 3\r\n";
 const std::string Chunked = "Transfer-Encoding: chunked\r\n";
 
+void expectFailure(const std::string &Name, const PeerAnswer &Got) {
+  cr_expect_eq(Got.verdict(), Verdict::MayHaveRun, "%s", Name.c_str());
+  cr_expect(Got.Head.empty() && Got.Body.empty(), "%s", Name.c_str());
+}
+
 /// Expects that each answer ends as a failure, whether its connection then
 /// stays open or ends.
 void expectFailures(std::span<const NamedAnswer> Answers) {
-  for (const NamedAnswer &Item : Answers) {
-    for (const AfterAnswer Then : {AfterAnswer::KeepOpen, AfterAnswer::Close}) {
-      const PeerAnswer Got = run({Item.Bytes, Then}, {}, ShortDeadline);
-      cr_assert_eq(Got.verdict(), Verdict::MayHaveRun, "%s", Item.Name.c_str());
-      cr_assert(Got.Head.empty() && Got.Body.empty(), "%s", Item.Name.c_str());
-    }
-  }
+  for (const NamedAnswer &Item : Answers)
+    for (const AfterAnswer Then : {AfterAnswer::KeepOpen, AfterAnswer::Close})
+      expectFailure(Item.Name, run({Item.Bytes, Then}, {}, ShortDeadline));
 }
 
 } // namespace
--- a/packages/logclient/camphorpin/src/LogClient/HttpPlatformLog.cpp
+++ b/packages/logclient/camphorpin/src/LogClient/HttpPlatformLog.cpp
@@ -16,8 +16,8 @@
 constexpr std::string_view RecordsPath = "/v1/records";
 constexpr unsigned StatusOk = 200;
 
-/// \brief The outcome of one HTTP request.
-struct Reply {
+/// \brief How one HTTP request to the log ended.
+struct RequestOutcome {
   ExchangeOutcome Outcome = ExchangeOutcome::ConnectionLost;
   /// The HTTP status, or nothing if no complete reply was received.
   std::optional<unsigned> Status;
@@ -51,8 +51,8 @@
   /// MaxReplyBytes.
   /// \param RequestLine without the version.
   /// \param Extra further headers, each with CRLF.
-  Reply sendRequest(std::string_view RequestLine, std::string_view Extra,
-                    std::string_view Body) {
+  RequestOutcome sendRequest(std::string_view RequestLine,
+                             std::string_view Extra, std::string_view Body) {
     ExchangeRequest Request;
     Request.Bytes = std::string(RequestLine) + " HTTP/1.1\r\n" +
                     detail::headerLine("Host", Settings.Address.toString());
@@ -60,7 +60,7 @@
     Request.MaxBodyBytes = Settings.MaxReplyBytes;
     ExchangeResult Result =
         Client.exchange(std::move(Request), Settings.ReplyTimeout);
-    Reply Received{Result.Outcome, {}, {}};
+    RequestOutcome Received{Result.Outcome, {}, {}};
     if (Result.Outcome == ExchangeOutcome::Complete) {
       Received.Status = Result.Response.result_int();
       Received.Body = std::move(Result.Response.body());
@@ -82,7 +82,7 @@
   const std::string Extra =
       detail::headerLine("Content-Type", "application/json") +
       detail::headerLine("Content-Length", std::to_string(Record.size()));
-  const Reply Received = LogConnection->sendRequest(
+  const RequestOutcome Received = LogConnection->sendRequest(
       "POST " + std::string(RecordsPath), Extra, Record);
   const bool Rejected =
       Received.Status && *Received.Status >= 400 && *Received.Status < 500;
@@ -104,7 +104,7 @@
   const std::string Line = "GET " + std::string(RecordsPath) +
                            "?from=" + std::to_string(From) +
                            "&max=" + std::to_string(Max);
-  const Reply Received = LogConnection->sendRequest(Line, {}, {});
+  const RequestOutcome Received = LogConnection->sendRequest(Line, {}, {});
   if (Received.Status != StatusOk)
     return makeReadError(LogReadError::Cause::Unavailable,
                          Received.describeFailure());
