Use the scripted server in BackendClientTest

Cause: the test had a raw HTTP server of its own, which stood again in tests/support. Change: it uses ScriptedServer; the two tests check what they did: a copy of a refusal on the kept connection, and answers cut after each byte. Result: both pass.

--- a/packages/daemon/tests/BackendClientTest.cpp
+++ b/packages/daemon/tests/BackendClientTest.cpp
@@ -2,92 +2,18 @@
 // their answers on a kept connection.
 #include "camphorpin/src/Daemon/BackendClient.h"
 
-#include "FreeAddress.h"
-#include "camphorpin/src/Daemon/Listener.h"
+#include "ScriptedServer.h"
 
+#include <atomic>
 #include <criterion/criterion.h>
-#include <cstdio>
-#include <cstdlib>
-#include <functional>
 #include <memory>
-#include <poll.h>
 #include <string>
-#include <sys/socket.h>
-#include <thread>
-#include <unistd.h>
 
 using namespace camphorpin;
-using camphorpin::test::freeAddress;
+using namespace camphorpin::test;
 
 namespace {
 
-/// \class RawBackend
-/// \brief Answers each request with raw bytes, on one connection at a time.
-class RawBackend {
-public:
-  /// \param Connection and \param Request count from 0; the latter on the
-  /// connection.
-  using Script = std::function<std::string(int Connection, int Request)>;
-
-  explicit RawBackend(Script Answers, bool CloseAfterAnswer = false)
-      : Answers(std::move(Answers)), CloseAfterAnswer(CloseAfterAnswer),
-        Listener(listenAt(Address)), Server([this] { serve(); }) {}
-  ~RawBackend() {
-    ::shutdown(Listener, SHUT_RDWR);
-    Server.join();
-    ::close(Listener);
-  }
-  RawBackend(const RawBackend &) = delete;
-  RawBackend &operator=(const RawBackend &) = delete;
-
-  const HostAddress Address = freeAddress();
-
-private:
-  static int listenAt(const HostAddress &Address) {
-    const int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
-    const sockaddr_in Name = toSockaddr(Address);
-    if (::bind(Socket, reinterpret_cast<const sockaddr *>(&Name),
-               sizeof(Name)) != 0 ||
-        ::listen(Socket, 16) != 0) {
-      std::perror(Address.toString().c_str());
-      std::exit(1);
-    }
-    return Socket;
-  }
-
-  void serve() {
-    for (int Connection = 0;; ++Connection) {
-      const int Socket = ::accept(Listener, nullptr, nullptr);
-      if (Socket < 0)
-        return;
-      for (int Request = 0; readRequest(Socket); ++Request) {
-        const std::string Answer = Answers(Connection, Request);
-        ::send(Socket, Answer.data(), Answer.size(), MSG_NOSIGNAL);
-        if (CloseAfterAnswer)
-          break;
-      }
-      ::close(Socket);
-    }
-  }
-
-  /// \returns false if the connection ends.
-  static bool readRequest(int Socket) {
-    std::string Text;
-    char Byte = 0;
-    while (!Text.ends_with("\r\n\r\n")) {
-      if (::recv(Socket, &Byte, 1, 0) <= 0)
-        return false;
-      Text += Byte;
-    }
-    return true;
-  }
-
-  Script Answers;
-  bool CloseAfterAnswer;
-  int Listener;
-  std::thread Server;
-};
-
 const std::string Refusal = "HTTP/1.1 503 Busy\r\nCamphorpin-Shed: not-run\r\n"
                             "Content-Length: 0\r\n\r\n";
 const std::string Whole = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none";
@@ -111,12 +37,16 @@
 // request, which runs.
 Test(BackendClient, copyOfARefusalIsNotTakenForALaterAnswer) {
   SystemClock Time;
-  RawBackend Backend([](int Connection, int Request) {
-    if (Connection == 0 && Request == 0)
-      return Refusal;
-    return Request == 0 ? Whole : Refusal + Whole;
+  std::atomic<int> Requests = 0;
+  ScriptedServer *Server = nullptr;
+  // The copy precedes the answer to a second request on the first connection.
+  ScriptedServer Backend([&](std::string_view) {
+    if (Requests++ == 0)
+      return ScriptedAnswer{Refusal};
+    return ScriptedAnswer{Server->connections() == 1 ? Refusal + Whole : Whole};
   });
-  BackendClient Client(Backend.Address, 1U << 20U, Time);
+  Server = &Backend;
+  BackendClient Client(*HostAddress::parse(Backend.address()), 1U << 20U, Time);
   cr_assert_eq(Client.run(job(Time)).Result.Verdict, Verdict::NotRun);
   const BackendDone Second = Client.run(job(Time));
   cr_assert_eq(Second.Result.Verdict, Verdict::Ran);
@@ -128,9 +58,11 @@
 Test(BackendClient, answerThatBreaksOffIsAFailure) {
   SystemClock Time;
   for (std::size_t Length = 1; Length < Whole.size(); ++Length) {
-    RawBackend Backend([Length](int, int) { return Whole.substr(0, Length); },
-                       /*CloseAfterAnswer=*/true);
-    BackendClient Client(Backend.Address, 1U << 20U, Time);
+    ScriptedServer Backend([Length](std::string_view) {
+      return ScriptedAnswer{Whole.substr(0, Length), AfterAnswer::Close};
+    });
+    BackendClient Client(*HostAddress::parse(Backend.address()), 1U << 20U,
+                         Time);
     cr_assert_eq(Client.run(job(Time)).Result.Verdict, Verdict::MayHaveRun,
                  "after %zu bytes", Length);
   }
