--- a/packages/daemon/tests/BackendAnswerTest.cpp
+++ b/packages/daemon/tests/BackendAnswerTest.cpp
@@ -55,13 +55,16 @@
   cr_expect_not(Got.Body, "%s", Name.c_str());
 }
 
-/// Expects that no answer counts as run, whether its connection then stays open
-/// or ends.
+/// Expects that no answer counts as run, whether its connection then stays
+/// open, ends, or is reset during a long upload.
 void expectFailures(std::span<const NamedAnswer> Answers) {
-  for (const NamedAnswer &Item : Answers)
+  const std::string Upload(LongUploadBytes, 'u');
+  for (const NamedAnswer &Item : Answers) {
     for (const AfterAnswer Then : {AfterAnswer::KeepOpen, AfterAnswer::Close})
       expectFailure(Item.Name,
                     run({Item.Bytes, Then}, {}, Duration::seconds(1)));
+    expectFailure(Item.Name, run({Item.Bytes, AfterAnswer::Reset}, Upload));
+  }
 }
 
 } // namespace
--- a/packages/gateway/camphorpin/src/Gateway/PeerCodec.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerCodec.cpp
@@ -1,5 +1,6 @@
 #include "camphorpin/src/Gateway/PeerCodec.h"
 
+#include "camphorpin/Wire.h"
 #include "camphorpin/generated/peer.capnp.h"
 
 #include <algorithm>
@@ -208,12 +209,9 @@
 /// \returns true if the head of \p Answer is that of a final HTTP response, as
 /// responseHead() makes it. A node of an earlier version passes on more.
 bool hasValidHead(const PeerAnswer &Answer) {
-  constexpr std::uint16_t FirstFinalStatus = 200;
-  constexpr std::uint16_t LastStatus = 599;
   const std::string Start =
       "HTTP/1.1 " + std::to_string(Answer.StatusCode) + " ";
-  return Answer.StatusCode >= FirstFinalStatus &&
-         Answer.StatusCode <= LastStatus && Answer.Head.starts_with(Start) &&
+  return isFinalStatus(Answer.StatusCode) && Answer.Head.starts_with(Start) &&
          Answer.Head.ends_with("\r\n") &&
          Answer.Head.find("\r\n\r\n") == std::string::npos;
 }
--- a/packages/gateway/tests/BrokenAnswerTest.cpp
+++ b/packages/gateway/tests/BrokenAnswerTest.cpp
@@ -93,11 +93,14 @@
 }
 
 /// Expects that each answer ends as a failure, whether its connection then
-/// stays open or ends.
+/// stays open, ends, or is reset during a long upload.
 void expectFailures(std::span<const NamedAnswer> Answers) {
-  for (const NamedAnswer &Item : Answers)
+  const std::string Upload(LongUploadBytes, 'u');
+  for (const NamedAnswer &Item : Answers) {
     for (const AfterAnswer Then : {AfterAnswer::KeepOpen, AfterAnswer::Close})
       expectFailure(Item.Name, run({Item.Bytes, Then}, {}, ShortDeadline));
+    expectFailure(Item.Name, run({Item.Bytes, AfterAnswer::Reset}, Upload));
+  }
 }
 
 } // namespace
--- a/packages/wire/camphorpin/src/Wire/Codec.cpp
+++ b/packages/wire/camphorpin/src/Wire/Codec.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <string_view>
-#include <utility>
 
 namespace camphorpin {
 
@@ -150,12 +149,10 @@
 }
 
 std::optional<Payload> readResponse(wire::Payload::Reader Source) {
-  constexpr std::uint16_t FirstFinalStatus = 200;
-  constexpr std::uint16_t LastStatus = 599;
   std::optional<Payload> Value = readPayload(Source);
-  const bool IsFinal =
-      Value && Value->Status >= FirstFinalStatus && Value->Status <= LastStatus;
-  return IsFinal ? std::move(Value) : std::nullopt;
+  if (!Value || !isFinalStatus(Value->Status))
+    return std::nullopt;
+  return Value;
 }
 
 std::optional<Verdict> verdictFromCode(std::uint8_t Code) {
--- a/packages/wire/camphorpin/src/Wire/Payload.cpp
+++ b/packages/wire/camphorpin/src/Wire/Payload.cpp
@@ -14,6 +14,8 @@
 
 } // namespace
 
+bool isFinalStatus(unsigned Status) { return Status >= 200 && Status <= 599; }
+
 bool isValidHeaderName(std::string_view Name) {
   return !Name.empty() &&
          std::all_of(Name.begin(), Name.end(), isTokenCharacter);
--- a/packages/wire/camphorpin/src/Wire/Payload.h
+++ b/packages/wire/camphorpin/src/Wire/Payload.h
@@ -16,6 +16,10 @@
   std::string Value;
 };
 
+/// \returns true if \p Status is one of a final HTTP response: 200 to 599 (RFC
+/// 9110, 15).
+bool isFinalStatus(unsigned Status);
+
 /// \returns true if \p Name is a token (RFC 9110, 5.6.2).
 bool isValidHeaderName(std::string_view Name);
 
