--- a/packages/gateway/camphorpin/src/Gateway/HttpSession.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/HttpSession.cpp
@@ -1,6 +1,7 @@
 #include "camphorpin/src/Gateway/HttpSession.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/rfc7230.hpp>
@@ -50,6 +51,8 @@
 
 void HttpSession::start() {
   setSocketOptions(Socket, AckTimeout);
+  ErrorCode Ignored;
+  Socket.non_blocking(true, Ignored);
   armTimer(Server->Limits.IdleTimeout);
   read();
 }
@@ -95,22 +98,37 @@
   if (Reading || Closed)
     return;
   Reading = true;
-  Socket.async_read_some(
-      Buffer.prepare(ReadBytes),
-      [Self = shared_from_this()](const ErrorCode &Error, std::size_t Bytes) {
-        Self->onRead(Error, Bytes);
-      });
+  Socket.async_wait(TcpSocket::wait_read,
+                    [Self = shared_from_this()](const ErrorCode &Error) {
+                      Self->onReadable(Error);
+                    });
 }
 
-void HttpSession::onRead(const ErrorCode &Error, std::size_t Bytes) {
+void HttpSession::onReadable(const ErrorCode &WaitError) {
   Reading = false;
   if (Closed)
     return;
+  // Only bytes that have arrived extend the buffer. A pending read into it
+  // would go wrong when earlier bytes are consumed.
+  std::array<char, ReadBytes> Chunk;
+  ErrorCode Error = WaitError;
+  const std::size_t Bytes =
+      Error ? 0 : Socket.read_some(boost::asio::buffer(Chunk), Error);
+  if (Error == boost::asio::error::would_block) {
+    read();
+    return;
+  }
   if (Error) {
     close();
     return;
   }
-  Buffer.commit(Bytes);
+  onRead(std::string_view(Chunk.data(), Bytes));
+}
+
+void HttpSession::onRead(std::string_view Bytes) {
+  boost::asio::buffer_copy(Buffer.prepare(Bytes.size()),
+                           boost::asio::buffer(Bytes));
+  Buffer.commit(Bytes.size());
   if (Lingering) {
     DroppedBytes += Buffer.size();
     Buffer.consume(Buffer.size());
--- a/packages/gateway/camphorpin/src/Gateway/HttpSession.h
+++ b/packages/gateway/camphorpin/src/Gateway/HttpSession.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace camphorpin::detail {
 
@@ -34,7 +35,8 @@
   using ErrorCode = boost::beast::error_code;
 
   void read();
-  void onRead(const ErrorCode &Error, std::size_t Bytes);
+  void onReadable(const ErrorCode &Error);
+  void onRead(std::string_view Bytes);
   void parse();
   /// Reserves bytes for the body of the request that is being read.
   /// \returns false if the byte budget does not allow it.
--- a/packages/gateway/tests/HttpSessionTest.cpp
+++ b/packages/gateway/tests/HttpSessionTest.cpp
@@ -51,6 +51,31 @@
   cr_assert(First < Second && Second < Third && Third != std::string::npos);
 }
 
+// Guards against bytes of an earlier request that are parsed again, in place of
+// later ones, after a connection has paused at its limit of requests.
+Test(HttpSession, requestsBeyondThePipelineLimitAreReadOnce) {
+  constexpr std::size_t Limit = 32;
+  DeferringServer Fixture;
+  RawClient Caller(Fixture.Loop, Fixture.Address);
+  std::string Ahead;
+  for (std::size_t Number = 1; Number <= Limit + 2; ++Number)
+    Ahead += get(std::to_string(Number));
+  Caller.send(Ahead);
+  Fixture.waitFor(Limit);
+  for (std::size_t Index = 0; Index < Limit; ++Index)
+    Fixture.Deferred[Index]->reply(stampedReply(*Fixture.Deferred[Index], "b"));
+  Fixture.waitFor(Limit + 2);
+  cr_assert_eq(Fixture.Deferred.size(), Limit + 2);
+  Caller.send(get("late") + get("last"));
+  Fixture.waitFor(Limit + 4);
+  cr_assert_eq(Fixture.Deferred.size(), Limit + 4);
+  for (std::size_t Index = 0; Index < Limit + 2; ++Index)
+    cr_assert_eq(Fixture.Deferred[Index]->request().target(),
+                 "/" + std::to_string(Index + 1));
+  cr_assert_eq(Fixture.Deferred[Limit + 2]->request().target(), "/late");
+  cr_assert_eq(Fixture.Deferred[Limit + 3]->request().target(), "/last");
+}
+
 // Guards against requests that keep running after the caller has disconnected.
 Test(HttpSession, disconnectIsDetectedWhileRequestRuns) {
   DeferringServer Fixture;
