Keep idle and slow clients of stand-alone nodes from taking threads

Callers saw: with as many idle connections as the node has threads, nobody else was answered for up to a minute, on the address of operators with four. The node also opened as many connections as it has descriptors.

Cause: a connection took a thread from its accept to its end, and waiting ones queued without a bound.

Change: a request takes a thread from the end of its headers to the end of its answer. Before that one thread waits for the headers on all connections (ConnectionScheduler). Beyond limits.httpConnections, or a quarter of the descriptors, the connection that has been without a request for longest is closed. While requests wait for a thread, those that are sent or read slower than 128 KB/s end after a second.

NodeClientCrowdTest (64 MB, 192 descriptors, 8 threads), before: not served with 16 and 300 idle clients, with heads short of their end or byte by byte, and with small chunks; up to 191 descriptors in place of 160. After: callers and operators pass, 33 MB and 114 descriptors at most. HttpServerTest 6 of 6.

--- /dev/null
+++ b/packages/daemon/camphorpin/src/Daemon/ConnectionScheduler.cpp
@@ -0,0 +1,212 @@
+#include "camphorpin/src/Daemon/ConnectionScheduler.h"
+
+#include <cassert>
+#include <poll.h>
+#include <string_view>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+
+namespace camphorpin {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+/// Time for which an idle connection is kept open.
+constexpr milliseconds IdleTimeout{60000};
+/// Interval at which headers that have arrived in part are looked at again.
+constexpr milliseconds PartCheckInterval{20};
+/// Interval at which the poller looks for connections that idled too long.
+constexpr milliseconds IdleCheckInterval{1000};
+
+/// \returns true if \p Bytes hold the empty line after the headers.
+bool holdsHeaders(std::string_view Bytes) {
+  return Bytes.find("\n\r\n") != std::string_view::npos ||
+         Bytes.find("\n\n") != std::string_view::npos;
+}
+
+} // namespace
+
+ConnectionScheduler::ConnectionScheduler(const HttpLimits &Limits,
+                                         std::size_t MaxConnections,
+                                         RequestServer Serve)
+    : Limits(Limits), MaxConnections(MaxConnections), Serve(std::move(Serve)),
+      WakeSocket(::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)),
+      PeekBuffer(Limits.Headers + 1) {
+  assert(WakeSocket >= 0 && "an event counter can be made");
+  Threads.emplace_back([this] { runPoller(); });
+  for (std::size_t Index = 0; Index < Limits.Threads; ++Index)
+    Threads.emplace_back([this] { runWorker(); });
+}
+
+void ConnectionScheduler::stop() {
+  if (Threads.empty())
+    return;
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Stopping = true;
+  }
+  Changed.notify_all();
+  wakePoller();
+  for (std::thread &Item : Threads)
+    Item.join();
+  Threads.clear();
+  Parked.clear();
+  Ready.clear();
+  ReadyCount = 0;
+  ::close(WakeSocket);
+}
+
+void ConnectionScheduler::add(int Socket) {
+  Connection Item;
+  Item.Stream = std::make_unique<HttpStream>(Socket, Limits,
+                                             [this] { return crowded(); });
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    // Without room, the new connection is closed unread.
+    if (Open >= MaxConnections && Parked.empty())
+      return;
+    if (Open >= MaxConnections)
+      Parked.pop_front();
+    else
+      ++Open;
+  }
+  park(std::move(Item));
+}
+
+void ConnectionScheduler::park(Connection Item) {
+  Item.ParkedSince = steady_clock::now();
+  Item.RequestBegin.reset();
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Parked.push_back(std::move(Item));
+  }
+  wakePoller();
+}
+
+void ConnectionScheduler::wakePoller() const {
+  const std::uint64_t One = 1;
+  // The write only fails when the counter is full, and then the poller wakes.
+  [[maybe_unused]] const ssize_t Written =
+      ::write(WakeSocket, &One, sizeof(One));
+}
+
+void ConnectionScheduler::runWorker() {
+  while (true) {
+    Connection Item;
+    {
+      std::unique_lock<std::mutex> Lock(Mutex);
+      Changed.wait(Lock, [this] { return !Ready.empty() || Stopping; });
+      if (Stopping)
+        return;
+      Item = std::move(Ready.front());
+      Ready.pop_front();
+      ReadyCount = Ready.size();
+    }
+    serve(std::move(Item));
+  }
+}
+
+void ConnectionScheduler::serve(Connection Item) {
+  Item.Stream->beginRequest(Item.RequestBegin.value_or(steady_clock::now()));
+  if (!Serve(*Item.Stream) || Stopping) {
+    Item.Stream.reset();
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    --Open;
+    return;
+  }
+  if (!Item.Stream->hasInput()) {
+    park(std::move(Item));
+    return;
+  }
+  // Bytes of the next request have been read with those of this one. Others
+  // that wait for a thread come first.
+  Item.RequestBegin = steady_clock::now();
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  makeReady(std::move(Item));
+}
+
+void ConnectionScheduler::makeReady(Connection Item) {
+  Ready.push_back(std::move(Item));
+  ReadyCount = Ready.size();
+  Changed.notify_one();
+}
+
+void ConnectionScheduler::runPoller() {
+  while (!Stopping) {
+    const std::unordered_set<int> Readable = poll();
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    checkParked(Readable);
+  }
+}
+
+std::unordered_set<int> ConnectionScheduler::poll() {
+  milliseconds Timeout = IdleCheckInterval;
+  std::vector<pollfd> Polled = {{WakeSocket, POLLIN, 0}};
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    // Connections with a part of the headers are looked at regularly. They
+    // would be readable all the time.
+    for (const Connection &Item : Parked)
+      if (Item.RequestBegin)
+        Timeout = PartCheckInterval;
+      else
+        Polled.push_back({Item.Stream->socket(), POLLIN, 0});
+  }
+  ::poll(Polled.data(), Polled.size(), static_cast<int>(Timeout.count()));
+  std::uint64_t Count = 0;
+  [[maybe_unused]] const ssize_t Got =
+      ::read(WakeSocket, &Count, sizeof(Count));
+  std::unordered_set<int> Readable;
+  for (const pollfd &Item : Polled)
+    if (Item.revents != 0)
+      Readable.insert(Item.fd);
+  return Readable;
+}
+
+void ConnectionScheduler::checkParked(const std::unordered_set<int> &Readable) {
+  const TimePoint Now = steady_clock::now();
+  const milliseconds ReadTimeout(Limits.ReadTimeout.wholeMillis());
+  for (auto Item = Parked.begin(); Item != Parked.end();) {
+    const bool Received =
+        Item->RequestBegin || Readable.contains(Item->Stream->socket());
+    const Arrival Arrived =
+        Received ? arrivalOn(*Item->Stream) : Arrival::Nothing;
+    if (Arrived != Arrival::Nothing && !Item->RequestBegin)
+      Item->RequestBegin = Now;
+    // A thread answers a request that is too slow.
+    const bool Late =
+        Item->RequestBegin && Now - *Item->RequestBegin >= ReadTimeout;
+    const bool Ended =
+        Arrived == Arrival::End ||
+        (!Item->RequestBegin && Now - Item->ParkedSince >= IdleTimeout);
+    if (Ended)
+      --Open;
+    else if (Arrived == Arrival::Headers || Late)
+      makeReady(std::move(*Item));
+    else {
+      ++Item;
+      continue;
+    }
+    Item = Parked.erase(Item);
+  }
+}
+
+ConnectionScheduler::Arrival
+ConnectionScheduler::arrivalOn(const HttpStream &Stream) {
+  const ssize_t Count = ::recv(Stream.socket(), PeekBuffer.data(),
+                               PeekBuffer.size(), MSG_PEEK | MSG_DONTWAIT);
+  if (Count < 0)
+    return errno == EAGAIN || errno == EINTR ? Arrival::Nothing : Arrival::End;
+  if (Count == 0)
+    return Arrival::End;
+  const std::size_t Bytes = static_cast<std::size_t>(Count);
+  const bool Complete =
+      Bytes > Limits.Headers || holdsHeaders({PeekBuffer.data(), Bytes});
+  return Complete ? Arrival::Headers : Arrival::Part;
+}
+
+} // namespace camphorpin
--- a/packages/daemon/camphorpin/src/Daemon/HttpServer.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/HttpServer.cpp
@@ -8,6 +8,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string_view>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -34,6 +35,25 @@
                      });
 }
 
+/// \class AcceptingThread
+/// \brief Hands over accepted connections in the thread that accepts them.
+class AcceptingThread final : public httplib::TaskQueue {
+public:
+  void enqueue(std::function<void()> HandOver) override { HandOver(); }
+  void shutdown() override {}
+};
+
+/// \returns the connections that may be open. Descriptors are kept for the
+/// backend server, the log and other nodes.
+std::size_t connectionLimit(const HttpLimits &Limits) {
+  constexpr std::size_t DescriptorDivisor = 4;
+  rlimit Process{};
+  if (::getrlimit(RLIMIT_NOFILE, &Process) != 0)
+    return Limits.Connections;
+  return std::min<std::size_t>(Limits.Connections,
+                               Process.rlim_cur / DescriptorDivisor);
+}
+
 void setOptions(int Socket) {
   const int On = 1;
   ::setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
@@ -119,9 +139,8 @@
   set_keep_alive_max_count(KeepAliveRequests);
   set_socket_options(setOptions);
   set_tcp_nodelay(true);
-  new_task_queue = [this] {
-    return new httplib::ThreadPool(this->Limits.Threads);
-  };
+  // The HTTP library deletes the queue when the server has stopped.
+  new_task_queue = [] { return new AcceptingThread(); };
   set_pre_routing_handler(
       [this](const httplib::Request &Request, httplib::Response &Response) {
         return handleWithoutBody(Request, Response);
@@ -146,6 +165,9 @@
 }
 
 void HttpServer::start() {
+  Connections = std::make_unique<ConnectionScheduler>(
+      Limits, connectionLimit(Limits),
+      [this](HttpStream &Stream) { return serveOne(Stream); });
   Thread = std::thread([this] { listen_after_bind(); });
 }
 
@@ -157,21 +179,17 @@
     std::this_thread::yield();
   httplib::Server::stop();
   Thread.join();
+  Connections->stop();
 }
 
 bool HttpServer::process_and_close_socket(int Socket) {
   const int On = 1;
   ::setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
-  HttpStream Stream(Socket, Limits);
-  while (Stream.waitForRequest(KeepAlive, Stopping) && serveOne(Stream)) {
-  }
-  ::shutdown(Socket, SHUT_RDWR);
-  ::close(Socket);
+  Connections->add(Socket);
   return true;
 }
 
 bool HttpServer::serveOne(HttpStream &Stream) {
-  Stream.beginRequest();
   bool Closed = false;
   const bool Done = process_request(Stream, Stopping, Closed,
                                     [this, &Stream](httplib::Request &Request) {
--- a/packages/daemon/camphorpin/src/Daemon/HttpServer.h
+++ b/packages/daemon/camphorpin/src/Daemon/HttpServer.h
@@ -1,12 +1,14 @@
 #ifndef CAMPHORPIN_SRC_DAEMON_HTTPSERVER_H
 #define CAMPHORPIN_SRC_DAEMON_HTTPSERVER_H
 
+#include "camphorpin/src/Daemon/ConnectionScheduler.h"
 #include "camphorpin/src/Daemon/Settings.h"
 
 #include <atomic>
 #include <cstddef>
 #include <functional>
 #include <httplib.h>
+#include <memory>
 #include <string>
 #include <thread>
 
@@ -16,6 +18,9 @@
 /// \brief An HTTP server that holds every connection to the limits, answers
 /// bad requests with a clear status, and never loses track of where a request
 /// ends.
+///
+/// Each request takes a thread. While others wait for one, requests whose
+/// client sends or reads slowly end.
 class HttpServer : private httplib::Server {
 public:
   /// Handles a whole request. \p Body is the body as it was sent.
@@ -30,7 +35,7 @@
   /// \returns false if it cannot be bound.
   bool bind(const HostAddress &Address);
 
-  /// Serves on a thread of its own and one thread for each connection.
+  /// Serves on a thread of its own and one thread for each request.
   void start();
 
   /// Finishes the requests that are being handled, then joins all threads.
@@ -53,6 +58,7 @@
   const RequestHandler Handler;
   std::atomic<bool> Stopping{false};
   std::atomic<std::size_t> Handling{0};
+  std::unique_ptr<ConnectionScheduler> Connections;
   std::thread Thread;
 };
 
--- a/packages/daemon/camphorpin/src/Daemon/HttpStream.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/HttpStream.cpp
@@ -5,6 +5,7 @@
 #include <cstring>
 #include <poll.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace camphorpin {
 
@@ -13,8 +14,14 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-/// Interval at which a wait looks whether the server stops.
-constexpr milliseconds StopCheckPeriod{100};
+/// Interval at which a wait looks whether other requests wait for a thread.
+constexpr milliseconds CrowdCheckPeriod{100};
+/// Time that any transfer may take, and average rate in bytes per second below
+/// which it ends after that time if other connections wait for a thread.
+constexpr milliseconds SlowAfter{1000};
+constexpr double SlowBytesPerSecond = 131072;
+/// Time in which a whole answer must be read, by however slow a client.
+constexpr milliseconds WriteTimeout{60000};
 /// Output is sent early beyond this size, so that memory stays bounded.
 constexpr std::size_t MaxUnsent = 1U << 20U;
 
@@ -33,31 +40,41 @@
 
 } // namespace
 
-HttpStream::HttpStream(int Socket, const HttpLimits &Limits)
-    : Socket(Socket), Limits(Limits) {}
+HttpStream::HttpStream(int Socket, const HttpLimits &Limits,
+                       std::function<bool()> Crowded)
+    : Socket(Socket), Limits(Limits), Crowded(std::move(Crowded)) {}
 
-bool HttpStream::waitForRequest(Duration Timeout,
-                                const std::atomic<bool> &Stopping) {
-  if (InputBegin < InputEnd)
-    return true;
-  const steady_clock::time_point End =
-      steady_clock::now() + milliseconds(Timeout.wholeMillis());
-  while (!Stopping && steady_clock::now() < End)
-    if (waitFor(POLLIN, StopCheckPeriod))
-      return true;
-  return false;
+HttpStream::~HttpStream() {
+  ::shutdown(Socket, SHUT_RDWR);
+  ::close(Socket);
 }
 
-void HttpStream::beginRequest() {
-  ReadDeadline =
-      steady_clock::now() + milliseconds(Limits.ReadTimeout.wholeMillis());
+void HttpStream::beginRequest(TimePoint Begin) {
+  RequestBegin = Begin;
   Received = 0;
   InHeaders = true;
   TooLarge = false;
   Slow = false;
 }
 
+bool HttpStream::waitForTransfer(short Events, TimePoint Begin, TimePoint End,
+                                 std::size_t Bytes) const {
+  while (steady_clock::now() < End) {
+    const std::chrono::duration<double> Elapsed = steady_clock::now() - Begin;
+    const bool Slow =
+        Elapsed >= SlowAfter &&
+        static_cast<double>(Bytes) < SlowBytesPerSecond * Elapsed.count();
+    if (Slow && Crowded())
+      return false;
+    if (waitFor(Events, CrowdCheckPeriod))
+      return true;
+  }
+  return false;
+}
+
 bool HttpStream::flush() {
+  const steady_clock::time_point Begin = steady_clock::now();
+  const milliseconds ReadTimeout(Limits.ReadTimeout.wholeMillis());
   std::string_view Rest = Output;
   while (!Rest.empty()) {
     const ssize_t Sent =
@@ -67,8 +84,10 @@
       continue;
     }
     const bool MustWait = Sent < 0 && (errno == EAGAIN || errno == EINTR);
+    const steady_clock::time_point End =
+        std::min(steady_clock::now() + ReadTimeout, Begin + WriteTimeout);
     if (!MustWait ||
-        !waitFor(POLLOUT, milliseconds(Limits.ReadTimeout.wholeMillis()))) {
+        !waitForTransfer(POLLOUT, Begin, End, Output.size() - Rest.size())) {
       Output.clear();
       return false;
     }
@@ -116,9 +135,9 @@
   // The other side may wait for what was written, for example "100 Continue".
   if (!flush())
     return false;
-  const milliseconds Left = std::chrono::duration_cast<milliseconds>(
-      ReadDeadline - steady_clock::now());
-  if (Left.count() <= 0 || !waitFor(POLLIN, Left)) {
+  const steady_clock::time_point End =
+      RequestBegin + milliseconds(Limits.ReadTimeout.wholeMillis());
+  if (!waitForTransfer(POLLIN, RequestBegin, End, Received)) {
     Slow = true;
     return false;
   }
--- a/packages/daemon/camphorpin/src/Daemon/HttpStream.h
+++ b/packages/daemon/camphorpin/src/Daemon/HttpStream.h
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <httplib.h>
 #include <string>
 #include <string_view>
@@ -22,15 +23,20 @@
 /// request that exceeds either. It writes an answer in one piece.
 class HttpStream final : public httplib::Stream {
 public:
-  HttpStream(int Socket, const HttpLimits &Limits);
+  /// \param Socket is closed by the destructor.
+  /// \param Crowded returns true while other requests wait for a thread.
+  HttpStream(int Socket, const HttpLimits &Limits,
+             std::function<bool()> Crowded);
+  ~HttpStream() override;
+  HttpStream(const HttpStream &) = delete;
+  HttpStream &operator=(const HttpStream &) = delete;
 
-  /// Waits for the first byte of the next request.
-  /// \param Stopping ends the wait when it is set.
-  /// \returns false after \p Timeout or when the other side has closed.
-  bool waitForRequest(Duration Timeout, const std::atomic<bool> &Stopping);
+  /// Starts the byte count of a new request.
+  /// \param Begin when its first byte had arrived.
+  void beginRequest(std::chrono::steady_clock::time_point Begin);
 
-  /// Starts the time and the byte count of a new request.
-  void beginRequest();
+  /// \returns true if bytes have been read and not taken yet.
+  bool hasInput() const { return InputBegin < InputEnd; }
 
   /// From now on the bytes are those of the body, which has its own bound.
   void endHeaders() { InHeaders = false; }
@@ -64,16 +70,24 @@
   int socket() const override { return Socket; }
 
 private:
+  using TimePoint = std::chrono::steady_clock::time_point;
+
   bool fill();
   bool waitFor(short Events, std::chrono::milliseconds Timeout) const;
+  /// Waits until \p End for the other side of a transfer that began at \p
+  /// Begin. \param Bytes that were transferred since then. \returns false if it
+  /// takes too long, or too long for a crowded server.
+  bool waitForTransfer(short Events, TimePoint Begin, TimePoint End,
+                       std::size_t Bytes) const;
 
   const int Socket;
   const HttpLimits &Limits;
+  const std::function<bool()> Crowded;
   std::array<char, 16384> Input{};
   std::size_t InputBegin = 0;
   std::size_t InputEnd = 0;
   std::string Output;
-  std::chrono::steady_clock::time_point ReadDeadline;
+  TimePoint RequestBegin;
   std::size_t Received = 0;
   bool InHeaders = true;
   bool TooLarge = false;
--- a/packages/daemon/camphorpin/src/Daemon/Settings.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/Settings.cpp
@@ -12,6 +12,7 @@
 constexpr std::size_t MaxHeaders = 1U << 20U;
 constexpr std::uint64_t MaxConnections = 2000;
 constexpr std::uint64_t MaxHttpThreads = 4000;
+constexpr std::uint64_t MaxHttpConnections = 65536;
 constexpr std::uint64_t MinRetentionMillis = 60000;
 constexpr std::uint64_t MaxRetentionMillis = 366ULL * 24 * 3600 * 1000;
 constexpr std::uint64_t MaxWaitMillis = 3600000;
@@ -86,6 +87,8 @@
       "readTimeoutMs", 1, MaxWaitMillis, Limits.ReadTimeout.wholeMillis())));
   Limits.Threads =
       Fields.number("httpThreads", 1, MaxHttpThreads, Limits.Threads);
+  Limits.Connections = Fields.number("httpConnections", 1, MaxHttpConnections,
+                                     Limits.Connections);
 }
 
 void readLog(JsonFields &Root, Settings &Target,
--- a/packages/daemon/camphorpin/src/Daemon/Settings.h
+++ b/packages/daemon/camphorpin/src/Daemon/Settings.h
@@ -23,8 +23,11 @@
   std::size_t Headers = 16384;
   /// Time in which a whole request must arrive.
   Duration ReadTimeout = Duration::seconds(5);
-  /// Open connections; each takes a thread.
+  /// Requests that are served at the same time; each takes a thread.
   std::size_t Threads = 64;
+  /// Open connections. Beyond a quarter of the descriptors of the process, this
+  /// has no effect.
+  std::size_t Connections = 4096;
 };
 
 /// \class BackendSettings
--- a/tests/process/ChildProcess.cpp
+++ b/tests/process/ChildProcess.cpp
@@ -3,7 +3,12 @@
 #include <cassert>
 #include <csignal>
 #include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <string_view>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -13,8 +18,12 @@
 
 constexpr int ExecFailed = 127;
 
-[[noreturn]] void execute(std::vector<char *> &Arguments, int Output) {
+[[noreturn]] void execute(std::vector<char *> &Arguments, int Output,
+                          std::size_t MaxDescriptors) {
   ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+  const rlimit Limit{MaxDescriptors, MaxDescriptors};
+  if (MaxDescriptors > 0)
+    ::setrlimit(RLIMIT_NOFILE, &Limit);
   sigset_t None;
   sigemptyset(&None);
   ::sigprocmask(SIG_SETMASK, &None, nullptr);
@@ -27,7 +36,8 @@
 } // namespace
 
 ChildProcess::ChildProcess(const std::vector<std::string> &Command,
-                           const std::string &OutputPath) {
+                           const std::string &OutputPath,
+                           std::size_t MaxDescriptors) {
   assert(!Command.empty() && "a command names a program");
   std::vector<char *> Arguments;
   Arguments.reserve(Command.size() + 1);
@@ -38,7 +48,7 @@
                             O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
   Pid = ::fork();
   if (Pid == 0)
-    execute(Arguments, Output);
+    execute(Arguments, Output, MaxDescriptors);
   ::close(Output);
 }
 
@@ -60,6 +70,24 @@
 
 void ChildProcess::terminate() { signal(SIGTERM); }
 
+std::size_t ChildProcess::openDescriptors() const {
+  std::error_code Error;
+  const std::filesystem::directory_iterator Entries(
+      "/proc/" + std::to_string(Pid) + "/fd", Error);
+  return static_cast<std::size_t>(std::distance(begin(Entries), end(Entries)));
+}
+
+std::size_t ChildProcess::peakMemory() const {
+  std::ifstream Status("/proc/" + std::to_string(Pid) + "/status");
+  constexpr std::string_view Field = "VmHWM:";
+  constexpr std::size_t BytesPerKilobyte = 1024;
+  std::string Line;
+  while (std::getline(Status, Line))
+    if (Line.starts_with(Field))
+      return std::stoul(Line.substr(Field.size())) * BytesPerKilobyte;
+  return 0;
+}
+
 std::optional<int> ChildProcess::poll() { return reap(WNOHANG); }
 
 int ChildProcess::wait() { return reap(0).value_or(ExecFailed); }
--- a/tests/process/ChildProcess.h
+++ b/tests/process/ChildProcess.h
@@ -1,6 +1,7 @@
 #ifndef CAMPHORPIN_TESTS_PROCESS_CHILDPROCESS_H
 #define CAMPHORPIN_TESTS_PROCESS_CHILDPROCESS_H
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <sys/types.h>
@@ -15,8 +16,10 @@
 public:
   /// \param Command the program and its arguments.
   /// \param OutputPath file to which output and errors are appended.
+  /// \param MaxDescriptors the descriptors that the process may have open; 0
+  /// for as many as this one.
   ChildProcess(const std::vector<std::string> &Command,
-               const std::string &OutputPath);
+               const std::string &OutputPath, std::size_t MaxDescriptors = 0);
 
   /// Kills the process if it still runs.
   ~ChildProcess();
@@ -41,6 +44,12 @@
   /// if the process still runs.
   std::optional<int> poll();
 
+  /// \returns the descriptors that the process has open.
+  std::size_t openDescriptors() const;
+
+  /// \returns the most memory that the process has had resident, in bytes.
+  std::size_t peakMemory() const;
+
   /// Waits for the end of the process.
   /// \returns the status as poll() gives it.
   int wait();
--- /dev/null
+++ b/tests/process/ClientCrowd.h
@@ -0,0 +1,82 @@
+#ifndef CAMPHORPIN_TESTS_PROCESS_CLIENTCROWD_H
+#define CAMPHORPIN_TESTS_PROCESS_CLIENTCROWD_H
+
+#include <atomic>
+#include <chrono>
+#include <cstddef>
+#include <netinet/in.h>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+namespace camphorpin::process {
+
+/// \class ClientBehavior
+/// \brief What each client of a crowd sends on its connection, and whether it
+/// reads what it gets. After the last byte the connection stays open.
+struct ClientBehavior {
+  std::string Name;
+  /// Connections of the crowd.
+  std::size_t Clients = 1;
+  std::string Start;
+  /// Bytes sent after Start: repetitions of Filler, the last one in part.
+  std::string Filler;
+  std::size_t FillerBytes = 0;
+  /// Pause after each byte that is sent; 0 to send without pauses.
+  std::chrono::milliseconds Pause{0};
+  /// Reads and drops all that arrives.
+  bool Reads = false;
+  /// Opens a new connection in place of one that the server has closed.
+  bool Reconnects = false;
+
+  std::size_t totalBytes() const { return Start.size() + FillerBytes; }
+};
+
+/// \class ClientCrowd
+/// \brief Connections that all behave in the same way, driven by a thread of
+/// their own. The destructor closes them.
+class ClientCrowd {
+public:
+  /// \param Ip the address to connect to, an IPv4 address in text form.
+  ClientCrowd(const std::string &Ip, int Port, ClientBehavior Behavior);
+  ~ClientCrowd();
+  ClientCrowd(const ClientCrowd &) = delete;
+  ClientCrowd &operator=(const ClientCrowd &) = delete;
+
+  /// \returns true if no byte was sent for a while: all is sent, or the server
+  /// takes no more.
+  bool settled() const;
+
+  /// \returns the connections that the server has not closed.
+  std::size_t open() const { return Open; }
+
+private:
+  struct Client {
+    int Socket = -1;
+    std::size_t Sent = 0;
+    std::chrono::steady_clock::time_point NextSend;
+  };
+
+  void run();
+  void connect(Client &Item) const;
+  void serve(Client &Item, short Events);
+  /// Sends what the socket takes.
+  /// \returns false if the connection has ended.
+  bool send(Client &Item);
+  /// \returns the next bytes to send, at most \p Bytes.
+  std::string_view next(std::size_t Sent, std::size_t Bytes) const;
+  void close(Client &Item);
+
+  const ClientBehavior Behavior;
+  sockaddr_in Address{};
+  std::vector<Client> Clients;
+  std::atomic<bool> Stopping = false;
+  std::atomic<std::size_t> Open = 0;
+  std::atomic<std::chrono::steady_clock::time_point> LastSend;
+  std::thread Thread;
+};
+
+} // namespace camphorpin::process
+
+#endif
--- a/tests/process/Mesh.cpp
+++ b/tests/process/Mesh.cpp
@@ -170,7 +170,9 @@
           {"log", {{"address", logAddress()}}},
           {"peers", Peers},
           {"documents", Documents},
-          {"limits", {{"httpThreads", 128}}},
+          {"limits", Target.Limits.is_null()
+                         ? nlohmann::json{{"httpThreads", 128}}
+                         : Target.Limits},
           {"logging", {{"level", "info"}, {"file", ""}}}};
 }
 
@@ -205,7 +207,7 @@
       std::vector<std::string>{
           programPath(Naive ? "naive-node" : "camphorpind"),
           "--settings=" + Path + ".json"},
-      Path + ".out");
+      Path + ".out", Target.MaxDescriptors);
 }
 
 void Mesh::startBackend(Worker &Target) {
--- a/tests/process/Mesh.h
+++ b/tests/process/Mesh.h
@@ -45,6 +45,10 @@
   /// Where the node connects to its backend server, if not directly.
   std::string BackendAddress;
   std::vector<std::string> BackendCommand;
+  /// Replaces "limits" in the settings of the node, if not null.
+  nlohmann::json Limits;
+  /// See ChildProcess.
+  std::size_t MaxDescriptors = 0;
   std::unique_ptr<ChildProcess> Node;
   std::unique_ptr<ChildProcess> Backend;
 
--- /dev/null
+++ b/tests/process/NodeClientCrowdTest.cpp
@@ -0,0 +1,161 @@
+// Guards stand-alone nodes against clients that don't behave: on the addresses
+// for callers and for operators, crowds send too much, too
+// little, too slowly or without reading. The process must live, stay within its
+// memory and keep descriptors free, and ordinary requests must be answered
+// while the crowd still holds its connections.
+#include "ClientCrowd.h"
+#include "Mesh.h"
+
+#include <criterion/criterion.h>
+#include <cstdio>
+#include <functional>
+#include <httplib.h>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace camphorpin::process;
+
+namespace {
+
+constexpr std::size_t Megabyte = std::size_t(1) << 20U;
+/// Memory of the machine of the node.
+constexpr std::size_t MachineBytes = 64 * Megabyte;
+constexpr std::size_t MaxDescriptors = 192;
+/// A node keeps a sixth of its descriptors free for the connections that it
+/// opens itself.
+constexpr std::size_t DescriptorBound = MaxDescriptors * 5 / 6;
+constexpr std::size_t MaxBodyBytes = Megabyte;
+constexpr std::size_t Threads = 8;
+/// How long a crowd may take until it has sent what the node takes.
+constexpr std::chrono::seconds CrowdBound(12);
+/// Ends the wait for the answer to an ordinary request in a failing test.
+constexpr std::chrono::seconds AnswerBound(40);
+
+/// One node and its backend server.
+struct SmallMesh {
+  SmallMesh()
+      : Nodes({{"catalogue", 1, 1, 0, ""}}, [](Worker &Target) {
+          Target.Limits = {{"body", MaxBodyBytes}, {"httpThreads", Threads}};
+          Target.MaxDescriptors = MaxDescriptors;
+        }) {}
+
+  Worker &node() { return Nodes.workers().front(); }
+
+  bool servesOnce() {
+    httplib::Client Callers(node().Ip, node().HttpPort);
+    httplib::Client Operators(node().Ip, node().AdminPort);
+    const httplib::Result Answer = Callers.Get("/catalogue/find");
+    const httplib::Result Posted =
+        Callers.Post("/catalogue/find", "small", "text/plain");
+    const httplib::Result Status = Operators.Get("/status");
+    const httplib::Result Metrics = Operators.Get("/metrics");
+    return Answer && Answer->status == 200 && Posted && Posted->status == 200 &&
+           Status && Status->status == 200 && Metrics && Metrics->status == 200;
+  }
+
+  bool serves() {
+    return waitUntil([this] { return servesOnce(); }, AnswerBound);
+  }
+
+  Mesh Nodes;
+};
+
+/// \returns a chunk of \p Bytes bytes of a chunked body.
+std::string chunk(std::size_t Bytes) {
+  std::array<char, 32> Length{};
+  std::snprintf(Length.data(), Length.size(), "%zx\r\n", Bytes);
+  return Length.data() + std::string(Bytes, 'x') + "\r\n";
+}
+
+std::vector<ClientBehavior> httpCrowds(const std::string &Target) {
+  const std::string Start = " " + Target + " HTTP/1.1\r\nHost: h\r\n";
+  const std::string Post = "POST" + Start;
+  const std::string Chunked = Post + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string LongHeader = "X: " + std::string(7000, 'x') + "\r\n";
+  const std::string Announced =
+      Post + "Content-Length: " + std::to_string(MaxBodyBytes) + "\r\n\r\n";
+  std::vector<ClientBehavior> Crowds;
+  Crowds.push_back({.Name = "idle, more than threads", .Clients = 2 * Threads});
+  Crowds.push_back({.Name = "idle, more than descriptors", .Clients = 300});
+  Crowds.push_back({.Name = "idle, again and again",
+                    .Clients = 100,
+                    .Start = "\r\n",
+                    .Reads = true,
+                    .Reconnects = true});
+  Crowds.push_back({.Name = "head short of its end",
+                    .Clients = 100,
+                    .Start = Post + LongHeader + LongHeader});
+  Crowds.push_back({.Name = "head byte by byte",
+                    .Clients = 100,
+                    .Start = Post + LongHeader,
+                    .Pause = std::chrono::milliseconds(50),
+                    .Reconnects = true});
+  Crowds.push_back({.Name = "body short of its end",
+                    .Clients = 100,
+                    .Start = Announced,
+                    .Filler = std::string(65536, 'x'),
+                    .FillerBytes = MaxBodyBytes - 1});
+  Crowds.push_back({.Name = "body byte by byte",
+                    .Clients = 100,
+                    .Start = Announced + std::string(1000, 'x'),
+                    .Pause = std::chrono::milliseconds(2)});
+  Crowds.push_back({.Name = "small chunks short of their end",
+                    .Clients = 100,
+                    .Start = Chunked,
+                    .Filler = chunk(16),
+                    .FillerBytes = MaxBodyBytes - 1});
+  Crowds.push_back({.Name = "body far over the limit, announced",
+                    .Clients = 12,
+                    .Start = Post + "Content-Length: 1099511627776\r\n\r\n",
+                    .Filler = std::string(65536, 'x'),
+                    .FillerBytes = 100 * MaxBodyBytes,
+                    .Reconnects = true});
+  Crowds.push_back({.Name = "body far over the limit, just sent",
+                    .Clients = 12,
+                    .Start = Chunked,
+                    .Filler = chunk(65536),
+                    .FillerBytes = 100 * MaxBodyBytes,
+                    .Reconnects = true});
+  Crowds.push_back({.Name = "requests ahead, answers unread",
+                    .Clients = 60,
+                    .Filler = "GET" + Start + LongHeader + LongHeader + "\r\n",
+                    .FillerBytes = 4 * Megabyte});
+  return Crowds;
+}
+
+void checkCrowds(SmallMesh &Mesh, int Port,
+                 const std::vector<ClientBehavior> &Crowds) {
+  const Worker &Target = Mesh.node();
+  cr_assert(Mesh.serves());
+  for (const ClientBehavior &Behavior : Crowds) {
+    ClientCrowd Crowd(Target.Ip, Port, Behavior);
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    waitUntil([&Crowd] { return Crowd.settled(); }, CrowdBound);
+    const std::size_t Descriptors = Target.Node->openDescriptors();
+    const bool Served = Mesh.serves();
+    const std::size_t Memory = Target.Node->peakMemory();
+    const bool Lives = !Target.Node->poll();
+    std::fprintf(stderr, "%s: %zu MB, %zu descriptors%s%s\n",
+                 Behavior.Name.c_str(), Memory / Megabyte, Descriptors,
+                 Lives ? "" : ", ended", Served ? "" : ", not served");
+    cr_assert(Lives, "%s: the process ended", Behavior.Name.c_str());
+    cr_expect(Served, "%s: not served", Behavior.Name.c_str());
+    cr_expect_leq(Memory, MachineBytes, "%s", Behavior.Name.c_str());
+    cr_expect_leq(Descriptors, DescriptorBound, "%s", Behavior.Name.c_str());
+  }
+}
+
+} // namespace
+
+Test(NodeClientCrowd, callers, .timeout = 900) {
+  SmallMesh Mesh;
+  cr_assert(Mesh.Nodes.startNodes());
+  checkCrowds(Mesh, Mesh.node().HttpPort, httpCrowds("/catalogue/find"));
+}
+
+Test(NodeClientCrowd, operators, .timeout = 900) {
+  SmallMesh Mesh;
+  cr_assert(Mesh.Nodes.startNodes());
+  checkCrowds(Mesh, Mesh.node().AdminPort, httpCrowds("/drain/unknown"));
+}
