Bound what clients of a stand-alone node's RPC address make it hold

Cause: the RPC library allocates a message when its size has arrived and waits for the rest without a time limit, and there was a bound neither on connections nor on answers that a peer does not read.

Change: LimitedStream counts the messages that are being received, eight of the largest at most, and ends one whose rest does not arrive in 5 s. A quarter of the descriptors is for these connections; beyond it the idle one that has been silent for longest ends. A peer that leaves 16 of the largest answers unread loses its connection (this last bound is in no test).

--- a/packages/daemon/camphorpin/src/Daemon/RpcEnvironment.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/RpcEnvironment.cpp
@@ -33,11 +33,14 @@
 
 capnp::ReaderOptions RpcEnvironment::readerOptions() const {
   capnp::ReaderOptions Result;
-  Result.traversalLimitInWords =
-      2 * (Options.MaxBody + MessageOverhead) / BytesPerWord;
+  Result.traversalLimitInWords = maxMessageBytes() / BytesPerWord;
   return Result;
 }
 
+std::size_t RpcEnvironment::maxMessageBytes() const {
+  return 2 * (Options.MaxBody + MessageOverhead);
+}
+
 void RpcEnvironment::fillIdentity(wire::Identity::Builder Target) const {
   writeProcess(Target.initProcess(), Options.Self);
   Target.setService(Options.Service.string());
--- a/packages/daemon/camphorpin/src/Daemon/RpcEnvironment.h
+++ b/packages/daemon/camphorpin/src/Daemon/RpcEnvironment.h
@@ -29,6 +29,9 @@
   /// of the message, hence the factor.
   capnp::ReaderOptions readerOptions() const;
 
+  /// \returns the size of the largest message that is accepted.
+  std::size_t maxMessageBytes() const;
+
   void fillIdentity(wire::Identity::Builder Target) const;
 
   kj::TimePoint now() const { return Io.provider->getTimer().now(); }
--- a/packages/daemon/camphorpin/src/Daemon/RpcService.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/RpcService.cpp
@@ -98,10 +98,12 @@
   }
   const std::uint64_t CallNumber = Params.getCallId();
   Running[CallNumber] = Id;
+  *Calls = Running.size();
   Context.releaseParams();
   return Expected.then(
       [this, CallNumber, Context](DeliverAnswer &&Done) mutable {
         Running.erase(CallNumber);
+        *Calls = Running.size();
         writeAnswer(Context.getResults().initAnswer(), Done);
       });
 }
--- a/packages/daemon/camphorpin/src/Daemon/RpcService.h
+++ b/packages/daemon/camphorpin/src/Daemon/RpcService.h
@@ -3,6 +3,7 @@
 
 #include "camphorpin/src/Daemon/RpcEnvironment.h"
 
+#include <memory>
 #include <string>
 #include <unordered_map>
 
@@ -31,6 +32,10 @@
              RpcThread &Thread)
       : Environment(Environment), Answers(Answers), Thread(Thread) {}
 
+  /// \returns the number of calls that have no answer, which outlives the
+  /// service.
+  std::shared_ptr<const std::size_t> calls() const { return Calls; }
+
   kj::Promise<void> hello(HelloContext Context) override;
   kj::Promise<void> call(CallContext Context) override;
   kj::Promise<void> cancel(CancelContext Context) override;
@@ -44,6 +49,7 @@
   std::uint16_t Version = 0;
   std::string PeerName;
   std::unordered_map<std::uint64_t, RequestId> Running;
+  std::shared_ptr<std::size_t> Calls = std::make_shared<std::size_t>(0);
 };
 
 } // namespace camphorpin::detail
--- a/packages/daemon/camphorpin/src/Daemon/RpcThread.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/RpcThread.cpp
@@ -1,5 +1,6 @@
 #include "camphorpin/src/Daemon/RpcThread.h"
 
+#include "camphorpin/src/Daemon/LimitedStream.h"
 #include "camphorpin/src/Daemon/PeerLink.h"
 #include "camphorpin/src/Daemon/RpcService.h"
 
@@ -7,6 +8,7 @@
 #include <cassert>
 #include <memory>
 #include <sys/eventfd.h>
+#include <sys/resource.h>
 #include <unistd.h>
 #include <unordered_map>
 #include <unordered_set>
@@ -23,26 +25,69 @@
 constexpr kj::Duration FlushPeriod = 5 * kj::MILLISECONDS;
 constexpr kj::Duration FlushTimeout = 5 * kj::SECONDS;
 
+/// Messages that may be received at the same time, in largest messages.
+constexpr std::size_t MessagesInReceipt = 8;
+/// Answers that may wait to be read by one peer, in largest bodies.
+constexpr std::size_t MaxUnsentBodies = 16;
+/// Part of the descriptors of the process for connections that other nodes
+/// open.
+constexpr std::size_t InboundDescriptorDivisor = 4;
+constexpr std::size_t MinInbound = 16;
+
+/// \returns the connections that other nodes may have open to this one.
+std::size_t maxInbound() {
+  rlimit Process{};
+  if (::getrlimit(RLIMIT_NOFILE, &Process) != 0)
+    return MinInbound;
+  return std::max<std::size_t>(MinInbound,
+                               Process.rlim_cur / InboundDescriptorDivisor);
+}
+
 /// \class Inbound
 /// \brief A connection that another node opened.
 class Inbound {
 public:
-  Inbound(kj::Own<kj::AsyncIoStream> Source, detail::RpcEnvironment &Shared,
-          capnp::Capability::Client Service)
-      : Stream(kj::mv(Source)),
+  /// \param Service must be the service that \p Calls belongs to.
+  Inbound(kj::Own<detail::LimitedStream> Source, detail::RpcEnvironment &Shared,
+          capnp::Capability::Client Service,
+          std::shared_ptr<const std::size_t> Calls)
+      : Stream(kj::mv(Source)), Calls(std::move(Calls)),
         Network(*Stream, capnp::rpc::twoparty::Side::SERVER,
                 Shared.readerOptions()),
         System(capnp::makeRpcServer(Network, kj::mv(Service))) {
     System.setFlowLimit(FlowLimitWords);
+    kj::PromiseFulfillerPair<void> Pair = kj::newPromiseAndFulfiller<void>();
+    Closed = kj::mv(Pair.promise);
+    Closer = kj::mv(Pair.fulfiller);
   }
 
-  kj::Promise<void> onDisconnect() { return Network.onDisconnect(); }
+  /// \returns a promise that is ready when the peer has gone or close() was
+  /// called. Must be called once.
+  kj::Promise<void> onEnd() {
+    return Network.onDisconnect().exclusiveJoin(kj::mv(Closed));
+  }
+
+  /// Ends the connection in a later iteration of the event loop.
+  void close() {
+    Closing = true;
+    Closer->fulfill();
+  }
+
+  /// \returns true if the connection may end to make room for another.
+  bool idle() const { return *Calls == 0 && !Closing; }
+  bool closing() const { return Closing; }
+  kj::TimePoint lastRead() const { return Stream->lastRead(); }
 
   /// \returns the bytes of answers that are not written yet.
   std::size_t unsent() { return Network.getCurrentQueueSize(); }
 
 private:
-  kj::Own<kj::AsyncIoStream> Stream;
+  kj::Own<detail::LimitedStream> Stream;
+  /// The calls of the peer that have no answer.
+  std::shared_ptr<const std::size_t> Calls;
+  kj::Promise<void> Closed = nullptr;
+  kj::Own<kj::PromiseFulfiller<void>> Closer;
+  bool Closing = false;
   capnp::TwoPartyVatNetwork Network;
   capnp::RpcSystem<capnp::rpc::twoparty::VatId> System;
 };
@@ -57,7 +102,9 @@
         Wake(Environment.Io.lowLevelProvider->wrapInputFd(WakeSocket)),
         Listener(Environment.Io.lowLevelProvider->wrapListenSocketFd(
             Environment.Options.ListenSocket,
-            kj::LowLevelAsyncIoProvider::TAKE_OWNERSHIP)) {}
+            kj::LowLevelAsyncIoProvider::TAKE_OWNERSHIP)),
+        Receiving(std::make_shared<ByteBudget>(
+            MessagesInReceipt * Environment.maxMessageBytes())) {}
 
   kj::Promise<void> acceptAll() {
     return Listener->accept().then([this](kj::Own<kj::AsyncIoStream> &&Stream) {
@@ -72,6 +119,7 @@
     return Environment.Io.provider->getTimer().afterDelay(Period).then([this] {
       for (auto &[Address, Link] : Links)
         Link->checkSilence();
+      closeUnread();
       return watchSilence();
     });
   }
@@ -106,15 +154,44 @@
   }
 
 private:
+  /// Ends connections whose peers let answers pile up.
+  void closeUnread() {
+    const std::size_t MaxUnsent = MaxUnsentBodies * Environment.Options.MaxBody;
+    for (Inbound *Item : Connections)
+      if (!Item->closing() && Item->unsent() > MaxUnsent)
+        Item->close();
+  }
+
+  /// Ends the idle connection that has been silent for longest.
+  /// \returns false if there is none.
+  bool closeLongestIdle() {
+    Inbound *Chosen = nullptr;
+    for (Inbound *Item : Connections)
+      if (Item->idle() &&
+          (Chosen == nullptr || Item->lastRead() < Chosen->lastRead()))
+        Chosen = Item;
+    if (Chosen == nullptr)
+      return false;
+    Chosen->close();
+    return true;
+  }
+
   void serve(kj::Own<kj::AsyncIoStream> Stream) {
+    // Without room, the new connection is closed unread.
+    if (Connections.size() >= MaxInbound && !closeLongestIdle())
+      return;
     detail::setNoDelay(*Stream);
-    wire::Node::Client Service =
+    kj::Own<detail::RpcService> Handler =
         kj::heap<detail::RpcService>(Environment, Answers, Thread);
-    kj::Own<Inbound> Connection =
-        kj::heap<Inbound>(kj::mv(Stream), Environment, kj::mv(Service));
+    const std::shared_ptr<const std::size_t> Calls = Handler->calls();
+    wire::Node::Client Service = kj::mv(Handler);
+    kj::Own<Inbound> Connection = kj::heap<Inbound>(
+        kj::heap<detail::LimitedStream>(kj::mv(Stream), Receiving,
+                                        Environment.Io.provider->getTimer()),
+        Environment, kj::mv(Service), Calls);
     Inbound *Key = Connection.get();
     Connections.insert(Key);
-    Environment.Tasks.add(Connection->onDisconnect()
+    Environment.Tasks.add(Connection->onEnd()
                               .then([this, Key] { Connections.erase(Key); })
                               .attach(kj::mv(Connection)));
   }
@@ -150,6 +227,9 @@
   detail::RpcEnvironment &Environment;
   kj::Own<kj::AsyncInputStream> Wake;
   kj::Own<kj::ConnectionReceiver> Listener;
+  /// The bytes of messages that are being received.
+  std::shared_ptr<ByteBudget> Receiving;
+  const std::size_t MaxInbound = maxInbound();
   std::uint64_t WakeCount = 0;
   detail::AnswerTable Answers;
   std::unordered_set<Inbound *> Connections;
--- a/tests/process/NodeClientCrowdTest.cpp
+++ b/tests/process/NodeClientCrowdTest.cpp
@@ -1,5 +1,5 @@
 // Guards stand-alone nodes against clients that don't behave: on the addresses
-// for callers and for operators, crowds send too much, too
+// for callers, for operators and for other nodes, crowds send too much, too
 // little, too slowly or without reading. The process must live, stay within its
 // memory and keep descriptors free, and ordinary requests must be answered
 // while the crowd still holds its connections.
@@ -124,6 +124,35 @@
   return Crowds;
 }
 
+std::vector<ClientBehavior> peerCrowds() {
+  // The head of a Cap'n Proto message with one segment of 2 MB.
+  const std::string MessageHead("\0\0\0\0\0\0\x04\0", 8);
+  const std::string TooLarge("\0\0\0\0\xff\xff\xff\x7f", 8);
+  std::vector<ClientBehavior> Crowds;
+  Crowds.push_back({.Name = "idle, more than descriptors", .Clients = 300});
+  Crowds.push_back({.Name = "message short of its end",
+                    .Clients = 100,
+                    .Start = MessageHead,
+                    .Filler = std::string(65536, '\0'),
+                    .FillerBytes = 2 * Megabyte - 8});
+  Crowds.push_back({.Name = "message byte by byte",
+                    .Clients = 100,
+                    .Start = MessageHead + std::string(5000, '\0'),
+                    .Pause = std::chrono::milliseconds(2)});
+  Crowds.push_back({.Name = "message over the limit",
+                    .Clients = 12,
+                    .Start = TooLarge,
+                    .Filler = std::string(65536, 'x'),
+                    .FillerBytes = 20 * Megabyte,
+                    .Reconnects = true});
+  Crowds.push_back({.Name = "no messages at all",
+                    .Clients = 12,
+                    .Filler = std::string(65536, 'x'),
+                    .FillerBytes = 20 * Megabyte,
+                    .Reconnects = true});
+  return Crowds;
+}
+
 void checkCrowds(SmallMesh &Mesh, int Port,
                  const std::vector<ClientBehavior> &Crowds) {
   const Worker &Target = Mesh.node();
@@ -159,3 +188,9 @@
   cr_assert(Mesh.Nodes.startNodes());
   checkCrowds(Mesh, Mesh.node().AdminPort, httpCrowds("/drain/unknown"));
 }
+
+Test(NodeClientCrowd, peers, .timeout = 900) {
+  SmallMesh Mesh;
+  cr_assert(Mesh.Nodes.startNodes());
+  checkCrowds(Mesh, Mesh.node().RpcPort, peerCrowds());
+}
