--- a/packages/camphorpind/main.cpp
+++ b/packages/camphorpind/main.cpp
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
+#include <malloc.h>
 #include <optional>
 #include <sstream>
 #include <string>
@@ -26,6 +27,11 @@
 using camphorpin::Settings;
 using camphorpin::SettingsError;
 
+/// Size in bytes from which a block of memory is returned to the system when it
+/// is freed. Without a fixed size, the C library raises it up to 32 MB, and
+/// freed bodies and answers stay with the process.
+constexpr int ReturnedBlockBytes = 128 << 10;
+
 /// Prints all errors with file and field.
 int printErrors(const std::vector<SettingsError> &Errors) {
   for (const SettingsError &Error : Errors) {
@@ -114,6 +120,7 @@
 } // namespace
 
 int main(int Count, char **Arguments) {
+  ::mallopt(M_MMAP_THRESHOLD, ReturnedBlockBytes);
   gflags::SetUsageMessage("runs one camphorpin node\n"
                           "  camphorpind --settings FILE [--check-settings]");
   gflags::ParseCommandLineFlags(&Count, &Arguments, true);
--- a/packages/gateway/camphorpin/src/Gateway/AsyncHttpServer.h
+++ b/packages/gateway/camphorpin/src/Gateway/AsyncHttpServer.h
@@ -7,6 +7,7 @@
 #include "camphorpin/src/Http/HttpMessages.h"
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <set>
 #include <string>
@@ -27,12 +28,12 @@
   const HttpRequest &request() const { return Request; }
 
   /// Moves the body out of the request to avoid copying it.
-  std::string takeBody() { return std::move(Request.body()); }
+  SharedBody takeBody() { return std::move(Request.body()); }
 
-  /// Replaces what the request holds of the server's byte budget by \p Bytes
-  /// for its response.
+  /// Replaces what the head of the request holds of the server's byte budget by
+  /// \p Bytes for its response.
   /// \returns false if the budget does not allow it.
-  bool reserve(std::size_t Bytes) { return !Held || Held->resize(Bytes); }
+  bool reserve(std::size_t Bytes);
 
   /// Sends the response once those of earlier requests on the connection have
   /// been sent. Calls after the first have no effect.
@@ -52,7 +53,7 @@
   std::function<void()> DisconnectHandler;
   bool Answered = false;
   HttpReply Response;
-  /// The bytes of the request, and later of its response.
+  /// The bytes of the request's head, and later of its response.
   std::unique_ptr<BudgetShare> Held;
 };
 
@@ -74,14 +75,19 @@
 ///
 /// Pipelined requests on one connection run concurrently; their responses are
 /// sent in the order of the requests.
-class AsyncHttpServer {
+///
+/// Clients that hold connections or bytes without using them give way to
+/// others: beyond the largest number of connections the one that has been
+/// waiting longest for its caller is closed, and when the byte budget is short
+/// slow callers lose what is held for them.
+class AsyncHttpServer final : private ByteReclaimer {
 public:
   /// \param Handler must outlive the server.
   AsyncHttpServer(EventLoop &Loop, HttpRequestHandler &Handler)
       : Acceptor(Loop,
                  [this](TcpSocket Socket) { onConnection(std::move(Socket)); }),
         Handler(Handler) {}
-  ~AsyncHttpServer() { close(); }
+  ~AsyncHttpServer() override;
 
   /// \returns an empty string, or why the address can't be used.
   std::string listen(const HostAddress &Address);
@@ -90,11 +96,14 @@
   void setLimits(const RequestLimits &Value) { Limits = Value; }
   const RequestLimits &limits() const { return Limits; }
 
-  /// Bounds the bytes of request bodies and of unsent responses over all
-  /// connections. There is no bound by default.
-  void setByteBudget(std::shared_ptr<ByteBudget> Value) {
-    Budget = std::move(Value);
-  }
+  /// Bounds the bytes that are held for callers over all connections. There is
+  /// no bound by default. The server becomes the budget's reclaimer.
+  void setByteBudget(std::shared_ptr<ByteBudget> Value);
+
+  /// Bounds the open connections. There is no bound by default.
+  void setMaxConnections(std::size_t Value) { MaxConnections = Value; }
+
+  std::size_t connections() const { return Sessions.size(); }
 
   /// Closes each connection after its last pending response.
   void drain() { Draining = true; }
@@ -113,11 +122,16 @@
   friend class detail::HttpSession;
 
   void onConnection(TcpSocket Socket);
+  /// Closes the connection that has been waiting longest for its caller.
+  /// \returns false if there is none.
+  bool closeLongestWaiting();
+  bool reclaim() override;
 
   detail::AcceptLoop Acceptor;
   HttpRequestHandler &Handler;
   RequestLimits Limits;
   std::shared_ptr<ByteBudget> Budget;
+  std::size_t MaxConnections = std::numeric_limits<std::size_t>::max();
   bool Draining = false;
   std::set<std::shared_ptr<detail::HttpSession>> Sessions;
 };
--- a/packages/gateway/camphorpin/src/Gateway/BackendProxy.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/BackendProxy.cpp
@@ -24,13 +24,12 @@
 
 /// Part of the node's memory for responses that are being received. Each is
 /// copied two or three times until it has been forwarded.
-constexpr std::size_t ResponseMemoryDivisor = 6;
-/// Part of the node's memory for the bodies of requests that are queued or
-/// running.
-constexpr std::size_t RequestMemoryDivisor = 4;
-/// Copies of a request's body that are held: in the call, and in the bytes that
+constexpr std::size_t ResponseMemoryDivisor = 8;
+/// Part of the node's memory for requests, and for answers to callers.
+constexpr std::size_t MessageMemoryDivisor = 2;
+/// Copies of a request's head that are held: in the call, and in the bytes that
 /// are sent to the backend server.
-constexpr std::size_t BodyCopies = 2;
+constexpr std::size_t HeadCopies = 2;
 /// Largest accepted body of the answer to a health check.
 constexpr std::uint64_t MaxProbeBytes = 64U << 10U;
 
@@ -56,8 +55,8 @@
       Pool(Loop, Settings.BackendAddress,
            std::make_shared<ByteBudget>(Settings.MemoryBytes /
                                         ResponseMemoryDivisor)),
-      RequestBudget(std::make_shared<ByteBudget>(Settings.MemoryBytes /
-                                                 RequestMemoryDivisor)),
+      MessageBudget(std::make_shared<ByteBudget>(Settings.MemoryBytes /
+                                                 MessageMemoryDivisor)),
       QueueTimer(Loop) {
   Detector.setCrashListener(
       [this](std::size_t LostRuns, const PeerCrashes &Crashes) {
@@ -183,7 +182,7 @@
   Ticket.Objective = Call.Objective;
   Ticket.Age = Call.Age;
   Ticket.Deadline = Now + Call.TimeLeft;
-  Run &Item = Runs.try_emplace(RunId, RequestBudget).first->second;
+  Run &Item = Runs.try_emplace(RunId, MessageBudget).first->second;
   Item.Deadline = Ticket.Deadline;
   Item.Call = std::move(Call);
   Item.Done = std::move(Done);
@@ -192,7 +191,8 @@
            DefaultRetryAfter);
     return RunId;
   }
-  if (!Item.Held.resize(Item.Call.Body.size() * BodyCopies)) {
+  if (!Item.Held.resize(Item.Call.Head.size() * HeadCopies +
+                        Item.Call.Body.uncountedBytes())) {
     refuse(RunId, RefusalReason::NodeBusy, DefaultRetryAfter);
     return RunId;
   }
@@ -206,7 +206,7 @@
   return RunId;
 }
 
-std::string BackendProxy::requestBytes(std::uint64_t RunId, const Run &Item) {
+std::string BackendProxy::requestHead(std::uint64_t RunId, const Run &Item) {
   const HeaderNames &Names = Protocol.headers();
   const Instant Now = Time.now();
   const std::int64_t LeftMillis =
@@ -223,7 +223,6 @@
     Result += detail::headerLine("Content-Length",
                                  std::to_string(Item.Call.Body.size()));
   Result += "\r\n";
-  Result += Item.Call.Body;
   return Result;
 }
 
@@ -243,7 +242,8 @@
   Item.Backend = Tracker.current().Id;
   Item.Connection = Pool.acquire(Item.Call.RequestId);
   ExchangeRequest Request;
-  Request.Bytes = requestBytes(RunId, Item);
+  Request.Bytes = requestHead(RunId, Item);
+  Request.Body = Item.Call.Body;
   Request.IsHeadRequest = Item.Call.Head.starts_with("HEAD ");
   Request.Id = Item.Call.RequestId;
   Request.IdHeader = Protocol.headers().RequestId;
--- a/packages/gateway/camphorpin/src/Gateway/BackendProxy.h
+++ b/packages/gateway/camphorpin/src/Gateway/BackendProxy.h
@@ -104,6 +104,11 @@
   }
 
   BackendStatus status() const;
+  /// \returns the budget for the requests that this node holds: those of
+  /// callers and those for the backend server, with the answers to callers.
+  const std::shared_ptr<ByteBudget> &messageBudget() const {
+    return MessageBudget;
+  }
   const BackendReport &backend() const { return Tracker.current(); }
 
   /// Does periodic work. Must be called at least once a second.
@@ -123,7 +128,8 @@
     std::unique_ptr<boost::asio::steady_timer> Timer;
     bool Started = false;
     Instant StartTime;
-    /// The bytes of the request's body.
+    /// The bytes of the request's head, and of its body if nothing else counts
+    /// them.
     BudgetShare Held;
     explicit Run(std::shared_ptr<ByteBudget> Budget)
         : Held(std::move(Budget)) {}
@@ -135,9 +141,9 @@
   void probeIfNeeded();
   void start(std::uint64_t RunId);
   void startQueued();
-  /// \returns the serialized request of a run. Its deadline is registered for
-  /// the detection of nested calls.
-  std::string requestBytes(std::uint64_t RunId, const Run &Item);
+  /// \returns what precedes the body of a run's request. Its deadline is
+  /// registered for the detection of nested calls.
+  std::string requestHead(std::uint64_t RunId, const Run &Item);
   void onResult(std::uint64_t RunId, ExchangeResult Result);
   /// \returns the answer for the result of an exchange. A result that shows
   /// that the backend server is unreachable or another one updates its status.
@@ -170,8 +176,7 @@
   BackendAdmission Admission;
   CrashDetector Detector;
   HttpConnectionPool Pool;
-  /// Bounds the bytes of the requests in Runs.
-  std::shared_ptr<ByteBudget> RequestBudget;
+  std::shared_ptr<ByteBudget> MessageBudget;
   std::function<void()> StatusListener;
   std::function<void(const PeerCrashes &)> CrashListener;
   std::function<void(std::span<const BackendDeparture>)> DepartureListener;
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
@@ -20,9 +20,6 @@
 /// node not ready twice; the delay keeps the loss of capacity during a rolling
 /// restart short.
 constexpr Duration BackendDrainDelay = Duration::millis(2000);
-/// Part of the node's memory for request bodies and answers of callers. The
-/// same number of bytes is needed again while a message is decoded and encoded.
-constexpr std::size_t CallMemoryDivisor = 3;
 /// Time after the start of a drain from which new requests are refused: they
 /// might not end within the stop grace.
 constexpr Duration OutboundDrainDelay = Duration::millis(2800);
@@ -127,8 +124,7 @@
       Departures(Loop, RandomSource, Settings.StoreAddress, Protocol,
                  Settings.Node),
       Signals(Loop, SIGTERM, SIGINT, SIGHUP), TickTimer(Loop) {
-  CallServer.setByteBudget(
-      std::make_shared<ByteBudget>(Settings.MemoryBytes / CallMemoryDivisor));
+  CallServer.setByteBudget(Proxy.messageBudget());
 }
 
 std::string Gateway::start() {
--- a/packages/gateway/camphorpin/src/Gateway/OutboundHandler.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/OutboundHandler.cpp
@@ -39,11 +39,15 @@
 /// \returns a hash that is equal for repeats of the same request by the caller.
 std::uint64_t requestFingerprint(const HttpRequest &Request,
                                  std::string_view CallerService,
-                                 std::string_view Body) {
+                                 const SharedBody &Body) {
   std::uint64_t Result = stableHash(std::string_view(Request.target()));
   Result = stableHash(detail::headerOf(Request, "Host"), Result);
   Result = stableHash(CallerService, Result);
-  return stableHash(Body, Result);
+  if (Body.empty())
+    return stableHash(std::string_view(), Result);
+  for (const std::string_view Block : Body.blocks())
+    Result = stableHash(Block, Result);
+  return Result;
 }
 
 /// \returns \p Span in seconds for Retry-After. HTTP defines whole seconds; the
@@ -277,6 +281,7 @@
 
 void OutboundHandler::deliver(std::uint64_t Id, OutboundCall &Item,
                               PeerAnswer &&Answer) {
+  Item.Body = SharedBody();
   if (!Item.Exchange->reserve(Answer.Head.size() + Answer.Body.size())) {
     // Slow readers hold the node's memory. The request has run.
     reportFailure(Item, 502, RefusalReason::NodeBusy);
--- a/packages/gateway/camphorpin/src/Gateway/OutboundHandler.h
+++ b/packages/gateway/camphorpin/src/Gateway/OutboundHandler.h
@@ -49,7 +49,7 @@
     std::shared_ptr<const RouteRule> Route;
     std::string Service;
     std::string Head;
-    std::string Body;
+    SharedBody Body;
     std::string RequestId;
     std::uint64_t Fingerprint = 0;
     Instant Arrived;
--- a/packages/gateway/camphorpin/src/Gateway/PeerChannel.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerChannel.h
@@ -1,12 +1,14 @@
 #ifndef CAMPHORPIN_SRC_GATEWAY_PEERCHANNEL_H
 #define CAMPHORPIN_SRC_GATEWAY_PEERCHANNEL_H
 
+#include "camphorpin/src/Gateway/PeerCodec.h"
 #include "camphorpin/src/Gateway/PeerMessages.h"
 #include "camphorpin/src/Http/EventLoop.h"
 
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace camphorpin {
 
@@ -25,6 +27,12 @@
 
   explicit PeerChannel(TcpSocket Socket) : Socket(std::move(Socket)) {}
 
+  /// Bounds what the other side may make this one hold: the connection fails if
+  /// a frame is larger than \p FrameBytes, or if \p Budget has no room for what
+  /// has been received in part or is not sent yet. Must be called before
+  /// start().
+  void setLimits(std::size_t FrameBytes, std::shared_ptr<ByteBudget> Budget);
+
   /// Starts reading. \p Target must stay valid until close().
   void start(Listener &Target);
 
@@ -40,7 +48,16 @@
 
 private:
   void read();
-  void onRead(const boost::system::error_code &Error, std::size_t Bytes);
+  void onReadable(const boost::system::error_code &Error);
+  void onRead(std::string_view Bytes);
+  /// Passes the whole frames at the start of the input to the listener.
+  /// \returns the bytes that they take.
+  std::size_t handleFrames();
+  /// Prepares for the rest of a frame that has arrived in part.
+  /// \returns false if it exceeds a limit.
+  bool reserveInput();
+  /// Fails in a later iteration of the event loop.
+  void failLater();
   void scheduleWrite();
   void write();
   void fail();
@@ -50,6 +67,11 @@
   std::string InputBuffer;
   std::string OutputBuffer;
   std::string InFlight;
+  std::size_t MaxFrameBytes = detail::MaxFrameBytes;
+  std::unique_ptr<BudgetShare> Input;
+  std::unique_ptr<BudgetShare> Unsent;
+  /// The connection is about to fail; no further frame is handled.
+  bool Failing = false;
   bool WriteScheduled = false;
   bool Closed = false;
 };
--- a/packages/gateway/camphorpin/src/Gateway/PeerClient.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerClient.cpp
@@ -21,6 +21,8 @@
 constexpr Duration ConnectTimeout = Duration::millis(700);
 constexpr Duration MinReconnectDelay = Duration::millis(100);
 constexpr Duration MaxReconnectDelay = Duration::seconds(2);
+/// Largest body that is sent with its call, in bytes.
+constexpr std::size_t MaxInlineBodyBytes = std::size_t(64) << 10U;
 
 } // namespace
 
@@ -145,6 +147,8 @@
     onAnswer(std::move(*Answer));
   else if (const auto *Hello = std::get_if<PeerHello>(&Frame))
     onHello(*Hello);
+  else if (const auto *Range = std::get_if<PeerBodyRequest>(&Frame))
+    onBodyRequest(*Range);
   else if (const auto *Value = std::get_if<BackendStatus>(&Frame))
     updateStatus(*Value);
   else if (auto *Update = std::get_if<PeerUpdate>(&Frame))
@@ -202,7 +206,27 @@
   }
   Item.Call.TimeLeft =
       std::max(Duration::millis(1), Item.Deadline - Time.now());
-  Channel->send(Item.Call);
+  if (Item.Call.Body.size() <= MaxInlineBodyBytes) {
+    Channel->send(Item.Call);
+    return;
+  }
+  PeerLargeCall Large{Item.Call, Item.Call.Body.size()};
+  Large.Call.Body = SharedBody();
+  Channel->send(Large);
+}
+
+void PeerClient::onBodyRequest(const PeerBodyRequest &Request) {
+  const auto Found = Calls.find(Request.Id);
+  if (Found == Calls.end() || State != ConnectionState::Open)
+    return;
+  const SharedBody &Body = Found->second.Call.Body;
+  const std::uint64_t End = std::min<std::uint64_t>(Request.UpTo, Body.size());
+  std::uint64_t Offset = Request.From;
+  while (Offset < End) {
+    const std::string_view Bytes = Body.blockAt(Offset).substr(0, End - Offset);
+    Channel->send(PeerBodyPart{Request.Id, Offset, std::string(Bytes)});
+    Offset += Bytes.size();
+  }
 }
 
 void PeerClient::cancel(std::uint64_t Id) {
--- a/packages/gateway/camphorpin/src/Gateway/PeerClient.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerClient.h
@@ -105,6 +105,8 @@
   void onAnswer(PeerAnswer Answer);
   void updateStatus(const BackendStatus &Received);
   void writeCall(Pending &Item);
+  /// Sends the range of a body that the peer has asked for.
+  void onBodyRequest(const PeerBodyRequest &Request);
   void onConnectFailed();
   /// Fails the calls whose outcome is no longer expected. If the peer process
   /// has ended, these are the calls that were sent to it; otherwise those that
--- a/packages/gateway/camphorpin/src/Gateway/PeerCodec.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerCodec.cpp
@@ -15,10 +15,11 @@
 
 namespace {
 
-/// Largest frame: the largest body of a request with its headers and a margin.
-constexpr std::size_t MaxFrameBytes = 72U << 20U;
 /// Fractions are encoded in thousandths.
 constexpr double PerMille = 1000.0;
+/// Encoded size from which room is reserved, so that a large buffer does not
+/// grow beyond what it needs.
+constexpr std::size_t MinReservedBytes = std::size_t(64) << 10U;
 /// Size of the length prefix of each message.
 constexpr std::size_t LengthBytes = 4;
 
@@ -78,6 +79,38 @@
   return Result;
 }
 
+void write(peer::Call::Builder Target, const PeerCall &Source) {
+  Target.setId(Source.Id);
+  Target.setHead(dataOf(Source.Head));
+  const std::string Body = Source.Body.text();
+  Target.setBody(dataOf(Body));
+  Target.setRequestId(Source.RequestId);
+  Target.setRoute(Source.Route);
+  Target.setService(Source.Service);
+  Target.setIdempotent(Source.Idempotent);
+  Target.setPriority(Source.Rank);
+  Target.setDeadlineMs(millisOf(Source.TimeLeft));
+  Target.setObjectiveMs(millisOf(Source.Objective));
+  Target.setAgeMs(millisOf(Source.Age));
+  Target.setFingerprint(Source.Fingerprint);
+  Target.setNested(Source.Nested);
+  Target.setCrashCount(Source.CrashCount);
+}
+
+/// \class StringOutput
+/// \brief Appends what is written to a string.
+class StringOutput final : public kj::OutputStream {
+public:
+  explicit StringOutput(std::string &Target) : Target(Target) {}
+
+  void write(const void *Source, std::size_t Size) override {
+    Target.append(static_cast<const char *>(Source), Size);
+  }
+
+private:
+  std::string &Target;
+};
+
 /// Encodes each type of frame.
 struct FrameWriter {
   peer::PeerFrame::Builder Root;
@@ -93,22 +126,23 @@
     write(Target.initKnown(), Value.Digest);
     write(Target.initState(), Value.Status);
   }
-  void operator()(const PeerCall &Value) {
-    peer::Call::Builder Target = Root.initCall();
+  void operator()(const PeerCall &Value) { write(Root.initCall(), Value); }
+  void operator()(const PeerLargeCall &Value) {
+    peer::LargeCall::Builder Target = Root.initLargeCall();
+    write(Target.initCall(), Value.Call);
+    Target.setBodyBytes(Value.BodyBytes);
+  }
+  void operator()(const PeerBodyRequest &Value) {
+    peer::BodyRequest::Builder Target = Root.initBodyRequest();
     Target.setId(Value.Id);
-    Target.setHead(dataOf(Value.Head));
-    Target.setBody(dataOf(Value.Body));
-    Target.setRequestId(Value.RequestId);
-    Target.setRoute(Value.Route);
-    Target.setService(Value.Service);
-    Target.setIdempotent(Value.Idempotent);
-    Target.setPriority(Value.Rank);
-    Target.setDeadlineMs(millisOf(Value.TimeLeft));
-    Target.setObjectiveMs(millisOf(Value.Objective));
-    Target.setAgeMs(millisOf(Value.Age));
-    Target.setFingerprint(Value.Fingerprint);
-    Target.setNested(Value.Nested);
-    Target.setCrashCount(Value.CrashCount);
+    Target.setFrom(Value.From);
+    Target.setUpTo(Value.UpTo);
+  }
+  void operator()(const PeerBodyPart &Value) {
+    peer::BodyPart::Builder Target = Root.initBodyPart();
+    Target.setId(Value.Id);
+    Target.setOffset(Value.Offset);
+    Target.setBytes(dataOf(Value.Bytes));
   }
   void operator()(const PeerAnswer &Value) {
     peer::Answer::Builder Target = Root.initAnswer();
@@ -191,7 +225,7 @@
   PeerCall Result;
   Result.Id = Source.getId();
   Result.Head = textOf(Source.getHead());
-  Result.Body = textOf(Source.getBody());
+  Result.Body = SharedBody(textOf(Source.getBody()));
   Result.RequestId = textOf(Source.getRequestId());
   Result.Route = textOf(Source.getRoute());
   Result.Service = textOf(Source.getService());
@@ -244,6 +278,18 @@
   return Result;
 }
 
+PeerLargeCall readLargeCall(peer::LargeCall::Reader Source) {
+  return {readCall(Source.getCall()), Source.getBodyBytes()};
+}
+
+PeerBodyRequest readBodyRequest(peer::BodyRequest::Reader Source) {
+  return {Source.getId(), Source.getFrom(), Source.getUpTo()};
+}
+
+PeerBodyPart readBodyPart(peer::BodyPart::Reader Source) {
+  return {Source.getId(), Source.getOffset(), textOf(Source.getBytes())};
+}
+
 PeerUpdateRequest readUpdateRequest(peer::NewsRequest::Reader Source) {
   PeerUpdateRequest Result;
   Result.Configuration = Source.getConfiguration();
@@ -308,6 +354,12 @@
   case peer::PeerFrame::POLL_ANSWER:
     return PeerPollAnswer{read(Root.getPollAnswer().getKnown()),
                           Root.getPollAnswer().getCurrent()};
+  case peer::PeerFrame::LARGE_CALL:
+    return readLargeCall(Root.getLargeCall());
+  case peer::PeerFrame::BODY_REQUEST:
+    return readBodyRequest(Root.getBodyRequest());
+  case peer::PeerFrame::BODY_PART:
+    return readBodyPart(Root.getBodyPart());
   }
   // A frame of a later version is ignored.
   return PeerPong{0};
@@ -318,35 +370,50 @@
 void encodeFrame(const PeerFrame &Frame, std::string &Target) {
   capnp::MallocMessageBuilder Message;
   std::visit(FrameWriter{Message.initRoot<peer::PeerFrame>()}, Frame);
+  const std::size_t Start = Target.size();
+  Target.append(LengthBytes, '\0');
   // Traffic between availability zones is billed, and most bytes of a frame's
   // structure are zero.
-  kj::VectorOutputStream Packed;
+  // The packed form of a word takes nine bytes at most.
+  const std::size_t MaxBytes =
+      capnp::computeSerializedSizeInWords(Message) * (sizeof(capnp::word) + 1);
+  if (MaxBytes > MinReservedBytes)
+    Target.reserve(Target.size() + MaxBytes);
+  StringOutput Packed(Target);
   capnp::writePackedMessage(Packed, Message);
-  const kj::ArrayPtr<const kj::byte> Bytes = Packed.getArray();
-  for (unsigned Shift = 32; Shift > 0; Shift -= 8)
-    Target.push_back(static_cast<char>(Bytes.size() >> (Shift - 8)));
-  Target.append(reinterpret_cast<const char *>(Bytes.begin()), Bytes.size());
+  const std::size_t Length = Target.size() - Start - LengthBytes;
+  for (std::size_t Index = 0; Index < LengthBytes; ++Index)
+    Target[Start + Index] =
+        static_cast<char>(Length >> (8 * (LengthBytes - 1 - Index)));
 }
 
-DecodedFrame decodeFrame(std::string_view Stream) {
-  DecodedFrame Result;
+std::size_t frameBytes(std::string_view Stream) {
   if (Stream.size() < LengthBytes)
-    return Result;
+    return 0;
   std::size_t Length = 0;
   for (std::size_t Index = 0; Index < LengthBytes; ++Index)
     Length = (Length << 8U) | static_cast<unsigned char>(Stream[Index]);
-  if (Length > MaxFrameBytes) {
+  return LengthBytes + Length;
+}
+
+DecodedFrame decodeFrame(std::string_view Stream, std::size_t MaxBytes) {
+  DecodedFrame Result;
+  const std::size_t Bytes = frameBytes(Stream);
+  if (Bytes == 0)
+    return Result;
+  const std::size_t Length = Bytes - LengthBytes;
+  if (Length > MaxBytes) {
     Result.State = DecodeState::Malformed;
     return Result;
   }
-  if (Stream.size() - LengthBytes < Length)
+  if (Stream.size() < Bytes)
     return Result;
   try {
     kj::ArrayInputStream Input(kj::arrayPtr(
         reinterpret_cast<const kj::byte *>(Stream.data()) + LengthBytes,
         Length));
     capnp::ReaderOptions Options;
-    Options.traversalLimitInWords = MaxFrameBytes / sizeof(capnp::word);
+    Options.traversalLimitInWords = MaxBytes / sizeof(capnp::word);
     capnp::PackedMessageReader Reader(Input, Options);
     Result.Frame = readFrame(Reader.getRoot<peer::PeerFrame>());
     Result.Bytes = LengthBytes + Length;
--- a/packages/gateway/camphorpin/src/Gateway/PeerCodec.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerCodec.h
@@ -14,6 +14,14 @@
 /// Cap'n Proto message.
 void encodeFrame(const PeerFrame &Frame, std::string &Target);
 
+/// Largest frame that a node sends, in bytes: the largest answer of a backend
+/// server with its headers and a margin.
+constexpr std::size_t MaxFrameBytes = 20U << 20U;
+
+/// \returns the bytes of the first frame of \p Stream with its length prefix,
+/// or 0 if the prefix is incomplete.
+std::size_t frameBytes(std::string_view Stream);
+
 /// \brief Result of decoding the first frame of a byte stream.
 enum class DecodeState : std::uint8_t { Frame, Incomplete, Malformed };
 
@@ -26,7 +34,9 @@
 };
 
 /// \param Stream received bytes, of which the first frame is decoded.
-DecodedFrame decodeFrame(std::string_view Stream);
+/// \param MaxBytes size, packed or not, above which a frame is malformed.
+DecodedFrame decodeFrame(std::string_view Stream,
+                         std::size_t MaxBytes = MaxFrameBytes);
 
 } // namespace camphorpin::detail
 
--- a/packages/gateway/camphorpin/src/Gateway/PeerMessages.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerMessages.h
@@ -2,6 +2,7 @@
 #define CAMPHORPIN_SRC_GATEWAY_PEERMESSAGES_H
 
 #include "camphorpin/Core.h"
+#include "camphorpin/src/Http/SharedBody.h"
 
 #include <cstdint>
 #include <string>
@@ -70,7 +71,7 @@
   std::uint64_t Id = 0;
   /// Request line and headers, without the empty line.
   std::string Head;
-  std::string Body;
+  SharedBody Body;
   std::string RequestId;
   std::string Route;
   std::string Service;
@@ -91,6 +92,37 @@
   bool Nested = false;
 };
 
+/// \class PeerLargeCall
+/// \brief A call whose body follows in parts.
+///
+/// A node never holds a large body more than once, nor in one piece. The
+/// receiver reserves room for the whole body before it asks for the first part,
+/// and refuses the call if there is none.
+struct PeerLargeCall {
+  /// Without its body.
+  PeerCall Call;
+  std::uint64_t BodyBytes = 0;
+};
+
+/// \class PeerBodyRequest
+/// \brief Asks the sender of a PeerLargeCall for a range of the body.
+struct PeerBodyRequest {
+  /// PeerCall::Id.
+  std::uint64_t Id = 0;
+  std::uint64_t From = 0;
+  /// The first byte that is not asked for yet.
+  std::uint64_t UpTo = 0;
+};
+
+/// \class PeerBodyPart
+/// \brief Some bytes of the body of a PeerLargeCall.
+struct PeerBodyPart {
+  /// PeerCall::Id.
+  std::uint64_t Id = 0;
+  std::uint64_t Offset = 0;
+  std::string Bytes;
+};
+
 /// \brief Outcome of a call at the receiving node.
 enum class CallOutcome : std::uint8_t {
   /// The backend server returned a complete response.
@@ -203,7 +235,8 @@
 using PeerFrame =
     std::variant<PeerHello, PeerCall, PeerAnswer, PeerCancel, PeerPing,
                  PeerPong, BackendStatus, PeerUpdateRequest, PeerUpdate,
-                 PeerAck, PeerCrashes, PeerDigest, PeerPoll, PeerPollAnswer>;
+                 PeerAck, PeerCrashes, PeerDigest, PeerPoll, PeerPollAnswer,
+                 PeerLargeCall, PeerBodyRequest, PeerBodyPart>;
 
 inline Verdict PeerAnswer::verdict() const {
   switch (Outcome) {
--- a/packages/gateway/camphorpin/src/Gateway/PeerServer.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerServer.h
@@ -5,6 +5,7 @@
 #include "camphorpin/src/Gateway/PeerChannel.h"
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -44,12 +45,24 @@
 /// closed when its hello arrives on a newer one: a copy of a call that a
 /// partition has held up on an earlier connection is never read, however late
 /// it arrives, and no record of ended calls is needed to recognise it.
+///
+/// Any client can connect to the address, so the bytes, connections and calls
+/// that it can make this node hold are limited.
 class PeerServer {
 public:
   PeerServer(EventLoop &Loop, const Clock &Time, BackendProxy &Proxy,
              PeerServerListener &Listener);
   ~PeerServer();
 
+  /// Bounds the open connections. There is no bound by default.
+  void setMaxConnections(std::size_t Value) { MaxConnections = Value; }
+
+  /// Bounds the bytes of frames that have been received in part or are not sent
+  /// yet, over all connections. There is no bound by default.
+  void setByteBudget(std::shared_ptr<ByteBudget> Value) {
+    FrameBudget = std::move(Value);
+  }
+
   /// \returns an empty string, or why the address can't be used.
   std::string listen(const HostAddress &Address);
 
@@ -83,13 +96,26 @@
     std::uint64_t Id = 0;
     auto operator<=>(const CallKey &) const = default;
   };
-  /// A call that runs or whose answer is retained.
+  /// A large call whose body is being received. It does not run yet.
+  struct Upload {
+    PeerCall Call;
+    SharedBody Body;
+    std::uint64_t TotalBytes = 0;
+    /// End of the range that the caller was asked for.
+    std::uint64_t AskedBytes = 0;
+    Instant Started;
+    Instant LastPart;
+  };
+  /// A call that is being received or runs, or whose answer is retained.
   struct Record {
     std::weak_ptr<Session> Caller;
     std::uint64_t RunId = 0;
+    std::unique_ptr<Upload> Receiving;
     bool Idempotent = false;
     /// The answer to an ended call whose caller may not have received it.
     std::optional<PeerAnswer> RetainedAnswer;
+    /// The bytes of RetainedAnswer.
+    std::unique_ptr<BudgetShare> Held;
     Instant RetainUntil;
     /// After this instant the caller doesn't repeat the call.
     Instant Deadline;
@@ -102,7 +128,30 @@
   /// Closes the other connections of the sender of \p Greeted that are older.
   /// \returns false if \p Greeted is itself older than another one.
   bool replaceOlderSessions(const Session &Greeted);
+  /// Closes a connection that has no running call, to make room for another.
+  /// \returns false if there is none.
+  bool closeLongestIdle();
+  /// Closes connections whose peer has not sent its hello in time.
+  void closeUngreeted();
+  /// Finds the record of a call, or adds one.
+  /// \returns null if the call is known, or can't be recorded.
+  Record *addRecord(const std::shared_ptr<Session> &Caller,
+                    const PeerCall &Call);
+  /// Removes the record of a call.
+  void forget(const CallKey &Key);
+  std::map<CallKey, Record>::iterator
+  forget(std::map<CallKey, Record>::iterator Position);
   void onCall(const std::shared_ptr<Session> &Caller, PeerCall Call);
+  void onLargeCall(const std::shared_ptr<Session> &Caller, PeerLargeCall Large);
+  void onBodyPart(const std::shared_ptr<Session> &Caller,
+                  const PeerBodyPart &Part);
+  /// Asks the caller for the next range of a body.
+  static void askForBody(std::uint64_t Id, Record &Item);
+  void submit(const CallKey &Key, PeerCall Call);
+  /// Answers a call that has not been submitted.
+  void refuse(const CallKey &Key, RefusalReason Reason);
+  /// Refuses calls whose body does not arrive.
+  void refuseStalledUploads();
   void onAnswer(const CallKey &Key, PeerAnswer Answer);
   void onCancel(const CallKey &Key);
   void onSessionClosed(const std::shared_ptr<Session> &Caller);
@@ -112,10 +161,14 @@
   const Clock &Time;
   BackendProxy &Proxy;
   PeerServerListener &Listener;
+  std::shared_ptr<ByteBudget> FrameBudget;
+  std::size_t MaxConnections = std::numeric_limits<std::size_t>::max();
   detail::AcceptLoop Acceptor;
   boost::asio::steady_timer DetachTimer;
   std::set<std::shared_ptr<Session>> Sessions;
   std::map<CallKey, Record> Calls;
+  /// Entries of Calls for each sender.
+  std::map<Sender, std::size_t> CallCounts;
 };
 
 } // namespace camphorpin
--- /dev/null
+++ b/packages/gateway/tests/ClientLimitsTest.cpp
@@ -0,0 +1,201 @@
+// Guards ordinary callers against clients that hold connections or bytes of a
+// server without using them.
+#include "GatewayFixture.h"
+#include "camphorpin/src/Gateway/OutputQueue.h"
+
+#include <criterion/criterion.h>
+
+using namespace camphorpin;
+using namespace camphorpin::test;
+
+namespace {
+
+constexpr std::size_t BudgetBytes = std::size_t(6) << 20U;
+/// Fits into an unused budget only.
+constexpr std::size_t LargeBytes = std::size_t(4) << 20U;
+constexpr std::size_t MaxConnections = 4;
+
+/// A server with limits, which defers its responses to the test.
+struct LimitedServer final : HttpRequestHandler {
+  EventLoop Loop;
+  HostAddress Address = freeAddress();
+  std::shared_ptr<ByteBudget> Budget =
+      std::make_shared<ByteBudget>(BudgetBytes);
+  AsyncHttpServer Server{Loop, *this};
+  std::vector<std::shared_ptr<HttpExchange>> Deferred;
+
+  LimitedServer() {
+    Server.setByteBudget(Budget);
+    Server.setMaxConnections(MaxConnections);
+    RequestLimits Limits;
+    Limits.HeaderTimeout = Duration::millis(400);
+    Server.setLimits(Limits);
+    Server.listen(Address);
+  }
+  void onRequest(const std::shared_ptr<HttpExchange> &Exchange) override {
+    Deferred.push_back(Exchange);
+  }
+  std::unique_ptr<RawClient> connect() {
+    auto Client = std::make_unique<RawClient>(Loop, Address);
+    pause(Duration::millis(5));
+    return Client;
+  }
+  void pause(Duration Span) {
+    runUntil(Loop, Span, [] { return false; });
+  }
+  bool waitFor(const std::function<bool()> &Done) {
+    runUntil(Loop, Duration::seconds(5), Done);
+    return Done();
+  }
+};
+
+constexpr const char *Get = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+
+std::string postHead(std::size_t Bytes) {
+  return "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+         std::to_string(Bytes) + "\r\n\r\n";
+}
+
+/// Sends a body in parts while the server runs.
+void sendBody(LimitedServer &Fixture, RawClient &Client, std::size_t Bytes) {
+  const std::string Part(std::size_t(64) << 10U, 'b');
+  for (std::size_t Sent = 0; Sent < Bytes; Sent += Part.size()) {
+    Client.trySend(Part);
+    Fixture.pause(Duration::millis(1));
+  }
+}
+
+} // namespace
+
+// Guards against idle connections that keep a new caller out.
+Test(ClientLimits, longestIdleConnectionGivesWay) {
+  LimitedServer Fixture;
+  std::vector<std::unique_ptr<RawClient>> Idle;
+  for (std::size_t Count = 0; Count < MaxConnections; ++Count)
+    Idle.push_back(Fixture.connect());
+  const auto Caller = Fixture.connect();
+  Caller->send(Get);
+  cr_assert(Fixture.waitFor([&] { return Fixture.Deferred.size() == 1; }));
+  cr_assert_eq(Fixture.Server.connections(), MaxConnections);
+  cr_assert(Fixture.waitFor([&] { return Idle.front()->Ended; }));
+  cr_assert_not(Idle.back()->Ended);
+}
+
+// Guards against a running request that loses its connection to a newer one.
+Test(ClientLimits, connectionWithRunningRequestIsKept) {
+  LimitedServer Fixture;
+  std::vector<std::unique_ptr<RawClient>> Callers;
+  for (std::size_t Count = 1; Count <= MaxConnections; ++Count) {
+    Callers.push_back(Fixture.connect());
+    Callers.back()->send(Get);
+    cr_assert(
+        Fixture.waitFor([&] { return Fixture.Deferred.size() == Count; }));
+  }
+  const auto Late = Fixture.connect();
+  cr_assert(Fixture.waitFor([&] { return Late->Ended; }));
+  for (const std::shared_ptr<HttpExchange> &Item : Fixture.Deferred)
+    Item->reply(stampedReply(*Item, "whole"));
+  for (const std::unique_ptr<RawClient> &Caller : Callers)
+    cr_assert(Fixture.waitFor(
+        [&] { return Caller->Received.find("whole") != std::string::npos; }));
+}
+
+// Guards against a client that announces a large body, sends little of it, and
+// so keeps others from sending theirs. It is told that its request did not run.
+Test(ClientLimits, slowBodyGivesWayToAnother) {
+  LimitedServer Fixture;
+  const auto Slow = Fixture.connect();
+  Slow->send(postHead(LargeBytes) + "b");
+  cr_assert(
+      Fixture.waitFor([&] { return Fixture.Budget->used() >= LargeBytes; }));
+  // Bytes that trickle in time don't make the transfer a fast one.
+  for (int Count = 0; Count < 6; ++Count) {
+    Fixture.pause(Duration::millis(200));
+    Slow->trySend("b");
+  }
+  const auto Caller = Fixture.connect();
+  Caller->send(postHead(LargeBytes));
+  sendBody(Fixture, *Caller, LargeBytes);
+  cr_assert(Fixture.waitFor([&] { return Fixture.Deferred.size() == 1; }));
+  cr_assert_eq(Fixture.Deferred.front()->request().body().size(), LargeBytes);
+  cr_assert(Slow->Received.starts_with("HTTP/1.1 503"));
+}
+
+// Guards against a body that is given up although it arrives at full speed.
+Test(ClientLimits, fastBodyDoesNotGiveWay) {
+  LimitedServer Fixture;
+  const auto Fast = Fixture.connect();
+  Fast->send(postHead(LargeBytes));
+  sendBody(Fixture, *Fast, LargeBytes / 2);
+  const auto Caller = Fixture.connect();
+  Caller->send(postHead(LargeBytes));
+  cr_assert(Fixture.waitFor([&] { return !Caller->Received.empty(); }));
+  cr_assert(Caller->Received.starts_with("HTTP/1.1 503"));
+  sendBody(Fixture, *Fast, LargeBytes / 2);
+  cr_assert(Fixture.waitFor([&] { return Fixture.Deferred.size() == 1; }));
+}
+
+// Guards against a head that arrives byte by byte and never ends.
+Test(ClientLimits, slowHeadEndsInTime) {
+  LimitedServer Fixture;
+  const auto Slow = Fixture.connect();
+  Slow->send("GET /a HTTP/1.1\r\nX: ");
+  for (int Count = 0; Count < 40 && !Slow->Ended; ++Count) {
+    Slow->trySend("x");
+    Fixture.pause(Duration::millis(50));
+  }
+  cr_assert(Slow->Received.starts_with("HTTP/1.1 408"));
+}
+
+// Guards against answers that nobody reads and that use up the budget: an
+// answer to another caller takes their place.
+Test(ClientLimits, unreadAnswerGivesWayToAnother) {
+  LimitedServer Fixture;
+  TcpSocket Unread(Fixture.Loop);
+  Unread.open(boost::asio::ip::tcp::v4());
+  Unread.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+  Unread.connect(detail::endpointOf(Fixture.Address));
+  boost::asio::write(Unread, boost::asio::buffer(std::string(Get)));
+  cr_assert(Fixture.waitFor([&] { return Fixture.Deferred.size() == 1; }));
+  HttpExchange &First = *Fixture.Deferred.front();
+  // More than the kernel takes for the connection.
+  constexpr std::size_t AnswerBytes = std::size_t(5) << 20U;
+  cr_assert(First.reserve(AnswerBytes));
+  First.reply(stampedReply(First, std::string(AnswerBytes, 'a')));
+  Fixture.pause(Duration::millis(1300));
+  const std::size_t Held = Fixture.Budget->used();
+  cr_assert_gt(Held, 0U);
+  const auto Caller = Fixture.connect();
+  Caller->send(Get);
+  cr_assert(Fixture.waitFor([&] { return Fixture.Deferred.size() == 2; }));
+  cr_assert(Fixture.Deferred.back()->reserve(BudgetBytes * 7 / 8));
+}
+
+// Guards against bytes that are lost, repeated or reordered between pieces.
+Test(OutputQueue, writesPiecesInOrder) {
+  detail::OutputQueue Queue;
+  std::string Expected;
+  std::string Written;
+  for (std::size_t Size = 1; Size < 60000; Size = Size * 3 + 1) {
+    const std::string Piece(Size, static_cast<char>('a' + Size % 26));
+    Queue.push(Piece);
+    Expected += Piece;
+    const std::vector<boost::asio::const_buffer> Front = Queue.front();
+    // A piece that is pushed during a write must not move what is written.
+    Queue.push("next");
+    Expected += "next";
+    const std::size_t Taken = boost::asio::buffer_size(Front) / 2;
+    std::string Part(Taken, ' ');
+    boost::asio::buffer_copy(boost::asio::buffer(Part), Front);
+    Written += Part;
+    Queue.consume(Taken);
+  }
+  while (!Queue.empty()) {
+    const std::vector<boost::asio::const_buffer> Front = Queue.front();
+    std::string Part(boost::asio::buffer_size(Front), ' ');
+    boost::asio::buffer_copy(boost::asio::buffer(Part), Front);
+    Written += Part;
+    Queue.consume(Part.size());
+  }
+  cr_assert_eq(Written, Expected);
+}
--- a/packages/http/camphorpin/src/Http/ByteBudget.cpp
+++ b/packages/http/camphorpin/src/Http/ByteBudget.cpp
@@ -1,17 +1,19 @@
 #include "camphorpin/src/Http/ByteBudget.h"
 
-#include <algorithm>
-
 namespace camphorpin {
 
+bool ByteBudget::fits(std::size_t Bytes, std::size_t Others) const {
+  const bool Small = Bytes <= Capacity / SmallMessageDivisor;
+  const std::size_t Room = Small ? Capacity : largestMessage();
+  return Others <= Room && Bytes <= Room - Others;
+}
+
 bool BudgetShare::resize(std::size_t Value) {
-  if (!Budget || Value == Bytes)
-    return true;
-  const std::size_t Others = Budget->Used - Bytes;
-  const std::size_t Free =
-      Budget->Capacity - std::min(Budget->Capacity, Others);
-  if (Value > Bytes && Value > Free / 2)
-    return false;
+  if (Budget && Value > Bytes) {
+    while (!Budget->fits(Value, Budget->Used - Bytes))
+      if (Budget->Reclaimer == nullptr || !Budget->Reclaimer->reclaim())
+        return false;
+  }
   set(Value);
   return true;
 }
--- a/packages/http/camphorpin/src/Http/ByteBudget.h
+++ b/packages/http/camphorpin/src/Http/ByteBudget.h
@@ -6,13 +6,23 @@
 
 namespace camphorpin {
 
+/// \class ByteReclaimer
+/// \brief Frees bytes of a ByteBudget that is short.
+class ByteReclaimer {
+public:
+  virtual ~ByteReclaimer() = default;
+  /// Gives up the message that deserves its bytes least.
+  /// \returns false if no message may be given up.
+  virtual bool reclaim() = 0;
+};
+
 /// \class ByteBudget
 /// \brief The bytes that a node may hold for messages in transit.
 ///
 /// The node's memory is limited, a faulty server or peer may send without end,
-/// and callers may read slowly or send large bodies at the same time. One
-/// message may take half of what is free, so that it never keeps all others
-/// from being received.
+/// and callers may read slowly or send large bodies at the same time. A part of
+/// the budget is open to small messages only, so that large ones never keep all
+/// others from being received.
 class ByteBudget {
 public:
   /// \param Capacity in bytes.
@@ -20,11 +30,30 @@
 
   std::size_t used() const { return Used; }
 
+  /// \param Value frees bytes when a message does not fit; may be null. It must
+  /// be reset before it is destroyed.
+  void setReclaimer(ByteReclaimer *Value) { Reclaimer = Value; }
+
+  /// \returns the largest message that an unused budget has room for.
+  std::size_t largestMessage() const {
+    return Capacity - Capacity / SmallShareDivisor;
+  }
+
 private:
   friend class BudgetShare;
 
+  /// Fraction of the capacity that only small messages may use.
+  static constexpr std::size_t SmallShareDivisor = 8;
+  /// Largest small message, as a fraction of the capacity.
+  static constexpr std::size_t SmallMessageDivisor = 64;
+
+  /// \returns true if a message that takes \p Bytes fits beside \p Others, the
+  /// bytes of all others.
+  bool fits(std::size_t Bytes, std::size_t Others) const;
+
   std::size_t Capacity;
   std::size_t Used = 0;
+  ByteReclaimer *Reclaimer = nullptr;
 };
 
 /// \class BudgetShare
@@ -39,7 +68,10 @@
   BudgetShare(const BudgetShare &) = delete;
   BudgetShare &operator=(const BudgetShare &) = delete;
 
-  /// Changes the size of the share.
+  /// \returns true if the share belongs to a budget.
+  bool limited() const { return Budget != nullptr; }
+
+  /// Changes the size of the share. Other messages may be given up for it.
   /// \returns false if the budget does not allow it; the share then keeps its
   /// size.
   bool resize(std::size_t Value);
--- a/packages/http/camphorpin/src/Http/HttpConnection.cpp
+++ b/packages/http/camphorpin/src/Http/HttpConnection.cpp
@@ -25,6 +25,8 @@
 constexpr std::size_t MaxRefusedIds = 64;
 /// Servers are on the same host or near it and accept without delay.
 constexpr Duration ConnectTimeout = Duration::seconds(1);
+/// Interval at which a response that has to wait looks for room in the budget.
+constexpr Duration RoomCheckInterval = Duration::millis(5);
 /// How long sent bytes may stay unacknowledged.
 constexpr Duration AckTimeout = Duration::seconds(3);
 /// Idle timeout for reuse of a connection if the server sends none.
@@ -40,7 +42,7 @@
 HttpConnection::HttpConnection(EventLoop &Loop, const HostAddress &Address,
                                std::shared_ptr<ByteBudget> Budget)
     : Socket(Loop), Endpoint(detail::endpointOf(Address)), ConnectTimer(Loop),
-      Held(std::move(Budget)) {}
+      RoomTimer(Loop), Budget(Budget), Held(std::move(Budget)) {}
 
 bool HttpConnection::reusable() const {
   return Open && !Closed && !Done && KeepAlive &&
@@ -90,8 +92,12 @@
 
 void HttpConnection::send() {
   ++Exchanges;
+  std::vector<boost::asio::const_buffer> Parts = {
+      boost::asio::buffer(Request.Bytes)};
+  for (const std::string_view Block : Request.Body.blocks())
+    Parts.push_back(boost::asio::buffer(Block));
   boost::asio::async_write(
-      Socket, boost::asio::buffer(Request.Bytes),
+      Socket, Parts,
       [Self = shared_from_this()](const ErrorCode &Error, std::size_t) {
         if (Self->Closed)
           return;
@@ -133,15 +139,12 @@
     }
     try {
       parse();
-      if (Done && !withinLimits())
-        finish(ExchangeOutcome::Malformed, {});
+      continueReading();
     } catch (...) {
       // Nothing is read any more, so the connection ends.
       close();
       throw;
     }
-    if (!Closed)
-      read();
     return;
   }
   KeepAlive = false;
@@ -217,10 +220,44 @@
   return Result;
 }
 
-bool HttpConnection::withinLimits() {
-  const std::size_t BodyBytes = CurrentParser->get().body().size();
-  return Buffer.size() <= MaxHeadBytes &&
-         Held.resize(Buffer.size() + BodyBytes);
+HttpConnection::Room HttpConnection::reserveRoom() {
+  if (!Done)
+    return Room::Enough;
+  if (Buffer.size() > MaxHeadBytes)
+    return Room::Never;
+  const std::size_t Received =
+      Buffer.size() + CurrentParser->get().body().size();
+  std::size_t Announced = 0;
+  if (CurrentParser->is_header_done() && !Request.IsHeadRequest)
+    Announced = static_cast<std::size_t>(
+        CurrentParser->content_length().value_or(std::uint64_t(0)));
+  if (Held.resize(std::max(Received, Announced)))
+    return Room::Enough;
+  // Of a response that waits, only the first bytes take memory. One without a
+  // length could wait for others that wait as well.
+  const bool MayFit =
+      Announced >= Received && Announced <= Budget->largestMessage();
+  return MayFit ? Room::Later : Room::Never;
+}
+
+void HttpConnection::continueReading() {
+  if (Closed)
+    return;
+  switch (reserveRoom()) {
+  case Room::Enough:
+    read();
+    return;
+  case Room::Never:
+    finish(ExchangeOutcome::Malformed, {});
+    return;
+  case Room::Later:
+    RoomTimer.expires_after(detail::timerSpan(RoomCheckInterval));
+    RoomTimer.async_wait([Self = shared_from_this()](const ErrorCode &Error) {
+      if (!Error)
+        Self->continueReading();
+    });
+    return;
+  }
 }
 
 HttpConnection::ResponseMatch
@@ -264,6 +301,8 @@
   const Handler Receiver = std::move(Done);
   Done = nullptr;
   Held.clear();
+  if (Outcome == ExchangeOutcome::Complete && Written)
+    Request = ExchangeRequest();
   if (Outcome != ExchangeOutcome::Complete || !KeepAlive)
     close();
   Receiver(std::move(Result));
@@ -277,6 +316,7 @@
   Held.clear();
   ErrorCode Ignored;
   ConnectTimer.cancel();
+  RoomTimer.cancel();
   Socket.close(Ignored);
 }
 
--- a/packages/http/camphorpin/src/Http/HttpConnection.h
+++ b/packages/http/camphorpin/src/Http/HttpConnection.h
@@ -39,8 +39,10 @@
 /// \class ExchangeRequest
 /// \brief A request to send on a connection.
 struct ExchangeRequest {
-  /// The serialized request.
+  /// The serialized request, or what precedes Body.
   std::string Bytes;
+  /// Sent after Bytes, without being copied.
+  SharedBody Body;
   /// The method is HEAD, so the response has no body.
   bool IsHeadRequest = false;
   /// Expected value of the header IdHeader; empty if the response has no such
@@ -107,9 +109,14 @@
   /// \param Parsed the bytes that the parser has just consumed.
   /// \returns false if the head of the response has arrived and is invalid.
   bool acceptHead(std::string_view Parsed);
-  /// Counts the bytes of the response that is being received.
-  /// \returns false if they exceed a limit.
-  bool withinLimits();
+  /// \brief Whether there is room for the response that is being received.
+  enum class Room : std::uint8_t { Enough, Later, Never };
+
+  /// Counts the bytes of the response that is being received. An announced
+  /// length is counted at once.
+  Room reserveRoom();
+  /// Reads on, or waits for room in the budget.
+  void continueReading();
   ResponseMatch matchOf(const HttpResponse &Response);
   void newParser();
   /// \returns the response that the parser has completed.
@@ -120,11 +127,13 @@
   TcpSocket Socket;
   boost::asio::ip::tcp::endpoint Endpoint;
   boost::asio::steady_timer ConnectTimer;
+  boost::asio::steady_timer RoomTimer;
   boost::beast::flat_buffer Buffer;
   std::optional<Parser> CurrentParser;
   ExchangeRequest Request;
   Handler Done;
   std::chrono::steady_clock::time_point IdleUntil;
+  std::shared_ptr<const ByteBudget> Budget;
   BudgetShare Held;
   std::vector<std::string> RefusedIds;
   unsigned Exchanges = 0;
--- a/packages/http/camphorpin/src/Http/HttpMessages.h
+++ b/packages/http/camphorpin/src/Http/HttpMessages.h
@@ -1,6 +1,8 @@
 #ifndef CAMPHORPIN_SRC_HTTP_HTTPMESSAGES_H
 #define CAMPHORPIN_SRC_HTTP_HTTPMESSAGES_H
 
+#include "camphorpin/src/Http/SharedBody.h"
+
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <cstddef>
@@ -10,8 +12,7 @@
 
 namespace camphorpin {
 
-using HttpRequest =
-    boost::beast::http::request<boost::beast::http::string_body>;
+using HttpRequest = boost::beast::http::request<detail::SharedHttpBody>;
 using HttpResponse =
     boost::beast::http::response<boost::beast::http::string_body>;
 
--- /dev/null
+++ b/packages/http/camphorpin/src/Http/SharedBody.cpp
@@ -0,0 +1,66 @@
+#include "camphorpin/src/Http/SharedBody.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace camphorpin {
+
+SharedBody::SharedBody(std::string Text) {
+  if (Text.empty())
+    return;
+  if (Text.size() > BlockBytes) {
+    append(Text);
+    return;
+  }
+  Data = std::make_shared<Blocks>(nullptr);
+  Data->Bytes = Text.size();
+  Data->Items.push_back(std::move(Text));
+}
+
+SharedBody::SharedBody(std::shared_ptr<ByteBudget> Budget)
+    : Data(std::make_shared<Blocks>(std::move(Budget))) {}
+
+bool SharedBody::reserve(std::size_t Bytes) {
+  if (!Data)
+    return true;
+  return Data->Held.resize(Bytes);
+}
+
+void SharedBody::append(std::string_view Bytes) {
+  if (!Data)
+    Data = std::make_shared<Blocks>(nullptr);
+  assert(Data.use_count() == 1 && "a body grows before it is shared");
+  Data->Bytes += Bytes.size();
+  while (!Bytes.empty()) {
+    if (Data->Items.empty() || Data->Items.back().size() == BlockBytes)
+      Data->Items.emplace_back();
+    std::string &Last = Data->Items.back();
+    const std::size_t Count = std::min(Bytes.size(), BlockBytes - Last.size());
+    Last.append(Bytes.substr(0, Count));
+    Bytes.remove_prefix(Count);
+  }
+}
+
+std::vector<std::string_view> SharedBody::blocks() const {
+  std::vector<std::string_view> Result;
+  if (Data)
+    Result.assign(Data->Items.begin(), Data->Items.end());
+  return Result;
+}
+
+std::string_view SharedBody::blockAt(std::size_t Offset) const {
+  if (Offset >= size())
+    return {};
+  const std::string_view Block = Data->Items[Offset / BlockBytes];
+  return Block.substr(Offset % BlockBytes);
+}
+
+std::string SharedBody::text() const {
+  std::string Result;
+  Result.reserve(size());
+  for (const std::string_view Block : blocks())
+    Result.append(Block);
+  return Result;
+}
+
+} // namespace camphorpin
