--- a/packages/gateway/camphorpin/src/Gateway/GatewaySettings.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/GatewaySettings.cpp
@@ -1,6 +1,8 @@
 #include "camphorpin/src/Gateway/GatewaySettings.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
+#include <sys/resource.h>
 
 namespace camphorpin {
 
@@ -14,6 +16,10 @@
 constexpr std::uint64_t MinMemoryMegabytes = 32;
 constexpr std::uint64_t MaxMemoryMegabytes = 1U << 20U;
 constexpr unsigned MegabyteBits = 20;
+constexpr std::uint64_t MinDescriptors = 64;
+constexpr std::uint64_t MaxDescriptors = 1U << 20U;
+/// Assumed if neither the settings nor the process have a limit.
+constexpr std::size_t DefaultDescriptors = 1024;
 
 nlohmann::json parseJson(std::string_view Json) {
   return nlohmann::json::parse(Json, nullptr, /*allow_exceptions=*/false,
@@ -75,6 +81,8 @@
                            "memoryMb", MinMemoryMegabytes, MaxMemoryMegabytes,
                            Target.MemoryBytes >> MegabyteBits))
                        << MegabyteBits;
+  Target.MaxDescriptors = static_cast<std::size_t>(Root.number(
+      "maxDescriptors", MinDescriptors, MaxDescriptors, Target.MaxDescriptors));
   readBudget(Root, Target, Errors);
   readBounds(Root, Target);
   detail::readLogging(Root, Target.Logging, Errors);
@@ -82,6 +90,16 @@
 
 } // namespace
 
+std::size_t GatewaySettings::descriptorLimit() const {
+  rlimit Process{};
+  const bool Known = ::getrlimit(RLIMIT_NOFILE, &Process) == 0 &&
+                     Process.rlim_cur != RLIM_INFINITY;
+  if (!Known)
+    return MaxDescriptors > 0 ? MaxDescriptors : DefaultDescriptors;
+  const std::size_t Limit = Process.rlim_cur;
+  return MaxDescriptors > 0 ? std::min(MaxDescriptors, Limit) : Limit;
+}
+
 bool isGatewaySettings(std::string_view Json) {
   const nlohmann::json Value = parseJson(Json);
   return Value.is_object() && Value.contains("gateway");
--- a/packages/gateway/camphorpin/src/Gateway/GatewaySettings.h
+++ b/packages/gateway/camphorpin/src/Gateway/GatewaySettings.h
@@ -38,9 +38,15 @@
   bool FirstStart = false;
   /// Memory that the process may use.
   std::size_t MemoryBytes = std::size_t(256) << 20U;
+  /// Descriptors that the process may open; 0 if only the limit of the process
+  /// itself holds.
+  std::size_t MaxDescriptors = 0;
   LoggingSettings Logging;
   /// Limits set by the platform, in its own notation ("name=value").
   std::vector<std::string> PlatformBounds;
+
+  /// \returns the smaller of MaxDescriptors and the limit of the process.
+  std::size_t descriptorLimit() const;
 };
 
 /// \returns true if \p Json holds the settings of a gateway rather than of a
--- /dev/null
+++ b/tests/process/HostedClientCrowdTest.cpp
@@ -0,0 +1,351 @@
+// Guards the nodes of a hosted platform against clients that don't behave: on
+// each address that a node listens on, crowds send too much, too little, too
+// slowly or without reading. The process must live, stay within its memory and
+// keep descriptors free, and ordinary requests must be answered while the crowd
+// still holds its connections.
+#include "ClientCrowd.h"
+#include "HostedFleet.h"
+#include "HostedProcess.h"
+#include "TemporaryDirectory.h"
+#include "camphorpin/src/Gateway/PeerCodec.h"
+
+#include <criterion/criterion.h>
+#include <string>
+#include <vector>
+
+using namespace camphorpin;
+using namespace camphorpin::process;
+using namespace camphorpin::test;
+
+namespace {
+
+constexpr std::size_t Megabyte = std::size_t(1) << 20U;
+/// Memory of the machine of each node.
+constexpr std::size_t MachineMegabytes = 64;
+constexpr std::size_t MaxDescriptors = 192;
+/// A node keeps a sixth of its descriptors free for the connections that it
+/// opens itself.
+constexpr std::size_t DescriptorBound = MaxDescriptors * 5 / 6;
+constexpr std::size_t MaxBodyBytes = 24 * Megabyte;
+constexpr std::size_t MaxHeaderBytes = 16384;
+constexpr Duration StartBound = Duration::seconds(20);
+/// How long a crowd may take until it has sent what the node takes.
+constexpr Duration CrowdBound = Duration::seconds(12);
+/// Ends the wait for the answer to an ordinary request in a failing test.
+constexpr Duration AnswerBound = Duration::seconds(40);
+/// Answer of the path /a/large.
+constexpr std::size_t LargeAnswerBytes = Megabyte;
+
+/// Two nodes with little memory and few descriptors. Callers are beside the web
+/// server, and their requests run on the shop server.
+struct SmallFleet : HostedFleet {
+  SmallFleet()
+      : Web(Logs.Path, "web-1", "web", WebBackend.Address, Store.Address,
+            {{"memoryMb", MachineMegabytes}}, MaxDescriptors),
+        Shop(Logs.Path, "shop-1", "shop", ShopBackend.Address, Store.Address,
+             {{"memoryMb", MachineMegabytes}}, MaxDescriptors) {
+    ShopBackend.Script = [](const std::shared_ptr<HttpExchange> &Exchange) {
+      const HttpRequest &Request = Exchange->request();
+      HttpReply Reply = detail::textReply(200, "");
+      Reply.Head += "Response-Stamp: s\r\nRequest-Id: ";
+      Reply.Head += detail::headerOf(Request, "Request-Id");
+      Reply.Head += "\r\n";
+      if (Request.target() == "/a/large")
+        Reply.Body = std::string(LargeAnswerBytes, 'a');
+      Exchange->reply(std::move(Reply));
+    };
+    std::string Document = document(3, "/a/", "shop");
+    Document.pop_back();
+    Document +=
+        ",\"limits\":{\"max_header_bytes\":" + std::to_string(MaxHeaderBytes) +
+        ",\"max_body_bytes\":" + std::to_string(MaxBodyBytes) +
+        ",\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
+    Store.publish(Document);
+  }
+
+  bool answers(const HostAddress &Address, const std::string &Head,
+               const std::string &Body, Duration Bound) {
+    const auto End =
+        std::chrono::steady_clock::now() + detail::timerSpan(Bound);
+    while (std::chrono::steady_clock::now() < End) {
+      if (send(Address, Head, Body).result_int() == 200)
+        return true;
+      wait(Duration::millis(50), [] { return false; });
+    }
+    return false;
+  }
+
+  /// \returns true if ordinary callers are served.
+  bool serves(Duration Bound) {
+    return answers(Web.CallAddress, "GET /a/x", "", Bound) &&
+           answers(Web.CallAddress, "POST /a/x", "small", Bound);
+  }
+
+  TemporaryDirectory Logs;
+  HostedProcess Web;
+  HostedProcess Shop;
+};
+
+/// \returns a chunk of \p Bytes bytes of a chunked body.
+std::string chunk(std::size_t Bytes) {
+  std::array<char, 32> Length{};
+  std::snprintf(Length.data(), Length.size(), "%zx\r\n", Bytes);
+  return Length.data() + std::string(Bytes, 'x') + "\r\n";
+}
+
+/// \returns the head of a request without its last line.
+std::string head(const std::string &Method, const std::string &Target) {
+  return Method + " " + Target + " HTTP/1.1\r\nHost: h\r\nRequest-Id: c\r\n";
+}
+
+/// \returns what clients do to any HTTP server.
+/// \param Method and \param Target of a request that may have a body.
+std::vector<ClientBehavior> httpCrowds(const std::string &Method,
+                                       const std::string &Target) {
+  const std::string Start = head(Method, Target);
+  const std::string Chunked = Start + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string LongHeader = "X: " + std::string(7000, 'x') + "\r\n";
+  const std::size_t MostOfBody = MaxBodyBytes - 1;
+  std::vector<ClientBehavior> Crowds;
+  Crowds.push_back({.Name = "idle, more than descriptors", .Clients = 300});
+  Crowds.push_back({.Name = "idle, again and again",
+                    .Clients = 100,
+                    .Start = "\r\n",
+                    .Reads = true,
+                    .Reconnects = true});
+  Crowds.push_back({.Name = "head short of its end",
+                    .Clients = 300,
+                    .Start = Start + LongHeader + LongHeader});
+  Crowds.push_back({.Name = "head byte by byte",
+                    .Clients = 300,
+                    .Start = Start + LongHeader,
+                    .Pause = std::chrono::milliseconds(100),
+                    .Reconnects = true});
+  Crowds.push_back({.Name = "body short of its end",
+                    .Clients = 12,
+                    .Start = Start + "Content-Length: " +
+                             std::to_string(MaxBodyBytes) + "\r\n\r\n",
+                    .Filler = std::string(65536, 'x'),
+                    .FillerBytes = MostOfBody});
+  Crowds.push_back({.Name = "many bodies short of their end",
+                    .Clients = 300,
+                    .Start = Start + "Content-Length: 1048576\r\n\r\n",
+                    .Filler = std::string(65536, 'x'),
+                    .FillerBytes = Megabyte - 1});
+  Crowds.push_back({.Name = "body byte by byte",
+                    .Clients = 100,
+                    .Start = Start +
+                             "Content-Length: " + std::to_string(MaxBodyBytes) +
+                             "\r\n\r\n" + std::string(1000, 'x'),
+                    .Pause = std::chrono::milliseconds(2)});
+  Crowds.push_back({.Name = "chunks short of their end",
+                    .Clients = 12,
+                    .Start = Chunked,
+                    .Filler = chunk(65536),
+                    .FillerBytes = MostOfBody});
+  Crowds.push_back({.Name = "small chunks short of their end",
+                    .Clients = 12,
+                    .Start = Chunked,
+                    .Filler = chunk(16),
+                    .FillerBytes = MostOfBody});
+  Crowds.push_back({.Name = "body far over the limit, announced",
+                    .Clients = 12,
+                    .Start = Start + "Content-Length: 1099511627776\r\n\r\n",
+                    .Filler = std::string(65536, 'x'),
+                    .FillerBytes = 4 * MaxBodyBytes,
+                    .Reconnects = true});
+  Crowds.push_back({.Name = "body far over the limit, just sent",
+                    .Clients = 12,
+                    .Start = Chunked,
+                    .Filler = chunk(65536),
+                    .FillerBytes = 4 * MaxBodyBytes,
+                    .Reconnects = true});
+  Crowds.push_back(
+      {.Name = "requests ahead, answers unread",
+       .Clients = 60,
+       .Start = "",
+       .Filler = head("GET", Target) + LongHeader + LongHeader + "\r\n",
+       .FillerBytes = 4 * Megabyte});
+  Crowds.push_back({.Name = "no requests at all",
+                    .Clients = 12,
+                    .Filler = std::string(65536, 'x'),
+                    .FillerBytes = 4 * MaxBodyBytes,
+                    .Reconnects = true});
+  return Crowds;
+}
+
+/// Lets each crowd act on \p Port of \p Target, and checks the process and the
+/// ordinary callers while the crowd holds its connections.
+void checkCrowds(SmallFleet &Fleet, HostedProcess &Target,
+                 const HostAddress &Address,
+                 const std::vector<ClientBehavior> &Crowds,
+                 const std::function<bool()> &AlsoServes) {
+  cr_assert(Fleet.serves(StartBound));
+  const std::string Text = Address.toString();
+  for (const ClientBehavior &Behavior : Crowds) {
+    ClientCrowd Crowd(Text.substr(0, Text.find(':')), Address.Port, Behavior);
+    Fleet.wait(Duration::millis(300), [] { return false; });
+    Fleet.wait(CrowdBound, [&Crowd] { return Crowd.settled(); });
+    const std::size_t Descriptors = Target.process().openDescriptors();
+    const bool Served = Fleet.serves(AnswerBound) && AlsoServes();
+    const std::size_t Memory = Target.process().peakMemory();
+    const bool Lives = !Target.process().poll() && !Fleet.Web.process().poll();
+    std::fprintf(stderr, "%s: %zu MB, %zu descriptors%s%s\n",
+                 Behavior.Name.c_str(), Memory / Megabyte, Descriptors,
+                 Lives ? "" : ", ended", Served ? "" : ", not served");
+    cr_assert(Lives, "%s: a process ended", Behavior.Name.c_str());
+    cr_expect(Served, "%s: not served", Behavior.Name.c_str());
+    cr_expect_leq(Memory, MachineMegabytes * Megabyte, "%s",
+                  Behavior.Name.c_str());
+    cr_expect_leq(Descriptors, DescriptorBound, "%s", Behavior.Name.c_str());
+  }
+}
+
+std::string frames(const std::vector<PeerFrame> &Frames) {
+  std::string Result;
+  for (const PeerFrame &Frame : Frames)
+    detail::encodeFrame(Frame, Result);
+  return Result;
+}
+
+PeerHello hello(const std::string &Node) {
+  PeerHello Result;
+  Result.Node = Node;
+  Result.Incarnation = 1;
+  Result.Number = 1;
+  Result.Service = "web";
+  Result.Zone = "z";
+  Result.Address = "127.0.0.1:1";
+  return Result;
+}
+
+PeerCall call(std::uint64_t Id, const std::string &Target, std::string Body,
+              bool Idempotent) {
+  PeerCall Result;
+  Result.Id = Id;
+  Result.Head = (Body.empty() ? "GET " : "POST ") + Target +
+                " HTTP/1.1\r\nHost: h\r\n" + "Request-Id: p" +
+                std::to_string(Id) + "\r\nCaller-Service: web\r\n";
+  Result.Body = std::move(Body);
+  Result.RequestId = "p" + std::to_string(Id);
+  Result.Route = "n";
+  Result.Service = "shop";
+  Result.Idempotent = Idempotent;
+  Result.TimeLeft = Duration::seconds(5);
+  Result.Objective = Duration::seconds(1);
+  return Result;
+}
+
+/// \returns \p Count calls for large answers, each with an id of its own.
+std::string largeCalls(std::uint64_t Count, bool Idempotent) {
+  std::string Result = frames({hello("crowd")});
+  for (std::uint64_t Id = 1; Id <= Count; ++Id)
+    Result += frames({call(Id, "/a/large", "", Idempotent)});
+  return Result;
+}
+
+/// \returns what clients do to the address for other nodes.
+std::vector<ClientBehavior> peerCrowds() {
+  // The length of a frame, in network byte order.
+  const std::string LargestFrame("\x04\x00\x00\x00", 4);
+  const std::string BeyondAnyFrame("\x7f\xff\xff\xff", 4);
+  const std::string BodyFrame =
+      frames({call(1, "/a/x", std::string(Megabyte, 'b'), true)});
+  std::vector<ClientBehavior> Crowds;
+  Crowds.push_back({.Name = "idle, more than descriptors", .Clients = 300});
+  Crowds.push_back({.Name = "idle after the hello",
+                    .Clients = 300,
+                    .Start = frames({hello("crowd")})});
+  Crowds.push_back({.Name = "frame short of its end",
+                    .Clients = 12,
+                    .Start = frames({hello("crowd")}) + LargestFrame,
+                    .Filler = std::string(65536, 'x'),
+                    .FillerBytes = MaxBodyBytes});
+  Crowds.push_back({.Name = "small frame short of its end",
+                    .Clients = 150,
+                    .Start = BodyFrame.substr(0, BodyFrame.size() - 1)});
+  Crowds.push_back({.Name = "frame beyond the limit",
+                    .Clients = 12,
+                    .Start = BeyondAnyFrame,
+                    .Filler = std::string(65536, 'x'),
+                    .FillerBytes = 4 * MaxBodyBytes,
+                    .Reconnects = true});
+  Crowds.push_back({.Name = "frame byte by byte",
+                    .Clients = 100,
+                    .Start = frames({hello("crowd")}),
+                    .Pause = std::chrono::milliseconds(100)});
+  Crowds.push_back({.Name = "calls ahead, answers unread",
+                    .Clients = 12,
+                    .Start = largeCalls(100, true)});
+  Crowds.push_back({.Name = "calls that run once, answers unread",
+                    .Clients = 12,
+                    .Start = largeCalls(100, false)});
+  Crowds.push_back({.Name = "requests for updates, answers unread",
+                    .Clients = 12,
+                    .Start = frames({hello("crowd")}),
+                    .Filler = frames({PeerUpdateRequest{}}),
+                    .FillerBytes = 4 * Megabyte});
+  Crowds.push_back({.Name = "pings, answers unread",
+                    .Clients = 60,
+                    .Start = frames({hello("crowd")}),
+                    .Filler = frames({PeerPing{1}}),
+                    .FillerBytes = 16 * Megabyte});
+  return Crowds;
+}
+
+std::string reportOf(const FakeBackendServer &Backend) {
+  return R"({"service":"web","address":")" + Backend.Address.toString() +
+         R"(","zone":"z","version":"v1","slots":4,"state":"ready",)"
+         R"("cold_left_ms":0,"seq":1,"born":1000})";
+}
+
+} // namespace
+
+Test(HostedClientCrowd, callers, .timeout = 900) {
+  SmallFleet Fleet;
+  std::vector<ClientBehavior> Crowds = httpCrowds("POST", "/a/x");
+  Crowds.push_back({.Name = "large answers unread",
+                    .Clients = 60,
+                    .Filler = head("GET", "/a/large") + "\r\n",
+                    .FillerBytes = 30000});
+  Crowds.push_back(
+      {.Name = "large answers unread, one each",
+       .Clients = 150,
+       .Start = head("GET", "/a/large") + "Connection: close\r\n\r\n"});
+  checkCrowds(Fleet, Fleet.Web, Fleet.Web.CallAddress, Crowds,
+              [] { return true; });
+}
+
+Test(HostedClientCrowd, peers, .timeout = 900) {
+  SmallFleet Fleet;
+  checkCrowds(Fleet, Fleet.Shop, Fleet.Shop.PeerAddress, peerCrowds(),
+              [] { return true; });
+}
+
+Test(HostedClientCrowd, reports, .timeout = 900) {
+  SmallFleet Fleet;
+  checkCrowds(Fleet, Fleet.Web, Fleet.Web.ReportAddress,
+              httpCrowds("PUT", "/instances/other"), [&Fleet] {
+                return Fleet.answers(Fleet.Web.ReportAddress,
+                                     "PUT /instances/i-web",
+                                     reportOf(Fleet.WebBackend), AnswerBound);
+              });
+}
+
+Test(HostedClientCrowd, readiness, .timeout = 900) {
+  SmallFleet Fleet;
+  checkCrowds(Fleet, Fleet.Web, Fleet.Web.ReadyAddress,
+              httpCrowds("POST", "/ready"), [&Fleet] {
+                return Fleet.answers(Fleet.Web.ReadyAddress, "GET /ready", "",
+                                     AnswerBound);
+              });
+}
+
+Test(HostedClientCrowd, metrics, .timeout = 900) {
+  SmallFleet Fleet;
+  checkCrowds(Fleet, Fleet.Web, Fleet.Web.MetricsAddress,
+              httpCrowds("POST", "/metrics"), [&Fleet] {
+                return Fleet.answers(Fleet.Web.MetricsAddress, "GET /metrics",
+                                     "", AnswerBound);
+              });
+}
