Report closed connections after the current handler

Cause, by reading: when the memory for messages is short, the connection of a slow caller is closed from within the handling of another message, and the requests that it still awaits were dropped at once. One of them could be the one that is being handled. Also, a client that never reads its 408 was closed by the kernel only, and the table of calls per sender kept an entry for each sender that was turned away.

Change: requests learn in a later iteration of the loop that their caller has gone; a timer ends the connection after a 408; only recorded calls are counted.

closedConnectionIsReportedLater guards the first (new; it would fail before, since the handler ran within close()). The other two are in no test. HttpSessionTest, ByteBudgetTest, ClientLimitsTest, PeerServerTest, HttpFuzzTest, HostedNodeTest and MemoryLimitTest pass.

--- a/packages/gateway/camphorpin/src/Gateway/HttpSession.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/HttpSession.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/asio/post.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
@@ -37,8 +38,8 @@
 constexpr Duration AckTimeout = Duration::seconds(10);
 /// How long a caller may take none of the bytes of a response.
 constexpr Duration UnreadTimeout = Duration::seconds(30);
-/// Time in which a whole body must arrive. No caller waits longer for its
-/// answer.
+/// Time in which a whole body must arrive, as the timeout of a request that
+/// states none.
 constexpr Duration BodyTimeout = Duration::seconds(30);
 /// Time after which a caller that sends or reads slowly counts as slow.
 constexpr Duration SlowAfter = Duration::seconds(1);
@@ -103,6 +104,9 @@
   const TimePoint Now = steady_clock::now();
   if (requestIsLate(Now)) {
     rejectWith(textReply(408, "request incomplete"));
+    // Lingering has a timer of its own.
+    if (!Closed && !Lingering)
+      armTimer(UnreadTimeout);
     return;
   }
   if (Writing && elapsed(LastSent, Now) >= UnreadTimeout) {
@@ -453,9 +457,12 @@
   Socket.shutdown(TcpSocket::shutdown_both, Ignored);
   Socket.close(Ignored);
   Timer.cancel();
+  // The handlers run later, because a connection may be closed while one of its
+  // requests is handled, to make room for another.
   for (const std::shared_ptr<HttpExchange> &Exchange : Pending)
     if (!Exchange->Answered && Exchange->DisconnectHandler)
-      Exchange->DisconnectHandler();
+      boost::asio::post(Socket.get_executor(),
+                        std::move(Exchange->DisconnectHandler));
   Pending.clear();
   CurrentParser.reset();
   Input.clear();
--- a/packages/gateway/camphorpin/src/Gateway/PeerServer.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerServer.cpp
@@ -224,15 +224,17 @@
     }
     return nullptr;
   }
-  std::size_t &Count = CallCounts[Key.From];
-  if (Calls.size() >= MaxCalls || Count >= MaxCallsOfSender) {
+  const auto Count = CallCounts.find(Key.From);
+  const bool SenderIsFull =
+      Count != CallCounts.end() && Count->second >= MaxCallsOfSender;
+  if (Calls.size() >= MaxCalls || SenderIsFull) {
     // A refusal would have to be recorded. Without an answer, the sender must
     // not assume anything, and a later copy is not read.
     Caller->close();
     onSessionClosed(Caller);
     return nullptr;
   }
-  ++Count;
+  ++CallCounts[Key.From];
   Record &Item = Calls[Key];
   Item.Caller = Caller;
   Item.Idempotent = Call.Idempotent;
--- a/packages/gateway/tests/ClientLimitsTest.cpp
+++ b/packages/gateway/tests/ClientLimitsTest.cpp
@@ -171,6 +171,20 @@
   cr_assert(Fixture.Deferred.back()->reserve(BudgetBytes * 7 / 8));
 }
 
+// Guards against a request that is dropped while it is handled, because its
+// connection is closed to make room for the bytes of another one.
+Test(ClientLimits, closedConnectionIsReportedLater) {
+  LimitedServer Fixture;
+  const auto Caller = Fixture.connect();
+  Caller->send(Get);
+  cr_assert(Fixture.waitFor([&] { return Fixture.Deferred.size() == 1; }));
+  bool Left = false;
+  Fixture.Deferred.front()->setDisconnectHandler([&] { Left = true; });
+  Fixture.Server.close();
+  cr_assert_not(Left);
+  cr_assert(Fixture.waitFor([&] { return Left; }));
+}
+
 // Guards against bytes that are lost, repeated or reordered between pieces.
 Test(OutputQueue, writesPiecesInOrder) {
   detail::OutputQueue Queue;
