--- a/packages/gateway/camphorpin/src/Gateway/HttpSession.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/HttpSession.cpp
@@ -440,9 +440,7 @@
 }
 
 void HttpSession::giveUp() {
-  if (Writing)
-    close();
-  else if (isReceivingBody())
+  if (!Writing && isReceivingBody())
     rejectWith(Server->Handler.refuseBody(CurrentParser->get()));
   else
     close();
--- a/packages/gateway/camphorpin/src/Gateway/PeerServer.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerServer.cpp
@@ -257,8 +257,9 @@
 }
 
 void PeerServer::onCall(const std::shared_ptr<Session> &Caller, PeerCall Call) {
+  const CallKey Key{Caller->sender(), Call.Id};
   if (addRecord(Caller, Call) != nullptr)
-    submit({Caller->sender(), Call.Id}, std::move(Call));
+    submit(Key, std::move(Call));
 }
 
 void PeerServer::onLargeCall(const std::shared_ptr<Session> &Caller,
--- a/tests/process/ClientCrowd.h
+++ b/tests/process/ClientCrowd.h
@@ -1,6 +1,8 @@
 #ifndef CAMPHORPIN_TESTS_PROCESS_CLIENTCROWD_H
 #define CAMPHORPIN_TESTS_PROCESS_CLIENTCROWD_H
 
+#include "ChildProcess.h"
+
 #include <atomic>
 #include <chrono>
 #include <cstddef>
@@ -77,6 +79,21 @@
   std::thread Thread;
 };
 
+/// \class CrowdBounds
+/// \brief What a process may use beside a crowd.
+struct CrowdBounds {
+  std::size_t MemoryBytes = 0;
+  std::size_t Descriptors = 0;
+};
+
+/// Prints what \p Process uses beside the crowd \p Crowd.
+/// \param Descriptors that the process had open.
+/// \param Served ordinary requests were answered.
+/// \returns what is wrong; empty if nothing is.
+std::string faultsBeside(const std::string &Crowd, ChildProcess &Process,
+                         std::size_t Descriptors, bool Served,
+                         const CrowdBounds &Bounds);
+
 } // namespace camphorpin::process
 
 #endif
