Send the whole body late in stalledLargeCallIsRefused

Cause: the test sent a thirtieth of the body after the refusal, so that the call could not have run whatever the node did. Change: it sends all parts, in pieces.

--- a/packages/gateway/tests/PeerServerTest.cpp
+++ b/packages/gateway/tests/PeerServerTest.cpp
@@ -583,10 +583,11 @@
   });
   cr_assert_lt(Fixture.Proxy.messageBudget()->used(), LargeBytes);
   // Parts that arrive later must not run the refused call.
-  std::string Parts;
-  for (std::size_t Sent = 0; Sent < LargeBytes; Sent += 32768)
-    Parts += encoded(PeerBodyPart{64, Sent, std::string(32768, 'x')});
-  Caller.Client.trySend(Parts.substr(0, 100000));
+  for (std::size_t Sent = 0; Sent < LargeBytes; Sent += 32768) {
+    Caller.Client.trySend(
+        encoded(PeerBodyPart{64, Sent, std::string(32768, 'x')}));
+    runUntil(Fixture.Loop, Duration::millis(1), [] { return false; });
+  }
   runUntil(Fixture.Loop, Duration::millis(300), [] { return false; });
   cr_assert_eq(Fixture.Backend.Arrivals, 0);
 }
