Return the memory of bodies to the system

Cause: SharedBody has blocks of 64 KB, below the 128 KB from which the C library returns blocks at once. Freed bodies stayed in the heap, in pieces: the heap held 42 MB while the next crowds' messages came on top.

Change: blocks of 48 KB and more are returned when they are freed, and a block of a body is reserved at its size, which fills whole pages.

--- a/packages/camphorpind/main.cpp
+++ b/packages/camphorpind/main.cpp
@@ -28,9 +28,13 @@
 using camphorpin::SettingsError;
 
 /// Size in bytes from which a block of memory is returned to the system when it
-/// is freed. Without a fixed size, the C library raises it up to 32 MB, and
-/// freed bodies and answers stay with the process.
-constexpr int ReturnedBlockBytes = 128 << 10;
+/// is freed; the blocks of a SharedBody are larger. Without a fixed size, the C
+/// library raises it up to 32 MB, and freed bodies and answers stay with the
+/// process.
+constexpr int ReturnedBlockBytes = 48 << 10;
+/// Largest number of such blocks, about half of the mappings that Linux allows
+/// a process (vm.max_map_count). Further blocks stay with the process.
+constexpr int MaxReturnedBlocks = 32768;
 
 /// Prints all errors with file and field.
 int printErrors(const std::vector<SettingsError> &Errors) {
@@ -121,6 +125,7 @@
 
 int main(int Count, char **Arguments) {
   ::mallopt(M_MMAP_THRESHOLD, ReturnedBlockBytes);
+  ::mallopt(M_MMAP_MAX, MaxReturnedBlocks);
   gflags::SetUsageMessage("runs one camphorpin node\n"
                           "  camphorpind --settings FILE [--check-settings]");
   gflags::ParseCommandLineFlags(&Count, &Arguments, true);
--- a/packages/http/camphorpin/src/Http/SharedBody.cpp
+++ b/packages/http/camphorpin/src/Http/SharedBody.cpp
@@ -33,7 +33,7 @@
   Data->Bytes += Bytes.size();
   while (!Bytes.empty()) {
     if (Data->Items.empty() || Data->Items.back().size() == BlockBytes)
-      Data->Items.emplace_back();
+      addBlock();
     std::string &Last = Data->Items.back();
     const std::size_t Count = std::min(Bytes.size(), BlockBytes - Last.size());
     Last.append(Bytes.substr(0, Count));
@@ -41,6 +41,13 @@
   }
 }
 
+void SharedBody::addBlock() {
+  Data->Items.emplace_back();
+  // Many bodies are smaller than a block.
+  if (Data->Items.size() > 1)
+    Data->Items.back().reserve(BlockBytes);
+}
+
 std::vector<std::string_view> SharedBody::blocks() const {
   std::vector<std::string_view> Result;
   if (Data)
--- a/packages/http/camphorpin/src/Http/SharedBody.h
+++ b/packages/http/camphorpin/src/Http/SharedBody.h
@@ -63,8 +63,14 @@
   }
 
 private:
-  /// Size of all blocks but the last.
-  static constexpr std::size_t BlockBytes = std::size_t(64) << 10U;
+  /// What the C library adds to a block: its length, and the end of a string.
+  static constexpr std::size_t AllocatorBytes = 64;
+  /// Size of all blocks but the last. A block fills whole pages.
+  static constexpr std::size_t BlockBytes =
+      (std::size_t(64) << 10U) - AllocatorBytes;
+
+  /// Appends an empty block.
+  void addBlock();
 
   struct Blocks {
     explicit Blocks(std::shared_ptr<ByteBudget> Budget)
--- a/tests/process/ChildProcess.cpp
+++ b/tests/process/ChildProcess.cpp
@@ -77,9 +77,14 @@
   return static_cast<std::size_t>(std::distance(begin(Entries), end(Entries)));
 }
 
-std::size_t ChildProcess::peakMemory() const {
+std::size_t ChildProcess::peakMemory() const { return statusBytes("VmHWM:"); }
+
+std::size_t ChildProcess::residentMemory() const {
+  return statusBytes("VmRSS:");
+}
+
+std::size_t ChildProcess::statusBytes(std::string_view Field) const {
   std::ifstream Status("/proc/" + std::to_string(Pid) + "/status");
-  constexpr std::string_view Field = "VmHWM:";
   constexpr std::size_t BytesPerKilobyte = 1024;
   std::string Line;
   while (std::getline(Status, Line))
--- a/tests/process/ChildProcess.h
+++ b/tests/process/ChildProcess.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <sys/types.h>
 #include <vector>
 
@@ -50,6 +51,9 @@
   /// \returns the most memory that the process has had resident, in bytes.
   std::size_t peakMemory() const;
 
+  /// \returns the memory that the process has resident, in bytes.
+  std::size_t residentMemory() const;
+
   /// Waits for the end of the process.
   /// \returns the status as poll() gives it.
   int wait();
@@ -57,6 +61,10 @@
 private:
   std::optional<int> reap(int Options);
 
+  /// \returns the size in bytes that the system's status file of the process
+  /// states in \p Field, or 0 if the process has ended.
+  std::size_t statusBytes(std::string_view Field) const;
+
   pid_t Pid = -1;
   std::optional<int> Status;
 };
--- a/tests/process/HostedClientCrowdTest.cpp
+++ b/tests/process/HostedClientCrowdTest.cpp
@@ -28,6 +28,9 @@
 constexpr std::size_t DescriptorBound = MaxDescriptors * 5 / 6;
 constexpr std::size_t MaxBodyBytes = 24 * Megabyte;
 constexpr std::size_t MaxHeaderBytes = 16384;
+/// A node may hold half of its machine's memory for messages. Without any
+/// message, that half is free.
+constexpr std::size_t MessageMemoryDivisor = 2;
 constexpr Duration StartBound = Duration::seconds(20);
 /// How long a crowd may take until it has sent what the node takes.
 constexpr Duration CrowdBound = Duration::seconds(12);
@@ -323,6 +326,31 @@
               [] { return true; });
 }
 
+// A node whose memory stays with it after a crowd has less for the next one.
+Test(HostedClientCrowd, bodiesReturnTheirMemory, .timeout = 300) {
+  SmallFleet Fleet;
+  cr_assert(Fleet.serves(StartBound));
+  const std::string Text = Fleet.Web.CallAddress.toString();
+  {
+    const ClientCrowd Crowd(
+        Text.substr(0, Text.find(':')), Fleet.Web.CallAddress.Port,
+        {.Name = "bodies of many sizes, short of their end",
+         .Clients = 60,
+         .Start = head("POST", "/a/x") + "Transfer-Encoding: chunked\r\n\r\n",
+         .Filler = chunk(1000),
+         .FillerBytes = MaxBodyBytes - 1});
+    Fleet.wait(Duration::millis(300), [] { return false; });
+    Fleet.wait(CrowdBound, [&Crowd] { return Crowd.settled(); });
+  }
+  const auto Returned = [&Fleet] {
+    return Fleet.Web.process().residentMemory() <=
+           MachineMegabytes * Megabyte / MessageMemoryDivisor;
+  };
+  Fleet.wait(CrowdBound, Returned);
+  cr_expect(Returned(), "%zu MB are left",
+            Fleet.Web.process().residentMemory() / Megabyte);
+}
+
 Test(HostedClientCrowd, peers, .timeout = 900) {
   SmallFleet Fleet;
   cr_assert(Fleet.serves(StartBound));
