Bound the unsent parts of bodies between nodes

Callers: 60 clients that send whole bodies of 1 MB ahead and read no answers took a node of 64 MB to 63 MB (new crowd "whole bodies ahead, answers unread"; the crowds and bounds were fixed before this change; the test passed then with 1 MB to spare).

Cause: for each call, up to 512 KB that the other node had asked for were encoded at once into the connection's buffer, beside the body itself.

Change: PeerClient keeps the ranges that were asked for, and sends parts of them in turns while less than 1 MB is unsent. The ranges of one body stay in order.

New crowds that failed nowhere: whole bodies of the largest size, calls with whole bodies, and announced bodies that don't come.

--- a/packages/gateway/camphorpin/src/Gateway/PeerChannel.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerChannel.cpp
@@ -153,10 +153,12 @@
           Self->Unsent->set(Self->unsent());
         if (Self->Closed)
           return;
-        if (Error)
+        if (Error) {
           Self->fail();
-        else
-          Self->write();
+          return;
+        }
+        Self->Target->onWritten();
+        Self->write();
       });
 }
 
--- a/packages/gateway/camphorpin/src/Gateway/PeerChannel.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerChannel.h
@@ -22,6 +22,8 @@
   public:
     virtual ~Listener() = default;
     virtual void onFrame(PeerFrame Frame) = 0;
+    /// Queued bytes have been written: unsent() is smaller than before.
+    virtual void onWritten() {}
     virtual void onClosed() = 0;
   };
 
--- a/packages/gateway/camphorpin/src/Gateway/PeerClient.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerClient.cpp
@@ -23,6 +23,8 @@
 constexpr Duration MaxReconnectDelay = Duration::seconds(2);
 /// Largest body that is sent with its call, in bytes.
 constexpr std::size_t MaxInlineBodyBytes = std::size_t(64) << 10U;
+/// Unsent bytes above which no further part of a body is sent.
+constexpr std::size_t MaxUnsentPartBytes = std::size_t(1) << 20U;
 
 } // namespace
 
@@ -64,6 +66,8 @@
 void PeerClient::onConnected(TcpSocket Socket) {
   if (Channel)
     Channel->close();
+  // A peer asks again on a new connection.
+  Ranges.clear();
   Channel = std::make_shared<PeerChannel>(std::move(Socket));
   Channel->start(*this);
   Channel->send(Listener.hello());
@@ -216,19 +220,43 @@
 }
 
 void PeerClient::onBodyRequest(const PeerBodyRequest &Request) {
-  const auto Found = Calls.find(Request.Id);
-  if (Found == Calls.end() || State != ConnectionState::Open)
-    return;
-  const SharedBody &Body = Found->second.Call.Body;
-  const std::uint64_t End = std::min<std::uint64_t>(Request.UpTo, Body.size());
-  std::uint64_t Offset = Request.From;
-  while (Offset < End) {
-    const std::string_view Bytes = Body.blockAt(Offset).substr(0, End - Offset);
-    Channel->send(PeerBodyPart{Request.Id, Offset, std::string(Bytes)});
-    Offset += Bytes.size();
+  // The parts of one body are sent in order.
+  const auto Earlier = std::find_if(
+      Ranges.begin(), Ranges.end(), [&Request](const BodyRange &Range) {
+        return Range.Id == Request.Id && Range.UpTo == Request.From;
+      });
+  if (Earlier != Ranges.end())
+    Earlier->UpTo = Request.UpTo;
+  else
+    Ranges.push_back({Request.Id, Request.From, Request.UpTo});
+  sendParts();
+}
+
+void PeerClient::sendParts() {
+  while (State == ConnectionState::Open && !Ranges.empty() &&
+         Channel->unsent() < MaxUnsentPartBytes) {
+    BodyRange Range = Ranges.front();
+    Ranges.pop_front();
+    if (sendPart(Range))
+      Ranges.push_back(Range);
   }
 }
 
+bool PeerClient::sendPart(BodyRange &Range) {
+  const auto Found = Calls.find(Range.Id);
+  if (Found == Calls.end())
+    return false;
+  const SharedBody &Body = Found->second.Call.Body;
+  const std::uint64_t End = std::min<std::uint64_t>(Range.UpTo, Body.size());
+  if (Range.From >= End)
+    return false;
+  const std::string_view Bytes =
+      Body.blockAt(Range.From).substr(0, End - Range.From);
+  Channel->send(PeerBodyPart{Range.Id, Range.From, std::string(Bytes)});
+  Range.From += Bytes.size();
+  return Range.From < End;
+}
+
 void PeerClient::cancel(std::uint64_t Id) {
   const auto Found = Calls.find(Id);
   if (Found == Calls.end())
--- a/packages/gateway/camphorpin/src/Gateway/PeerClient.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerClient.h
@@ -3,6 +3,7 @@
 
 #include "camphorpin/src/Gateway/PeerChannel.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -68,6 +69,8 @@
   /// \returns the time since the peer reported its status.
   Duration statusAge() const { return Time.now() - StatusTime; }
   std::size_t outstanding() const { return Calls.size(); }
+  /// \returns the number of bytes that the connection has not taken yet.
+  std::size_t unsent() const { return Channel ? Channel->unsent() : 0; }
   /// \returns the time of the last call or poll.
   Instant lastUse() const { return LastUse; }
 
@@ -93,8 +96,15 @@
     /// Incarnation of the peer to which the call was sent; 0 if not sent yet.
     std::uint64_t SentIncarnation = 0;
   };
+  /// A part of the body of the call \p Id that the peer has asked for.
+  struct BodyRange {
+    std::uint64_t Id = 0;
+    std::uint64_t From = 0;
+    std::uint64_t UpTo = 0;
+  };
 
   void onFrame(PeerFrame Frame) override;
+  void onWritten() override { sendParts(); }
   void onClosed() override;
 
   void connect();
@@ -105,8 +115,13 @@
   void onAnswer(PeerAnswer Answer);
   void updateStatus(const BackendStatus &Received);
   void writeCall(Pending &Item);
-  /// Sends the range of a body that the peer has asked for.
   void onBodyRequest(const PeerBodyRequest &Request);
+  /// Sends parts of the bodies that the peer has asked for, in turns, as long
+  /// as few bytes are unsent. A body and its encoded parts take memory twice.
+  void sendParts();
+  /// Sends the first part of \p Range and removes it from the range.
+  /// \returns false if nothing is left to send.
+  bool sendPart(BodyRange &Range);
   void onConnectFailed();
   /// Fails the calls whose outcome is no longer expected. If the peer process
   /// has ended, these are the calls that were sent to it; otherwise those that
@@ -137,6 +152,7 @@
   Instant StatusTime;
   std::uint64_t Incarnation = 0;
   std::map<std::uint64_t, Pending> Calls;
+  std::deque<BodyRange> Ranges;
   /// Answered non-idempotent calls that the peer may forget.
   std::vector<std::uint64_t> PendingAcks;
   Instant LastReceived;
--- a/tests/process/ClientCrowd.cpp
+++ b/tests/process/ClientCrowd.cpp
@@ -137,6 +137,17 @@
   Item.Socket = -1;
 }
 
+std::string chunk(std::size_t Bytes) {
+  std::array<char, 32> Length{};
+  std::snprintf(Length.data(), Length.size(), "%zx\r\n", Bytes);
+  return Length.data() + std::string(Bytes, 'x') + "\r\n";
+}
+
+std::string wholeRequest(const std::string &Head, std::size_t Bytes) {
+  return Head + "Content-Length: " + std::to_string(Bytes) + "\r\n\r\n" +
+         std::string(Bytes, 'x');
+}
+
 std::string faultsBeside(const std::string &Crowd, ChildProcess &Process,
                          std::size_t Descriptors, bool Served,
                          const CrowdBounds &Bounds) {
--- a/tests/process/ClientCrowd.h
+++ b/tests/process/ClientCrowd.h
@@ -79,6 +79,13 @@
   std::thread Thread;
 };
 
+/// \returns a chunk of \p Bytes bytes of a chunked body.
+std::string chunk(std::size_t Bytes);
+
+/// \param Head the head of a request without its last line.
+/// \returns the request with a whole body of \p Bytes bytes.
+std::string wholeRequest(const std::string &Head, std::size_t Bytes);
+
 /// \class CrowdBounds
 /// \brief What a process may use beside a crowd.
 struct CrowdBounds {
--- a/tests/process/HostedClientCrowdTest.cpp
+++ b/tests/process/HostedClientCrowdTest.cpp
@@ -89,13 +89,6 @@
   HostedProcess Shop;
 };
 
-/// \returns a chunk of \p Bytes bytes of a chunked body.
-std::string chunk(std::size_t Bytes) {
-  std::array<char, 32> Length{};
-  std::snprintf(Length.data(), Length.size(), "%zx\r\n", Bytes);
-  return Length.data() + std::string(Bytes, 'x') + "\r\n";
-}
-
 /// \returns the head of a request without its last line.
 std::string head(const std::string &Method, const std::string &Target) {
   return Method + " " + Target + " HTTP/1.1\r\nHost: h\r\nRequest-Id: c\r\n";
@@ -135,6 +128,16 @@
                     .Start = Start + "Content-Length: 1048576\r\n\r\n",
                     .Filler = std::string(65536, 'x'),
                     .FillerBytes = Megabyte - 1});
+  Crowds.push_back({.Name = "whole bodies of the largest size",
+                    .Clients = 12,
+                    .Start = Start + "Content-Length: " +
+                             std::to_string(MaxBodyBytes) + "\r\n\r\n",
+                    .Filler = std::string(65536, 'x'),
+                    .FillerBytes = MaxBodyBytes});
+  Crowds.push_back({.Name = "whole bodies ahead, answers unread",
+                    .Clients = 60,
+                    .Filler = wholeRequest(Start, Megabyte),
+                    .FillerBytes = 8 * (Megabyte + Start.size())});
   Crowds.push_back({.Name = "body byte by byte",
                     .Clients = 100,
                     .Start = Start +
@@ -253,6 +256,25 @@
   return Result;
 }
 
+/// \returns \p Count calls, each with a body of \p Bytes bytes.
+std::string callsWithBodies(std::uint64_t Count, std::size_t Bytes) {
+  std::string Result = frames({hello("crowd")});
+  for (std::uint64_t Id = 1; Id <= Count; ++Id)
+    Result += frames({call(Id, "/a/x", std::string(Bytes, 'b'), true)});
+  return Result;
+}
+
+/// \returns \p Count calls that announce bodies of \p Bytes bytes.
+std::string announcedCalls(std::uint64_t Count, std::size_t Bytes) {
+  std::string Result = frames({hello("crowd")});
+  for (std::uint64_t Id = 1; Id <= Count; ++Id) {
+    PeerCall Call = call(Id, "/a/x", "", false);
+    Call.Head.replace(0, 3, "POST");
+    Result += frames({PeerLargeCall{std::move(Call), Bytes}});
+  }
+  return Result;
+}
+
 /// \returns what clients do to the address for other nodes.
 std::vector<ClientBehavior> peerCrowds() {
   // The length of a frame, in network byte order.
@@ -299,6 +321,12 @@
                     .Start = frames({hello("crowd")}),
                     .Filler = frames({PeerPing{1}}),
                     .FillerBytes = 16 * Megabyte});
+  Crowds.push_back({.Name = "calls with whole bodies, answers unread",
+                    .Clients = 12,
+                    .Start = callsWithBodies(30, Megabyte)});
+  Crowds.push_back({.Name = "announced bodies that don't come",
+                    .Clients = 12,
+                    .Start = announcedCalls(100, MaxBodyBytes)});
   return Crowds;
 }
 
--- a/tests/process/NodeClientCrowdTest.cpp
+++ b/tests/process/NodeClientCrowdTest.cpp
@@ -61,13 +61,6 @@
   Mesh Nodes;
 };
 
-/// \returns a chunk of \p Bytes bytes of a chunked body.
-std::string chunk(std::size_t Bytes) {
-  std::array<char, 32> Length{};
-  std::snprintf(Length.data(), Length.size(), "%zx\r\n", Bytes);
-  return Length.data() + std::string(Bytes, 'x') + "\r\n";
-}
-
 std::vector<ClientBehavior> httpCrowds(const std::string &Target) {
   const std::string Start = " " + Target + " HTTP/1.1\r\nHost: h\r\n";
   const std::string Post = "POST" + Start;
@@ -96,6 +89,10 @@
                     .Start = Announced,
                     .Filler = std::string(65536, 'x'),
                     .FillerBytes = MaxBodyBytes - 1});
+  Crowds.push_back({.Name = "whole bodies ahead, answers unread",
+                    .Clients = 60,
+                    .Filler = wholeRequest(Post, MaxBodyBytes),
+                    .FillerBytes = 8 * (MaxBodyBytes + Post.size())});
   Crowds.push_back({.Name = "body byte by byte",
                     .Clients = 100,
                     .Start = Announced + std::string(1000, 'x'),
