Bound the members that peers may add

Other nodes' address: a client that speaks the nodes' protocol sent 200,000 made-up members; the node came to 144 MB of 64 (HostedClientCrowd/peers, new crowd "members that don't exist": failed before).

Cause: the directory of a hosted node and the member table of a stand-alone one take every record that peers send.

Change: from 16,384 records on, peers may change known ones only; the store of a hosted platform may still add records. The largest fleet planned for has 7,100 nodes.

NodeDirectory/ acceptsKnownNodesOnlyWhenFull and Membership/tableOfMembersIsBounded use the new bounds, so they were not run on the old code. That true members are then learned from the store only is listed in open findings.

--- a/packages/decision/camphorpin/src/Membership/MemberTable.cpp
+++ b/packages/decision/camphorpin/src/Membership/MemberTable.cpp
@@ -22,7 +22,7 @@
     return true;
   }
   // A tombstone of an unknown member need not be stored.
-  if (!Record.present())
+  if (!Record.present() || Entries.size() >= MaxRecords)
     return false;
   Entries.emplace(Address, Entry{Record, Now});
   ByBucket.at(bucketOf(Address)).insert(Address);
--- a/packages/decision/camphorpin/src/Membership/MemberTable.h
+++ b/packages/decision/camphorpin/src/Membership/MemberTable.h
@@ -24,9 +24,15 @@
   /// about 28, which fill two datagrams.
   static constexpr std::size_t BucketCount = 256;
 
+  /// Largest number of records. Above twice the nodes of the largest fleet that
+  /// docs/CAPACITY.md plans for.
+  static constexpr std::size_t MaxRecords = 16384;
+
   MemberTable();
 
-  /// Stores \p Record if it supersedes the stored one.
+  /// Stores \p Record if it supersedes the stored one. A full table takes no
+  /// further address: whoever speaks the nodes' protocol is believed, but must
+  /// not fill the memory.
   /// \returns true if the table changed.
   bool merge(const MemberRecord &Record, Instant Now);
 
--- a/packages/decision/tests/MembershipTest.cpp
+++ b/packages/decision/tests/MembershipTest.cpp
@@ -193,3 +193,19 @@
           cr_assert(Left.supersededBy(Third));
     }
 }
+
+// Guards against a client that speaks the nodes' protocol and fills the memory
+// with members that don't exist.
+Test(Membership, tableOfMembersIsBounded) {
+  MemberTable Table;
+  MemberRecord Record;
+  for (std::uint32_t Number = 1; Number <= 100000; ++Number) {
+    Record.Process.Address = HostAddress{Number, 7000};
+    Table.merge(Record, Instant());
+  }
+  cr_assert_eq(Table.size(), MemberTable::MaxRecords);
+  // Known members still change.
+  Record.Process.Address = HostAddress{1, 7000};
+  Record.Process.Incarnation = 2;
+  cr_assert(Table.merge(Record, Instant()));
+}
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
@@ -285,7 +285,8 @@
 void Gateway::onUpdate(const std::string &Node, PeerUpdate Update) {
   for (const MemberUpdate &Member : Update.Members) {
     const std::optional<NodeRecord> Record = NodeRecord::parse(Member.Record);
-    if (Record && Record->Node == Member.Node)
+    if (Record && Record->Node == Member.Node &&
+        Network.directory().acceptsFromPeer(Record->Node))
       addNode(*Record);
   }
   if (Update.Document.empty())
--- a/packages/gateway/tests/NodeDirectoryTest.cpp
+++ b/packages/gateway/tests/NodeDirectoryTest.cpp
@@ -67,3 +67,13 @@
         RC_ASSERT(A.recordsInDifferingBuckets(B.bucketDigests()).empty());
       }));
 }
+
+// Guards against a peer that fills the memory with nodes that don't exist, and
+// against a full directory that keeps old addresses of known nodes.
+Test(NodeDirectory, acceptsKnownNodesOnlyWhenFull) {
+  const NodeDirectory Full =
+      directoryOf(static_cast<int>(NodeDirectory::MaxRecordsOfPeers));
+  cr_assert_not(Full.acceptsFromPeer("unknown"));
+  cr_assert(Full.acceptsFromPeer("node-7"));
+  cr_assert(directoryOf(7100).acceptsFromPeer("unknown"));
+}
--- a/tests/process/HostedClientCrowdTest.cpp
+++ b/tests/process/HostedClientCrowdTest.cpp
@@ -7,6 +7,7 @@
 #include "HostedFleet.h"
 #include "HostedProcess.h"
 #include "TemporaryDirectory.h"
+#include "camphorpin/src/Gateway/NodeDirectory.h"
 #include "camphorpin/src/Gateway/PeerCodec.h"
 
 #include <criterion/criterion.h>
@@ -275,6 +276,27 @@
   return Result;
 }
 
+/// \returns \p Count records of nodes that don't exist.
+std::string madeUpMembers(std::size_t Count) {
+  constexpr std::size_t RecordsPerFrame = 1000;
+  std::string Result = frames({hello("crowd")});
+  for (std::size_t First = 0; First < Count; First += RecordsPerFrame) {
+    PeerUpdate Update;
+    for (std::size_t Number = First; Number < First + RecordsPerFrame;
+         ++Number) {
+      NodeRecord Record;
+      Record.Node = "made-up-" + std::to_string(Number);
+      Record.Address = *HostAddress::parse("127.0.0.1:1");
+      Record.Service = "none";
+      Record.Zone = "z";
+      Record.Incarnation = 1;
+      Update.Members.push_back({Record.Node, Record.toJson()});
+    }
+    Result += frames({std::move(Update)});
+  }
+  return Result;
+}
+
 /// \returns what clients do to the address for other nodes.
 std::vector<ClientBehavior> peerCrowds() {
   // The length of a frame, in network byte order.
@@ -327,6 +349,9 @@
   Crowds.push_back({.Name = "announced bodies that don't come",
                     .Clients = 12,
                     .Start = announcedCalls(100, MaxBodyBytes)});
+  Crowds.push_back({.Name = "members that don't exist",
+                    .Clients = 2,
+                    .Start = madeUpMembers(200000)});
   return Crowds;
 }
 
