Hold a body once in stand-alone nodes

Cause: with 8 threads, a body was held by the request, once more in the bytes for the backend server, and twice for a moment while it grew.

Change: the body goes to the backend server from where it is (SharedBody::viewOf), and the announced length is allocated at once if the limit allows it.

--- a/packages/daemon/camphorpin/src/Daemon/BackendClient.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/BackendClient.cpp
@@ -63,13 +63,16 @@
   if (Remaining <= Duration())
     return notRun(Job, RefusalReason::Deadline);
   ExchangeRequest Request;
-  Request.Bytes = requestBytes(Job, Remaining);
+  Request.Bytes = requestHead(Job, Remaining);
+  if (Job.Body->Method != "GET")
+    Request.Body = SharedBody::viewOf(
+        std::shared_ptr<const std::string>(Job.Body, &Job.Body->Body));
   Request.MaxBodyBytes = MaxBody;
   return interpret(Job, Client.exchange(std::move(Request), Remaining));
 }
 
-std::string BackendClient::requestBytes(const BackendJob &Job,
-                                        Duration Remaining) const {
+std::string BackendClient::requestHead(const BackendJob &Job,
+                                       Duration Remaining) const {
   const std::int64_t Millis =
       std::max<std::int64_t>(1, Remaining.wholeMillis());
   const bool IsGet = Job.Body->Method == "GET";
@@ -89,8 +92,7 @@
   if (!IsGet)
     Result += detail::headerLine("Content-Length",
                                  std::to_string(Job.Body->Body.size()));
-  // A GET has no body.
-  return Result.append("\r\n").append(Job.Body->Body);
+  return Result.append("\r\n");
 }
 
 BackendDone BackendClient::interpret(const BackendJob &Job,
--- a/packages/daemon/camphorpin/src/Daemon/BackendClient.h
+++ b/packages/daemon/camphorpin/src/Daemon/BackendClient.h
@@ -26,7 +26,8 @@
   void cancel(const std::string &Token);
 
 private:
-  std::string requestBytes(const BackendJob &Job, Duration Remaining) const;
+  /// \returns the request without its body.
+  std::string requestHead(const BackendJob &Job, Duration Remaining) const;
   BackendDone interpret(const BackendJob &Job, ExchangeResult Result);
   BackendDone interpretResponse(const BackendJob &Job, HttpResponse Response);
   BackendDone lost(const BackendJob &Job) const;
--- a/packages/daemon/camphorpin/src/Daemon/HttpServer.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/HttpServer.cpp
@@ -247,6 +247,10 @@
                                 httplib::Response &Response,
                                 const httplib::ContentReader &Reader) {
   std::string Body;
+  const std::uint64_t Announced =
+      Request.get_header_value<std::uint64_t>("Content-Length");
+  if (Announced <= Limits.Body)
+    Body.reserve(Announced);
   bool Exceeds = false;
   const bool Whole = Reader([&](const char *Data, std::size_t Size) {
     Exceeds = Body.size() + Size > Limits.Body;
--- a/packages/http/camphorpin/src/Http/SharedBody.cpp
+++ b/packages/http/camphorpin/src/Http/SharedBody.cpp
@@ -20,6 +20,14 @@
 SharedBody::SharedBody(std::shared_ptr<ByteBudget> Budget)
     : Data(std::make_shared<Blocks>(std::move(Budget))) {}
 
+SharedBody SharedBody::viewOf(std::shared_ptr<const std::string> Text) {
+  SharedBody Result;
+  Result.Data = std::make_shared<Blocks>(nullptr);
+  Result.Data->Bytes = Text->size();
+  Result.Data->Shared = std::move(Text);
+  return Result;
+}
+
 bool SharedBody::reserve(std::size_t Bytes) {
   if (!Data)
     return true;
@@ -29,7 +37,8 @@
 void SharedBody::append(std::string_view Bytes) {
   if (!Data)
     Data = std::make_shared<Blocks>(nullptr);
-  assert(Data.use_count() == 1 && "a body grows before it is shared");
+  assert(Data.use_count() == 1 && !Data->Shared &&
+         "a body grows before it is shared");
   Data->Bytes += Bytes.size();
   while (!Bytes.empty()) {
     if (Data->Items.empty() || Data->Items.back().size() == BlockBytes)
@@ -50,7 +59,9 @@
 
 std::vector<std::string_view> SharedBody::blocks() const {
   std::vector<std::string_view> Result;
-  if (Data)
+  if (Data && Data->Shared)
+    Result.emplace_back(*Data->Shared);
+  else if (Data)
     Result.assign(Data->Items.begin(), Data->Items.end());
   return Result;
 }
@@ -58,6 +69,8 @@
 std::string_view SharedBody::blockAt(std::size_t Offset) const {
   if (Offset >= size())
     return {};
+  if (Data->Shared)
+    return std::string_view(*Data->Shared).substr(Offset);
   const std::string_view Block = Data->Items[Offset / BlockBytes];
   return Block.substr(Offset % BlockBytes);
 }
--- a/packages/http/camphorpin/src/Http/SharedBody.h
+++ b/packages/http/camphorpin/src/Http/SharedBody.h
@@ -32,6 +32,9 @@
   /// gone. \p Budget may be null.
   explicit SharedBody(std::shared_ptr<ByteBudget> Budget);
 
+  /// \returns a body that shares \p Text and can't grow.
+  static SharedBody viewOf(std::shared_ptr<const std::string> Text);
+
   /// Reserves room for \p Bytes in total.
   /// \returns false if the budget does not allow it.
   bool reserve(std::size_t Bytes);
@@ -41,7 +44,7 @@
     return Data && Data->Held.limited() ? 0 : size();
   }
 
-  /// Appends \p Bytes. The body must not have been copied.
+  /// Appends \p Bytes. The body must not have been copied, or share a text.
   void append(std::string_view Bytes);
 
   std::size_t size() const { return Data ? Data->Bytes : 0; }
@@ -76,6 +79,8 @@
     explicit Blocks(std::shared_ptr<ByteBudget> Budget)
         : Held(std::move(Budget)) {}
     std::vector<std::string> Items;
+    /// The only block, in place of Items; may be null.
+    std::shared_ptr<const std::string> Shared;
     std::size_t Bytes = 0;
     BudgetShare Held;
   };
--- a/packages/http/tests/SharedBodyTest.cpp
+++ b/packages/http/tests/SharedBodyTest.cpp
@@ -54,3 +54,18 @@
   cr_assert_eq(Budget->used(), 0U);
   cr_assert_eq(SharedBody(std::string("bytes")).uncountedBytes(), 5U);
 }
+
+// Guards against a shared text that is copied, or freed before its last holder.
+Test(SharedBody, sharesATextUntilTheLastCopyIsGone) {
+  auto Text = std::make_shared<const std::string>(200000, 'x');
+  const std::weak_ptr<const std::string> Watched = Text;
+  const char *Start = Text->data();
+  SharedBody Copy = SharedBody::viewOf(std::move(Text));
+  cr_assert_eq(Copy.size(), 200000U);
+  cr_assert_eq(Copy.blocks().front().data(), Start);
+  cr_assert_eq(Copy.blockAt(5).data(), Start + 5);
+  cr_assert_eq(joined(Copy), std::string(200000, 'x'));
+  cr_assert_not(Watched.expired());
+  Copy = SharedBody();
+  cr_assert(Watched.expired());
+}
