--- a/tests/process/HostedClientCrowdTest.cpp
+++ b/tests/process/HostedClientCrowdTest.cpp
@@ -95,29 +95,12 @@
   return Method + " " + Target + " HTTP/1.1\r\nHost: h\r\nRequest-Id: c\r\n";
 }
 
-/// \returns what clients do to any HTTP server.
-/// \param Method and \param Target of a request that may have a body.
-std::vector<ClientBehavior> httpCrowds(const std::string &Method,
-                                       const std::string &Target) {
-  const std::string Start = head(Method, Target);
+/// Adds what clients do that send bodies.
+/// \param Start the head of a request without its last line.
+void addBodyCrowds(const std::string &Start,
+                   std::vector<ClientBehavior> &Crowds) {
   const std::string Chunked = Start + "Transfer-Encoding: chunked\r\n\r\n";
-  const std::string LongHeader = "X: " + std::string(7000, 'x') + "\r\n";
   const std::size_t MostOfBody = MaxBodyBytes - 1;
-  std::vector<ClientBehavior> Crowds;
-  Crowds.push_back({.Name = "idle, more than descriptors", .Clients = 300});
-  Crowds.push_back({.Name = "idle, again and again",
-                    .Clients = 100,
-                    .Start = "\r\n",
-                    .Reads = true,
-                    .Reconnects = true});
-  Crowds.push_back({.Name = "head short of its end",
-                    .Clients = 300,
-                    .Start = Start + LongHeader + LongHeader});
-  Crowds.push_back({.Name = "head byte by byte",
-                    .Clients = 300,
-                    .Start = Start + LongHeader,
-                    .Pause = std::chrono::milliseconds(100),
-                    .Reconnects = true});
   Crowds.push_back({.Name = "body short of its end",
                     .Clients = 12,
                     .Start = Start + "Content-Length: " +
@@ -167,6 +150,30 @@
                     .Filler = chunk(65536),
                     .FillerBytes = 4 * MaxBodyBytes,
                     .Reconnects = true});
+}
+
+/// \returns what clients do to any HTTP server.
+/// \param Method and \param Target of a request that may have a body.
+std::vector<ClientBehavior> httpCrowds(const std::string &Method,
+                                       const std::string &Target) {
+  const std::string Start = head(Method, Target);
+  const std::string LongHeader = "X: " + std::string(7000, 'x') + "\r\n";
+  std::vector<ClientBehavior> Crowds;
+  Crowds.push_back({.Name = "idle, more than descriptors", .Clients = 300});
+  Crowds.push_back({.Name = "idle, again and again",
+                    .Clients = 100,
+                    .Start = "\r\n",
+                    .Reads = true,
+                    .Reconnects = true});
+  Crowds.push_back({.Name = "head short of its end",
+                    .Clients = 300,
+                    .Start = Start + LongHeader + LongHeader});
+  Crowds.push_back({.Name = "head byte by byte",
+                    .Clients = 300,
+                    .Start = Start + LongHeader,
+                    .Pause = std::chrono::milliseconds(100),
+                    .Reconnects = true});
+  addBodyCrowds(Start, Crowds);
   Crowds.push_back(
       {.Name = "requests ahead, answers unread",
        .Clients = 60,
