Let crowds of peers act under many names, and check what could not fail

Change: ClientBehavior has a first frame of its own for each client; the kinds that say a name are played under one name (as before) and under many (peersOfManyNames). The peak must exceed the bound before memory is returned. The other node's peak is checked too. New kind on callers, reports, readiness, metrics and operators: bodies byte by byte, again and again (300 clients on stand-alone nodes). What both crowd tests listed stands once.

--- a/tests/process/ClientCrowd.cpp
+++ b/tests/process/ClientCrowd.cpp
@@ -45,6 +45,9 @@
   Address.sin_family = AF_INET;
   Address.sin_port = htons(static_cast<std::uint16_t>(Port));
   ::inet_pton(AF_INET, Ip.c_str(), &Address.sin_addr);
+  if (this->Behavior.Greeting)
+    for (std::size_t Number = 0; Number < Clients.size(); ++Number)
+      Clients[Number].Greeting = this->Behavior.Greeting(Number);
   Thread = std::thread([this] { run(); });
 }
 
@@ -70,8 +73,7 @@
     for (Client &Item : Clients) {
       if (Item.Socket < 0)
         continue;
-      const bool Sends =
-          Item.Sent < Behavior.totalBytes() && Now >= Item.NextSend;
+      const bool Sends = Item.Sent < totalBytes(Item) && Now >= Item.NextSend;
       const int Events = (Sends ? POLLOUT : 0) | (Behavior.Reads ? POLLIN : 0);
       Polled.push_back({Item.Socket, static_cast<short>(Events), 0});
       Items.push_back(&Item);
@@ -110,7 +112,7 @@
 
 bool ClientCrowd::send(Client &Item) {
   const bool Pauses = Behavior.Pause.count() > 0;
-  const std::string_view Bytes = next(Item.Sent, Pauses ? 1 : SendBytes);
+  const std::string_view Bytes = next(Item, Pauses ? 1 : SendBytes);
   const ssize_t Count = ::send(Item.Socket, Bytes.data(), Bytes.size(),
                                MSG_NOSIGNAL | MSG_DONTWAIT);
   if (Count < 0)
@@ -121,14 +123,21 @@
   return true;
 }
 
-std::string_view ClientCrowd::next(std::size_t Sent, std::size_t Bytes) const {
-  if (Sent < Behavior.Start.size())
-    return std::string_view(Behavior.Start).substr(Sent, Bytes);
-  const std::size_t Left = Behavior.totalBytes() - Sent;
-  const std::size_t Offset =
-      (Sent - Behavior.Start.size()) % Behavior.Filler.size();
+std::size_t ClientCrowd::totalBytes(const Client &Item) const {
+  return Item.Greeting.size() + Behavior.Start.size() + Behavior.FillerBytes;
+}
+
+std::string_view ClientCrowd::next(const Client &Item,
+                                   std::size_t Bytes) const {
+  std::size_t Offset = Item.Sent;
+  for (const std::string *Text : {&Item.Greeting, &Behavior.Start}) {
+    if (Offset < Text->size())
+      return std::string_view(*Text).substr(Offset, Bytes);
+    Offset -= Text->size();
+  }
+  const std::size_t Left = totalBytes(Item) - Item.Sent;
   return std::string_view(Behavior.Filler)
-      .substr(Offset, std::min(Bytes, Left));
+      .substr(Offset % Behavior.Filler.size(), std::min(Bytes, Left));
 }
 
 void ClientCrowd::close(Client &Item) {
@@ -148,6 +157,30 @@
          std::string(Bytes, 'x');
 }
 
+ClientBehavior idleAgainAndAgain() {
+  return {.Name = "idle, again and again",
+          .Clients = 100,
+          .Start = "\r\n",
+          .Reads = true,
+          .Reconnects = true};
+}
+
+std::vector<ClientBehavior> bodiesFarOverTheLimit(const std::string &Head,
+                                                  std::size_t Bytes) {
+  ClientBehavior Announced{.Name = "body far over the limit, announced",
+                           .Clients = 12,
+                           .Start =
+                               Head + "Content-Length: 1099511627776\r\n\r\n",
+                           .Filler = std::string(65536, 'x'),
+                           .FillerBytes = Bytes,
+                           .Reconnects = true};
+  ClientBehavior Sent = Announced;
+  Sent.Name = "body far over the limit, just sent";
+  Sent.Start = Head + "Transfer-Encoding: chunked\r\n\r\n";
+  Sent.Filler = chunk(65536);
+  return {std::move(Announced), std::move(Sent)};
+}
+
 std::string faultsBeside(const std::string &Crowd, ChildProcess &Process,
                          std::size_t Descriptors, bool Served,
                          const CrowdBounds &Bounds) {
--- a/tests/process/ClientCrowd.h
+++ b/tests/process/ClientCrowd.h
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <netinet/in.h>
 #include <string>
 #include <string_view>
@@ -21,6 +22,8 @@
   std::string Name;
   /// Connections of the crowd.
   std::size_t Clients = 1;
+  /// \returns the first bytes of a client, by its number from 0; may be empty.
+  std::function<std::string(std::size_t)> Greeting;
   std::string Start;
   /// Bytes sent after Start: repetitions of Filler, the last one in part.
   std::string Filler;
@@ -31,8 +34,6 @@
   bool Reads = false;
   /// Opens a new connection in place of one that the server has closed.
   bool Reconnects = false;
-
-  std::size_t totalBytes() const { return Start.size() + FillerBytes; }
 };
 
 /// \class ClientCrowd
@@ -56,6 +57,7 @@
 private:
   struct Client {
     int Socket = -1;
+    std::string Greeting;
     std::size_t Sent = 0;
     std::chrono::steady_clock::time_point NextSend;
   };
@@ -66,8 +68,9 @@
   /// Sends what the socket takes.
   /// \returns false if the connection has ended.
   bool send(Client &Item);
+  std::size_t totalBytes(const Client &Item) const;
   /// \returns the next bytes to send, at most \p Bytes.
-  std::string_view next(std::size_t Sent, std::size_t Bytes) const;
+  std::string_view next(const Client &Item, std::size_t Bytes) const;
   void close(Client &Item);
 
   const ClientBehavior Behavior;
@@ -86,6 +89,15 @@
 /// \returns the request with a whole body of \p Bytes bytes.
 std::string wholeRequest(const std::string &Head, std::size_t Bytes);
 
+/// \returns clients that open one connection after the other.
+ClientBehavior idleAgainAndAgain();
+
+/// \returns clients that send bodies far over a limit, announced or not.
+/// \param Head the head of a request without its last line.
+/// \param Bytes that each of them sends.
+std::vector<ClientBehavior> bodiesFarOverTheLimit(const std::string &Head,
+                                                  std::size_t Bytes);
+
 /// \class CrowdBounds
 /// \brief What a process may use beside a crowd.
 struct CrowdBounds {
--- a/tests/process/HostedClientCrowdTest.cpp
+++ b/tests/process/HostedClientCrowdTest.cpp
@@ -128,6 +128,13 @@
                              "Content-Length: " + std::to_string(MaxBodyBytes) +
                              "\r\n\r\n" + std::string(1000, 'x'),
                     .Pause = std::chrono::milliseconds(2)});
+  Crowds.push_back({.Name = "body byte by byte, again and again",
+                    .Clients = 100,
+                    .Start = Start +
+                             "Content-Length: " + std::to_string(MaxBodyBytes) +
+                             "\r\n\r\n" + std::string(1000, 'x'),
+                    .Pause = std::chrono::milliseconds(2),
+                    .Reconnects = true});
   Crowds.push_back({.Name = "chunks short of their end",
                     .Clients = 12,
                     .Start = Chunked,
@@ -138,18 +145,9 @@
                     .Start = Chunked,
                     .Filler = chunk(16),
                     .FillerBytes = MostOfBody});
-  Crowds.push_back({.Name = "body far over the limit, announced",
-                    .Clients = 12,
-                    .Start = Start + "Content-Length: 1099511627776\r\n\r\n",
-                    .Filler = std::string(65536, 'x'),
-                    .FillerBytes = 4 * MaxBodyBytes,
-                    .Reconnects = true});
-  Crowds.push_back({.Name = "body far over the limit, just sent",
-                    .Clients = 12,
-                    .Start = Chunked,
-                    .Filler = chunk(65536),
-                    .FillerBytes = 4 * MaxBodyBytes,
-                    .Reconnects = true});
+  for (ClientBehavior &Behavior :
+       bodiesFarOverTheLimit(Start, 4 * MaxBodyBytes))
+    Crowds.push_back(std::move(Behavior));
 }
 
 /// \returns what clients do to any HTTP server.
@@ -160,11 +158,7 @@
   const std::string LongHeader = "X: " + std::string(7000, 'x') + "\r\n";
   std::vector<ClientBehavior> Crowds;
   Crowds.push_back({.Name = "idle, more than descriptors", .Clients = 300});
-  Crowds.push_back({.Name = "idle, again and again",
-                    .Clients = 100,
-                    .Start = "\r\n",
-                    .Reads = true,
-                    .Reconnects = true});
+  Crowds.push_back(idleAgainAndAgain());
   Crowds.push_back({.Name = "head short of its end",
                     .Clients = 300,
                     .Start = Start + LongHeader + LongHeader});
@@ -202,9 +196,13 @@
   Fleet.wait(CrowdBound, [&Crowd] { return Crowd.settled(); });
   const std::size_t Descriptors = Target.process().openDescriptors();
   const bool Served = Fleet.serves(AnswerBound) && AlsoServes();
-  return process::faultsBeside(Behavior.Name, Target.process(), Descriptors,
-                               Served,
-                               {MachineMegabytes * Megabyte, DescriptorBound});
+  std::string Faults = process::faultsBeside(
+      Behavior.Name, Target.process(), Descriptors, Served,
+      {MachineMegabytes * Megabyte, DescriptorBound});
+  HostedProcess &Other = &Target == &Fleet.Web ? Fleet.Shop : Fleet.Web;
+  if (Other.process().peakMemory() > MachineMegabytes * Megabyte)
+    Faults += "the other node: more memory than its machine has; ";
+  return Faults;
 }
 
 /// Lets the crowds act one after the other, until the process ends.
@@ -256,9 +254,12 @@
   return Result;
 }
 
+/// \returns the first frame of a client, by its number.
+using Greeting = std::function<std::string(std::size_t)>;
+
 /// \returns \p Count calls for large answers, each with an id of its own.
 std::string largeCalls(std::uint64_t Count, bool Idempotent) {
-  std::string Result = frames({hello("crowd")});
+  std::string Result;
   for (std::uint64_t Id = 1; Id <= Count; ++Id)
     Result += frames({call(Id, "/a/large", "", Idempotent)});
   return Result;
@@ -266,7 +267,7 @@
 
 /// \returns \p Count calls, each with a body of \p Bytes bytes.
 std::string callsWithBodies(std::uint64_t Count, std::size_t Bytes) {
-  std::string Result = frames({hello("crowd")});
+  std::string Result;
   for (std::uint64_t Id = 1; Id <= Count; ++Id)
     Result += frames({call(Id, "/a/x", std::string(Bytes, 'b'), true)});
   return Result;
@@ -274,7 +275,7 @@
 
 /// \returns \p Count calls that announce bodies of \p Bytes bytes.
 std::string announcedCalls(std::uint64_t Count, std::size_t Bytes) {
-  std::string Result = frames({hello("crowd")});
+  std::string Result;
   for (std::uint64_t Id = 1; Id <= Count; ++Id) {
     PeerCall Call = call(Id, "/a/x", "", false);
     Call.Head.replace(0, 3, "POST");
@@ -286,7 +287,7 @@
 /// \returns \p Count records of nodes that don't exist.
 std::string madeUpMembers(std::size_t Count) {
   constexpr std::size_t RecordsPerFrame = 1000;
-  std::string Result = frames({hello("crowd")});
+  std::string Result;
   for (std::size_t First = 0; First < Count; First += RecordsPerFrame) {
     PeerUpdate Update;
     for (std::size_t Number = First; Number < First + RecordsPerFrame;
@@ -304,23 +305,15 @@
   return Result;
 }
 
-/// \returns what clients do to the address for other nodes.
-std::vector<ClientBehavior> peerCrowds() {
+/// \returns what clients do to the address for other nodes that don't say who
+/// they are.
+std::vector<ClientBehavior> namelessPeerCrowds() {
   // The length of a frame, in network byte order.
-  const std::string LargestFrame("\x04\x00\x00\x00", 4);
   const std::string BeyondAnyFrame("\x7f\xff\xff\xff", 4);
   const std::string BodyFrame =
       frames({call(1, "/a/x", std::string(Megabyte, 'b'), true)});
   std::vector<ClientBehavior> Crowds;
   Crowds.push_back({.Name = "idle, more than descriptors", .Clients = 300});
-  Crowds.push_back({.Name = "idle after the hello",
-                    .Clients = 300,
-                    .Start = frames({hello("crowd")})});
-  Crowds.push_back({.Name = "frame short of its end",
-                    .Clients = 12,
-                    .Start = frames({hello("crowd")}) + LargestFrame,
-                    .Filler = std::string(65536, 'x'),
-                    .FillerBytes = MaxBodyBytes});
   Crowds.push_back({.Name = "small frame short of its end",
                     .Clients = 150,
                     .Start = BodyFrame.substr(0, BodyFrame.size() - 1)});
@@ -330,34 +323,56 @@
                     .Filler = std::string(65536, 'x'),
                     .FillerBytes = 4 * MaxBodyBytes,
                     .Reconnects = true});
+  return Crowds;
+}
+
+/// \returns what clients do to the address for other nodes that say who they
+/// are.
+std::vector<ClientBehavior> greetingPeerCrowds(const Greeting &Hello) {
+  // The length of a frame, in network byte order.
+  const std::string LargestFrame("\x04\x00\x00\x00", 4);
+  std::vector<ClientBehavior> Crowds;
+  Crowds.push_back(
+      {.Name = "idle after the hello", .Clients = 300, .Greeting = Hello});
+  Crowds.push_back({.Name = "frame short of its end",
+                    .Clients = 12,
+                    .Greeting = Hello,
+                    .Start = LargestFrame,
+                    .Filler = std::string(65536, 'x'),
+                    .FillerBytes = MaxBodyBytes});
   Crowds.push_back({.Name = "frame byte by byte",
                     .Clients = 100,
-                    .Start = frames({hello("crowd")}),
+                    .Greeting = Hello,
                     .Pause = std::chrono::milliseconds(100)});
   Crowds.push_back({.Name = "calls ahead, answers unread",
                     .Clients = 12,
+                    .Greeting = Hello,
                     .Start = largeCalls(100, true)});
   Crowds.push_back({.Name = "calls that run once, answers unread",
                     .Clients = 12,
+                    .Greeting = Hello,
                     .Start = largeCalls(100, false)});
   Crowds.push_back({.Name = "requests for updates, answers unread",
                     .Clients = 12,
-                    .Start = frames({hello("crowd")}),
+                    .Greeting = Hello,
                     .Filler = frames({PeerUpdateRequest{}}),
                     .FillerBytes = 4 * Megabyte});
   Crowds.push_back({.Name = "pings, answers unread",
                     .Clients = 60,
-                    .Start = frames({hello("crowd")}),
+                    .Greeting = Hello,
                     .Filler = frames({PeerPing{1}}),
                     .FillerBytes = 16 * Megabyte});
   Crowds.push_back({.Name = "calls with whole bodies, answers unread",
                     .Clients = 12,
+                    .Greeting = Hello,
                     .Start = callsWithBodies(30, Megabyte)});
   Crowds.push_back({.Name = "announced bodies that don't come",
                     .Clients = 12,
+                    .Greeting = Hello,
                     .Start = announcedCalls(100, MaxBodyBytes)});
   Crowds.push_back({.Name = "members that don't exist",
                     .Clients = 2,
+                    .Greeting = Hello,
                     .Start = madeUpMembers(200000)});
   return Crowds;
 }
@@ -402,9 +417,11 @@
     Fleet.wait(Duration::millis(300), [] { return false; });
     Fleet.wait(CrowdBound, [&Crowd] { return Crowd.settled(); });
   }
+  constexpr std::size_t Bound =
+      MachineMegabytes * Megabyte / MessageMemoryDivisor;
+  cr_assert_gt(Fleet.Web.process().peakMemory(), Bound);
   const auto Returned = [&Fleet] {
-    return Fleet.Web.process().residentMemory() <=
-           MachineMegabytes * Megabyte / MessageMemoryDivisor;
+    return Fleet.Web.process().residentMemory() <= Bound;
   };
   Fleet.wait(CrowdBound, Returned);
   cr_expect(Returned(), "%zu MB are left",
@@ -414,7 +431,22 @@
 Test(HostedClientCrowd, peers, .timeout = 900) {
   SmallFleet Fleet;
   cr_assert(Fleet.serves(StartBound));
-  checkCrowds(Fleet, Fleet.Shop, Fleet.Shop.PeerAddress, peerCrowds(),
+  checkCrowds(Fleet, Fleet.Shop, Fleet.Shop.PeerAddress, namelessPeerCrowds(),
+              [] { return true; });
+  checkCrowds(
+      Fleet, Fleet.Shop, Fleet.Shop.PeerAddress,
+      greetingPeerCrowds([](std::size_t) { return frames({hello("crowd")}); }),
+      [] { return true; });
+}
+
+// Of clients under one name, a node keeps the newest connection only.
+Test(HostedClientCrowd, peersOfManyNames, .timeout = 900) {
+  SmallFleet Fleet;
+  cr_assert(Fleet.serves(StartBound));
+  checkCrowds(Fleet, Fleet.Shop, Fleet.Shop.PeerAddress,
+              greetingPeerCrowds([](std::size_t Number) {
+                return frames({hello("crowd-" + std::to_string(Number))});
+              }),
               [] { return true; });
 }
 
--- a/tests/process/NodeClientCrowdTest.cpp
+++ b/tests/process/NodeClientCrowdTest.cpp
@@ -71,11 +71,7 @@
   std::vector<ClientBehavior> Crowds;
   Crowds.push_back({.Name = "idle, more than threads", .Clients = 2 * Threads});
   Crowds.push_back({.Name = "idle, more than descriptors", .Clients = 300});
-  Crowds.push_back({.Name = "idle, again and again",
-                    .Clients = 100,
-                    .Start = "\r\n",
-                    .Reads = true,
-                    .Reconnects = true});
+  Crowds.push_back(idleAgainAndAgain());
   Crowds.push_back({.Name = "head short of its end",
                     .Clients = 100,
                     .Start = Post + LongHeader + LongHeader});
@@ -97,23 +93,19 @@
                     .Clients = 100,
                     .Start = Announced + std::string(1000, 'x'),
                     .Pause = std::chrono::milliseconds(2)});
+  Crowds.push_back({.Name = "body byte by byte, again and again",
+                    .Clients = 300,
+                    .Start = Announced + std::string(1000, 'x'),
+                    .Pause = std::chrono::milliseconds(2),
+                    .Reconnects = true});
   Crowds.push_back({.Name = "small chunks short of their end",
                     .Clients = 100,
                     .Start = Chunked,
                     .Filler = chunk(16),
                     .FillerBytes = MaxBodyBytes - 1});
-  Crowds.push_back({.Name = "body far over the limit, announced",
-                    .Clients = 12,
-                    .Start = Post + "Content-Length: 1099511627776\r\n\r\n",
-                    .Filler = std::string(65536, 'x'),
-                    .FillerBytes = 100 * MaxBodyBytes,
-                    .Reconnects = true});
-  Crowds.push_back({.Name = "body far over the limit, just sent",
-                    .Clients = 12,
-                    .Start = Chunked,
-                    .Filler = chunk(65536),
-                    .FillerBytes = 100 * MaxBodyBytes,
-                    .Reconnects = true});
+  for (ClientBehavior &Behavior :
+       bodiesFarOverTheLimit(Post, 100 * MaxBodyBytes))
+    Crowds.push_back(std::move(Behavior));
   Crowds.push_back({.Name = "requests ahead, answers unread",
                     .Clients = 60,
                     .Filler = "GET" + Start + LongHeader + LongHeader + "\r\n",
