Share the server that defers its responses between two tests

ByteBudgetTest and ClientLimitsTest had the same server, request head and upload each. They stand in DeferringServer.h once.

--- a/packages/gateway/tests/ByteBudgetTest.cpp
+++ b/packages/gateway/tests/ByteBudgetTest.cpp
@@ -1,6 +1,6 @@
 // Guards against a node that outgrows its memory, and is killed with the
 // requests of all its callers, because of a few large bodies or slow readers.
-#include "GatewayFixture.h"
+#include "DeferringServer.h"
 
 #include <criterion/criterion.h>
 
@@ -16,41 +16,13 @@
 /// Bytes that a server counts for each byte of the head of a request.
 constexpr std::size_t HeadCopies = 6;
 
-/// A server with a byte budget, which defers its responses to the test.
-struct BudgetFixture final : HttpRequestHandler {
-  EventLoop Loop;
-  HostAddress Address = freeAddress();
-  std::shared_ptr<ByteBudget> Budget =
-      std::make_shared<ByteBudget>(BudgetBytes);
-  AsyncHttpServer Server{Loop, *this};
-  std::vector<std::shared_ptr<HttpExchange>> Deferred;
-
-  BudgetFixture() {
-    Server.setByteBudget(Budget);
-    Server.listen(Address);
-  }
-  void onRequest(const std::shared_ptr<HttpExchange> &Exchange) override {
-    Deferred.push_back(Exchange);
-  }
+struct BudgetFixture final : DeferringServer {
+  BudgetFixture() : DeferringServer(BudgetBytes) {}
   void run(const std::function<bool()> &Done) {
     runUntil(Loop, Duration::seconds(2), Done);
   }
 };
 
-std::string post(std::size_t Bytes) {
-  return "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: " +
-         std::to_string(Bytes) + "\r\n\r\n";
-}
-
-/// Sends \p Count bytes in parts while the server runs.
-void sendBytes(BudgetFixture &Fixture, RawClient &Caller, std::size_t Count) {
-  const std::string Part(std::size_t(64) << 10U, 'b');
-  for (std::size_t Sent = 0; Sent < Count; Sent += Part.size()) {
-    Caller.trySend(Part);
-    runUntil(Fixture.Loop, Duration::millis(1), [] { return false; });
-  }
-}
-
 } // namespace
 
 // Guards against a large body that is read although its copies do not fit into
@@ -59,8 +31,8 @@
 Test(ByteBudget, largeBodyIsRefusedAndTheRefusalArrives) {
   BudgetFixture Fixture;
   RawClient Caller(Fixture.Loop, Fixture.Address);
-  Caller.send(post(LargeBytes));
-  sendBytes(Fixture, Caller, LargeBytes);
+  Caller.send(postHead(LargeBytes));
+  Fixture.sendBody(Caller, LargeBytes);
   Fixture.run([&] { return Caller.Ended; });
   cr_assert(Caller.Received.starts_with("HTTP/1.1 503"));
   cr_assert(Fixture.Deferred.empty());
@@ -91,10 +63,10 @@
   BudgetFixture Fixture;
   RawClient Caller(Fixture.Loop, Fixture.Address);
   for (std::size_t Count = 1; Count <= 20; ++Count) {
-    Caller.send(post(SmallBytes) + std::string(SmallBytes, 'b'));
+    Caller.send(postHead(SmallBytes) + std::string(SmallBytes, 'b'));
     Fixture.run([&] { return Fixture.Deferred.size() == Count; });
     cr_assert_eq(Fixture.Budget->used(),
-                 SmallBytes + HeadCopies * post(SmallBytes).size());
+                 SmallBytes + HeadCopies * postHead(SmallBytes).size());
     cr_assert(Fixture.Deferred.back()->reserve(SmallBytes));
     Fixture.Deferred.back()->reply(
         stampedReply(*Fixture.Deferred.back(), std::string(SmallBytes, 'a')));
@@ -115,7 +87,7 @@
   for (std::size_t Count = 1; Count <= CallerCount; ++Count) {
     Callers.push_back(
         std::make_unique<RawClient>(Fixture.Loop, Fixture.Address));
-    Callers.back()->send(post(0));
+    Callers.back()->send(postHead(0));
     Fixture.run([&] { return Fixture.Deferred.size() == Count; });
     // The answers are never written, as if no caller read.
     HttpExchange &Exchange = *Fixture.Deferred.back();
--- a/packages/gateway/tests/ClientLimitsTest.cpp
+++ b/packages/gateway/tests/ClientLimitsTest.cpp
@@ -1,6 +1,6 @@
 // Guards ordinary callers against clients that hold connections or bytes of a
 // server without using them.
-#include "GatewayFixture.h"
+#include "DeferringServer.h"
 #include "camphorpin/src/Gateway/OutputQueue.h"
 
 #include <criterion/criterion.h>
@@ -15,25 +15,12 @@
 constexpr std::size_t LargeBytes = std::size_t(4) << 20U;
 constexpr std::size_t MaxConnections = 4;
 
-/// A server with limits, which defers its responses to the test.
-struct LimitedServer final : HttpRequestHandler {
-  EventLoop Loop;
-  HostAddress Address = freeAddress();
-  std::shared_ptr<ByteBudget> Budget =
-      std::make_shared<ByteBudget>(BudgetBytes);
-  AsyncHttpServer Server{Loop, *this};
-  std::vector<std::shared_ptr<HttpExchange>> Deferred;
-
-  LimitedServer() {
-    Server.setByteBudget(Budget);
+struct LimitedServer final : DeferringServer {
+  LimitedServer() : DeferringServer(BudgetBytes) {
     Server.setMaxConnections(MaxConnections);
     RequestLimits Limits;
     Limits.HeaderTimeout = Duration::millis(400);
     Server.setLimits(Limits);
-    Server.listen(Address);
-  }
-  void onRequest(const std::shared_ptr<HttpExchange> &Exchange) override {
-    Deferred.push_back(Exchange);
   }
   std::unique_ptr<RawClient> connect() {
     auto Client = std::make_unique<RawClient>(Loop, Address);
@@ -51,20 +38,6 @@
 
 constexpr const char *Get = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
 
-std::string postHead(std::size_t Bytes) {
-  return "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: " +
-         std::to_string(Bytes) + "\r\n\r\n";
-}
-
-/// Sends a body in parts while the server runs.
-void sendBody(LimitedServer &Fixture, RawClient &Client, std::size_t Bytes) {
-  const std::string Part(std::size_t(64) << 10U, 'b');
-  for (std::size_t Sent = 0; Sent < Bytes; Sent += Part.size()) {
-    Client.trySend(Part);
-    Fixture.pause(Duration::millis(1));
-  }
-}
-
 } // namespace
 
 // Guards against idle connections that keep a new caller out.
@@ -115,7 +88,7 @@
   }
   const auto Caller = Fixture.connect();
   Caller->send(postHead(LargeBytes));
-  sendBody(Fixture, *Caller, LargeBytes);
+  Fixture.sendBody(*Caller, LargeBytes);
   cr_assert(Fixture.waitFor([&] { return Fixture.Deferred.size() == 1; }));
   cr_assert_eq(Fixture.Deferred.front()->request().body().size(), LargeBytes);
   cr_assert(Slow->Received.starts_with("HTTP/1.1 503"));
@@ -126,12 +99,12 @@
   LimitedServer Fixture;
   const auto Fast = Fixture.connect();
   Fast->send(postHead(LargeBytes));
-  sendBody(Fixture, *Fast, LargeBytes / 2);
+  Fixture.sendBody(*Fast, LargeBytes / 2);
   const auto Caller = Fixture.connect();
   Caller->send(postHead(LargeBytes));
   cr_assert(Fixture.waitFor([&] { return !Caller->Received.empty(); }));
   cr_assert(Caller->Received.starts_with("HTTP/1.1 503"));
-  sendBody(Fixture, *Fast, LargeBytes / 2);
+  Fixture.sendBody(*Fast, LargeBytes / 2);
   cr_assert(Fixture.waitFor([&] { return Fixture.Deferred.size() == 1; }));
 }
 
