Name a shared text and the bound on members by what they are

SharedBody::viewOf keeps its text alive, so it is no view: it is called sharing now. MaxRecordsOfPeers counts all records: MaxRecordsFromPeers. No behaviour changes; SharedBodyTest, NodeDirectoryTest and BackendClientTest pass.

--- a/packages/camphorpind/main.cpp
+++ b/packages/camphorpind/main.cpp
@@ -32,8 +32,8 @@
 /// library raises it up to 32 MB, and freed bodies and answers stay with the
 /// process.
 constexpr int ReturnedBlockBytes = 48 << 10;
-/// Largest number of such blocks, about half of the mappings that Linux allows
-/// a process (vm.max_map_count). Further blocks stay with the process.
+/// Largest number of such blocks, half of the mappings that Linux allows a
+/// process by default (vm.max_map_count). Further blocks stay with the process.
 constexpr int MaxReturnedBlocks = 32768;
 
 /// Prints all errors with file and field.
--- a/packages/daemon/camphorpin/src/Daemon/BackendClient.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/BackendClient.cpp
@@ -65,7 +65,7 @@
   ExchangeRequest Request;
   Request.Bytes = requestHead(Job, Remaining);
   if (Job.Body->Method != "GET")
-    Request.Body = SharedBody::viewOf(
+    Request.Body = SharedBody::sharing(
         std::shared_ptr<const std::string>(Job.Body, &Job.Body->Body));
   Request.MaxBodyBytes = MaxBody;
   return interpret(Job, Client.exchange(std::move(Request), Remaining));
--- a/packages/daemon/camphorpin/src/Daemon/HttpServer.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/HttpServer.cpp
@@ -247,6 +247,7 @@
                                 httplib::Response &Response,
                                 const httplib::ContentReader &Reader) {
   std::string Body;
+  // A body that grows is held twice for a moment.
   const std::uint64_t Announced =
       Request.get_header_value<std::uint64_t>("Content-Length");
   if (Announced <= Limits.Body)
--- a/packages/gateway/camphorpin/src/Gateway/NodeDirectory.h
+++ b/packages/gateway/camphorpin/src/Gateway/NodeDirectory.h
@@ -53,9 +53,9 @@
 /// Records may be added in any order and repeatedly.
 class NodeDirectory {
 public:
-  /// Number of records from which on peers may add no further node. Above twice
-  /// the nodes of the largest fleet that docs/CAPACITY.md plans for.
-  static constexpr std::size_t MaxRecordsOfPeers = 16384;
+  /// Number of records up to which peers may add nodes. Above twice the nodes
+  /// of the largest fleet that docs/CAPACITY.md plans for.
+  static constexpr std::size_t MaxRecordsFromPeers = 16384;
 
   /// \returns true if the record was unknown or newer than the known one.
   bool add(const NodeRecord &Record);
@@ -64,7 +64,7 @@
   /// may add records without this bound.
   /// \returns true if a peer may add a record of \p Node.
   bool acceptsFromPeer(std::string_view Node) const {
-    return Nodes.size() < MaxRecordsOfPeers || Nodes.contains(Node);
+    return Nodes.size() < MaxRecordsFromPeers || Nodes.contains(Node);
   }
 
   /// \returns the nodes of the backend servers of \p Service that have not
--- a/packages/gateway/tests/NodeDirectoryTest.cpp
+++ b/packages/gateway/tests/NodeDirectoryTest.cpp
@@ -72,7 +72,7 @@
 // against a full directory that keeps old addresses of known nodes.
 Test(NodeDirectory, acceptsKnownNodesOnlyWhenFull) {
   const NodeDirectory Full =
-      directoryOf(static_cast<int>(NodeDirectory::MaxRecordsOfPeers));
+      directoryOf(static_cast<int>(NodeDirectory::MaxRecordsFromPeers));
   cr_assert_not(Full.acceptsFromPeer("unknown"));
   cr_assert(Full.acceptsFromPeer("node-7"));
   cr_assert(directoryOf(7100).acceptsFromPeer("unknown"));
--- a/packages/http/camphorpin/src/Http/SharedBody.cpp
+++ b/packages/http/camphorpin/src/Http/SharedBody.cpp
@@ -20,7 +20,7 @@
 SharedBody::SharedBody(std::shared_ptr<ByteBudget> Budget)
     : Data(std::make_shared<Blocks>(std::move(Budget))) {}
 
-SharedBody SharedBody::viewOf(std::shared_ptr<const std::string> Text) {
+SharedBody SharedBody::sharing(std::shared_ptr<const std::string> Text) {
   SharedBody Result;
   Result.Data = std::make_shared<Blocks>(nullptr);
   Result.Data->Bytes = Text->size();
--- a/packages/http/camphorpin/src/Http/SharedBody.h
+++ b/packages/http/camphorpin/src/Http/SharedBody.h
@@ -33,7 +33,7 @@
   explicit SharedBody(std::shared_ptr<ByteBudget> Budget);
 
   /// \returns a body that shares \p Text and can't grow.
-  static SharedBody viewOf(std::shared_ptr<const std::string> Text);
+  static SharedBody sharing(std::shared_ptr<const std::string> Text);
 
   /// Reserves room for \p Bytes in total.
   /// \returns false if the budget does not allow it.
--- a/packages/http/tests/SharedBodyTest.cpp
+++ b/packages/http/tests/SharedBodyTest.cpp
@@ -60,7 +60,7 @@
   auto Text = std::make_shared<const std::string>(200000, 'x');
   const std::weak_ptr<const std::string> Watched = Text;
   const char *Start = Text->data();
-  SharedBody Copy = SharedBody::viewOf(std::move(Text));
+  SharedBody Copy = SharedBody::sharing(std::move(Text));
   cr_assert_eq(Copy.size(), 200000U);
   cr_assert_eq(Copy.blocks().front().data(), Start);
   cr_assert_eq(Copy.blockAt(5).data(), Start + 5);
