--- a/review/standins-2/Http.cpp
+++ b/review/standins-2/Http.cpp
@@ -221,18 +221,23 @@
 }
 
 std::uint16_t freePort() {
+  // Below the ports that the system gives to outgoing connections, so that none
+  // of these takes the port of a process that starts again.
+  constexpr std::uint16_t FirstPort = 12000;
+  constexpr std::uint16_t PortCount = 20000;
+  constexpr std::uint16_t Stride = 61;
   static std::mutex Mutex;
-  static std::set<std::uint16_t> Taken;
+  static std::uint16_t Next =
+      static_cast<std::uint16_t>(::getpid() * Stride % PortCount);
   const std::lock_guard<std::mutex> Lock(Mutex);
   for (;;) {
-    const int Socket = bindTo(0);
-    sockaddr_in Address{};
-    socklen_t Size = sizeof(Address);
-    ::getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Size);
+    const std::uint16_t Port = static_cast<std::uint16_t>(FirstPort + Next);
+    Next = static_cast<std::uint16_t>((Next + 1) % PortCount);
+    const int Socket = bindTo(Port);
+    if (Socket < 0)
+      continue;
     ::close(Socket);
-    const std::uint16_t Port = ntohs(Address.sin_port);
-    if (Taken.insert(Port).second)
-      return Port;
+    return Port;
   }
 }
 
