--- a/review/standins-2/SlowReader.cpp
+++ b/review/standins-2/SlowReader.cpp
@@ -165,6 +165,7 @@
     return CouldNotRun;
   std::vector<Connection> Connections(SlowClients);
   std::vector<std::thread> Clients;
+  Clients.reserve(SlowClients + Uploads);
   for (int Index = 0; Index < SlowClients; ++Index)
     Clients.emplace_back([&Deployment, &Gate, &Connections, Index] {
       readLate(Deployment, Gate, Index,
@@ -176,7 +177,9 @@
   for (std::thread &Item : Clients)
     Item.join();
   const std::vector<Run> Runs = Catalogue.runs();
-  if (Runs.size() != static_cast<std::size_t>(SlowClients * RequestsAhead))
+  constexpr std::size_t Expected =
+      static_cast<std::size_t>(SlowClients) * RequestsAhead;
+  if (Runs.size() != Expected)
     return CouldNotRun;
   const std::size_t Lost = lostRequests(Connections, Runs);
   const std::string Line =
