--- a/review/standins-2/Node.cpp
+++ b/review/standins-2/Node.cpp
@@ -1,11 +1,15 @@
 #include "Node.h"
 
+#include <condition_variable>
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
 #include <fstream>
+#include <functional>
+#include <mutex>
 #include <sys/prctl.h>
 #include <sys/wait.h>
+#include <thread>
 #include <unistd.h>
 
 namespace review {
@@ -16,6 +20,46 @@
 constexpr std::int64_t GraceMillis = 6000;
 constexpr const char *Program = "target/bin/camphorpind";
 
+/// Runs \p Job on a thread that lives as long as this process. The system ends
+/// a child with the thread that forked it (PR_SET_PDEATHSIG).
+void runOnForkingThread(std::function<void()> Job) {
+  static std::mutex Mutex;
+  static std::condition_variable Changed;
+  static std::function<void()> Pending;
+  static std::once_flag Started;
+  std::call_once(Started, [] {
+    std::thread([] {
+      std::unique_lock<std::mutex> Lock(Mutex);
+      for (;;) {
+        Changed.wait(Lock, [] { return Pending != nullptr; });
+        Pending();
+        Pending = nullptr;
+        Changed.notify_all();
+      }
+    }).detach();
+  });
+  static std::mutex Callers;
+  const std::lock_guard<std::mutex> OneCaller(Callers);
+  std::unique_lock<std::mutex> Lock(Mutex);
+  Pending = std::move(Job);
+  Changed.notify_all();
+  Changed.wait(Lock, [] { return Pending == nullptr; });
+}
+
+/// \returns the id of a new process of the program.
+pid_t forkNode(const std::string &Settings, const std::string &LogFile) {
+  const pid_t Result = ::fork();
+  if (Result != 0)
+    return Result;
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+  const int Output =
+      ::open(LogFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  ::dup2(Output, STDOUT_FILENO);
+  ::dup2(Output, STDERR_FILENO);
+  ::execl(Program, Program, "--settings", Settings.c_str(), nullptr);
+  ::_exit(127);
+}
+
 std::string address(std::uint16_t Port) {
   return "\"127.0.0.1:" + std::to_string(Port) + "\"";
 }
@@ -57,16 +101,7 @@
   writeSettings();
   const std::string Settings = settingsFile();
   const std::string LogFile = Options.Folder + "/" + Options.Name + ".log";
-  Process = ::fork();
-  if (Process == 0) {
-    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-    const int Output = ::open(LogFile.c_str(),
-                              O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
-    ::dup2(Output, STDOUT_FILENO);
-    ::dup2(Output, STDERR_FILENO);
-    ::execl(Program, Program, "--settings", Settings.c_str(), nullptr);
-    ::_exit(127);
-  }
+  runOnForkingThread([&] { Process = forkNode(Settings, LogFile); });
   FirstStart = false;
   Started = nowMillis();
   Log.write("node " + name() + " starts");
