Log the era of the store and configurations that it has lost

Cause: the logs of the store incident can't tell a reader that goes on at a position of before from one that is late: no line names the era of the store. Change: store-era-changed (615) and store-behind (616); PlatformProtocol reads the era of an answer. Nothing acts on it yet.

--- a/packages/decision/camphorpin/src/Engine/LogEvent.cpp
+++ b/packages/decision/camphorpin/src/Engine/LogEvent.cpp
@@ -166,6 +166,19 @@
                  "connection (connect), its end (connection-lost), no answer "
                  "in time (timeout), or a rejection (rejected). It is retried "
                  "after retryMs."},
+    LogEventInfo{LogEvent::StoreEraChanged, LogSeverity::Warning,
+                 "store-era-changed", "feed,era,before,position",
+                 "An answer of the platform's store comes from another era "
+                 "than the answer before: the store has been restored from an "
+                 "older copy, and its offsets have begun anew. The position is "
+                 "that of the feed's next read in the era before."},
+    LogEventInfo{LogEvent::StoreBehind, LogSeverity::Warning, "store-behind",
+                 "version,inForce",
+                 "The store's configuration is older than the one in force, "
+                 "which the store has lost with an older copy. The newer one "
+                 "stays in force; nodes get it from each other. If the line "
+                 "comes again, the operator has to publish the newer "
+                 "configuration again."},
 };
 
 } // namespace
--- a/packages/decision/camphorpin/src/Engine/LogEvent.h
+++ b/packages/decision/camphorpin/src/Engine/LogEvent.h
@@ -50,6 +50,8 @@
   StoreReachable = 612,
   ConfigurationProblem = 613,
   StoreReadFailed = 614,
+  StoreEraChanged = 615,
+  StoreBehind = 616,
 };
 
 /// \brief The severity of a log event.
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
@@ -346,6 +346,15 @@
              {"retryMs", std::to_string(Failure.RetryDelay.wholeMillis())}});
 }
 
+void Gateway::onEraChanged(StoreFeed Feed, const StoreEraChange &Change) {
+  StoreEra = Change.Now;
+  Log.write(LogEvent::StoreEraChanged,
+            {{"feed", detail::nameOf(Feed)},
+             {"era", std::to_string(Change.Now)},
+             {"before", std::to_string(Change.Before)},
+             {"position", std::to_string(Change.Position)}});
+}
+
 void Gateway::updateStoreReaders() {
   if (Disseminator.shouldReadStore()) {
     ConfigurationReader.resume();
@@ -363,6 +372,10 @@
               {{"version", std::to_string(Next.Version)},
                {"problems", std::to_string(Next.Problems.size())},
                {"first", Next.Problems.front()}});
+  if (Next.Version != 0 && Next.Version < Configuration.Version && Peer.empty())
+    Log.write(LogEvent::StoreBehind,
+              {{"version", std::to_string(Next.Version)},
+               {"inForce", std::to_string(Configuration.Version)}});
   if (!Newer)
     return;
   Configuration = std::move(Next);
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.h
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.h
@@ -55,6 +55,7 @@
                  const std::vector<StoreRecord> &Records) override;
   void onReachable(StoreFeed Feed, bool Reachable) override;
   void onReadFailed(StoreFeed Feed, const StoreReadFailure &Failure) override;
+  void onEraChanged(StoreFeed Feed, const StoreEraChange &Change) override;
   ReaderRole readerRole() override { return Disseminator.readerRole(); }
   bool shouldRead() override { return Disseminator.shouldReadStore(); }
 
@@ -118,6 +119,8 @@
   StoreWriter MemberWriter;
   DepartureStore Departures;
   FleetConfiguration Configuration;
+  /// Latest era of the store that this node has seen; 0 if none.
+  std::uint64_t StoreEra = 0;
   boost::asio::signal_set Signals;
   boost::asio::steady_timer TickTimer;
   bool MembersRead = false;
--- a/packages/gateway/camphorpin/src/Gateway/PlatformProtocol.h
+++ b/packages/gateway/camphorpin/src/Gateway/PlatformProtocol.h
@@ -118,6 +118,14 @@
   virtual StoreReply parseReadReply(const HttpResponse &Response,
                                     std::uint64_t Position) const = 0;
 
+  /// \returns the era of the store that sent \p Response; nothing if the
+  /// response doesn't tell.
+  ///
+  /// The era rises each time the store has been restored from an older copy.
+  /// Positions of one era mean nothing in another.
+  virtual std::optional<std::uint64_t>
+  storeEra(const HttpResponse &Response) const = 0;
+
   /// \returns the request that appends a record; an empty value deletes its
   /// key.
   virtual std::string appendRequest(StoreFeed Feed,
--- a/packages/gateway/camphorpin/src/Gateway/StoreReader.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/StoreReader.cpp
@@ -106,6 +106,7 @@
     return;
   }
   Pool.release(Connection);
+  updateEra(Result.Response);
   StoreReply Reply = Newest
                          ? Protocol.parseNewestReply(Result.Response)
                          : Protocol.parseReadReply(Result.Response, Position);
@@ -148,6 +149,15 @@
   scheduleRead(Pacing.batchDelay(Listener.readerRole()));
 }
 
+void StoreReader::updateEra(const HttpResponse &Response) {
+  const std::optional<std::uint64_t> Answered = Protocol.storeEra(Response);
+  if (!Answered)
+    return;
+  const std::optional<std::uint64_t> Before = std::exchange(Era, Answered);
+  if (Before && *Before != *Answered)
+    Listener.onEraChanged(Feed, {*Before, *Answered, Position});
+}
+
 void StoreReader::onExpired() {
   PositionKnown = false;
   PageKey.clear();
--- a/packages/gateway/camphorpin/src/Gateway/StoreReader.h
+++ b/packages/gateway/camphorpin/src/Gateway/StoreReader.h
@@ -44,6 +44,15 @@
   Duration RetryDelay;
 };
 
+/// \class StoreEraChange
+/// \brief An answer from another era of the store than the one before.
+struct StoreEraChange {
+  std::uint64_t Before = 0;
+  std::uint64_t Now = 0;
+  /// Position of the next read, which belongs to the era before.
+  std::uint64_t Position = 0;
+};
+
 /// \class StoreReaderListener
 /// \brief Receives the records of a feed.
 class StoreReaderListener {
@@ -56,6 +65,8 @@
   /// A read has failed and will be retried.
   virtual void onReadFailed(StoreFeed Feed,
                             const StoreReadFailure &Failure) = 0;
+  /// The store has been restored from an older copy.
+  virtual void onEraChanged(StoreFeed Feed, const StoreEraChange &Change) = 0;
   virtual ReaderRole readerRole() = 0;
   /// \returns false if the node receives updates from other nodes and should
   /// pause reading.
@@ -102,6 +113,8 @@
   void readNext();
   void call(std::string Bytes, Duration Timeout, bool Newest);
   void onResult(const ExchangeResult &Result, bool Newest);
+  /// Notes the era of the store that sent \p Response.
+  void updateEra(const HttpResponse &Response);
   void onExpired();
   void onFailure(StoreReadError Reason);
   void setReachable(bool Value);
@@ -123,6 +136,8 @@
   /// Position of the next read in the feed.
   std::uint64_t Position = 0;
   bool PositionKnown = false;
+  /// Era of the latest answer.
+  std::optional<std::uint64_t> Era;
   /// Unknown until the first call has completed.
   std::optional<bool> Reachable;
   bool Stopped = false;
--- a/packages/gateway/tests/GatewayFixture.h
+++ b/packages/gateway/tests/GatewayFixture.h
@@ -34,6 +34,9 @@
                             std::uint64_t) const override {
     return {};
   }
+  std::optional<std::uint64_t> storeEra(const HttpResponse &) const override {
+    return std::nullopt;
+  }
   std::string appendRequest(StoreFeed, const StoreRecord &) const override {
     return {};
   }
