Read a feed anew when the store begins another era

Cause: a StoreReader went on at its position of before. In a store restored from a copy other records take that position; the read succeeds and skips them. Evidence: StoreDrillTest fails with 410 out of the way (the position exists again); the record shows reads that succeed between the two outages. Change: a position belongs to the era of the answer that gave it. An answer from another era makes the reader forget it and read the newest records. The first reader that sees a new era restarts the other feed of its node, whose open read may have stalled.

--- a/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
@@ -347,12 +347,15 @@
 }
 
 void Gateway::onEraChanged(StoreFeed Feed, const StoreEraChange &Change) {
-  StoreEra = Change.Now;
-  Log.write(LogEvent::StoreEraChanged,
-            {{"feed", detail::nameOf(Feed)},
-             {"era", std::to_string(Change.Now)},
-             {"before", std::to_string(Change.Before)},
-             {"position", std::to_string(Change.Position)}});
+  if (Change.Before)
+    Log.write(LogEvent::StoreEraChanged,
+              {{"feed", detail::nameOf(Feed)},
+               {"era", std::to_string(Change.Now)},
+               {"before", std::to_string(*Change.Before)},
+               {"position", std::to_string(Change.Position)}});
+  // The other feed may have an open read that has stalled.
+  ConfigurationReader.onStoreEra(Change.Now);
+  MemberReader.onStoreEra(Change.Now);
 }
 
 void Gateway::updateStoreReaders() {
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.h
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.h
@@ -119,8 +119,6 @@
   StoreWriter MemberWriter;
   DepartureStore Departures;
   FleetConfiguration Configuration;
-  /// Latest era of the store that this node has seen; 0 if none.
-  std::uint64_t StoreEra = 0;
   boost::asio::signal_set Signals;
   boost::asio::steady_timer TickTimer;
   bool MembersRead = false;
--- a/packages/gateway/camphorpin/src/Gateway/StoreReader.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/StoreReader.cpp
@@ -106,16 +106,18 @@
     return;
   }
   Pool.release(Connection);
-  updateEra(Result.Response);
+  const bool FirstPage = Newest && PageKey.empty();
+  const bool OtherEra = updateEra(Result.Response);
   StoreReply Reply = Newest
                          ? Protocol.parseNewestReply(Result.Response)
                          : Protocol.parseReadReply(Result.Response, Position);
-  if (Reply.Fault == StoreError::Expired) {
-    onExpired();
+  if (Reply.Fault == StoreError::Refused) {
+    onFailure(StoreReadError::Rejected);
     return;
   }
-  if (Reply.Fault != StoreError::None) {
-    onFailure(StoreReadError::Rejected);
+  if (Reply.Fault == StoreError::Expired || (OtherEra && !FirstPage)) {
+    forgetPosition();
+    readNewest();
     return;
   }
   Pacing.onAnswer(/*Idle=*/!Newest && Reply.Page.Records.empty());
@@ -149,18 +151,29 @@
   scheduleRead(Pacing.batchDelay(Listener.readerRole()));
 }
 
-void StoreReader::updateEra(const HttpResponse &Response) {
+bool StoreReader::updateEra(const HttpResponse &Response) {
   const std::optional<std::uint64_t> Answered = Protocol.storeEra(Response);
-  if (!Answered)
-    return;
+  if (!Answered || Answered == Era)
+    return false;
   const std::optional<std::uint64_t> Before = std::exchange(Era, Answered);
-  if (Before && *Before != *Answered)
-    Listener.onEraChanged(Feed, {*Before, *Answered, Position});
+  forgetPosition();
+  Listener.onEraChanged(Feed, {Before, *Answered, Position});
+  return true;
 }
 
-void StoreReader::onExpired() {
+void StoreReader::forgetPosition() {
   PositionKnown = false;
   PageKey.clear();
+}
+
+void StoreReader::onStoreEra(std::uint64_t Now) {
+  if (Stopped || !Era || *Era >= Now)
+    return;
+  Era = Now;
+  forgetPosition();
+  if (Paused)
+    return;
+  Connection->close();
   readNewest();
 }
 
--- a/packages/gateway/camphorpin/src/Gateway/StoreReader.h
+++ b/packages/gateway/camphorpin/src/Gateway/StoreReader.h
@@ -45,9 +45,10 @@
 };
 
 /// \class StoreEraChange
-/// \brief An answer from another era of the store than the one before.
+/// \brief The first answer of an era of the store.
 struct StoreEraChange {
-  std::uint64_t Before = 0;
+  /// Nothing if no answer has told its era before.
+  std::optional<std::uint64_t> Before;
   std::uint64_t Now = 0;
   /// Position of the next read, which belongs to the era before.
   std::uint64_t Position = 0;
@@ -65,7 +66,7 @@
   /// A read has failed and will be retried.
   virtual void onReadFailed(StoreFeed Feed,
                             const StoreReadFailure &Failure) = 0;
-  /// The store has been restored from an older copy.
+  /// The feed is read in another era of the store than before.
   virtual void onEraChanged(StoreFeed Feed, const StoreEraChange &Change) = 0;
   virtual ReaderRole readerRole() = 0;
   /// \returns false if the node receives updates from other nodes and should
@@ -80,6 +81,10 @@
 /// most one call is in flight at any time; an idle feed costs one call per
 /// StoreReadPacing::longPollTimeout(). Pauses while
 /// StoreReaderListener::shouldRead() returns false.
+///
+/// A position is valid only in the era of the store that gave it. When the era
+/// changes, the newest records are read again, because those of the restored
+/// store may have taken positions that have already been read.
 class StoreReader {
 public:
   StoreReader(EventLoop &Loop, const Clock &Time, Random &RandomSource,
@@ -95,6 +100,11 @@
   /// Continues reading if paused.
   void resume();
 
+  /// The store is known to be in era \p Now. If the position is of an earlier
+  /// one, begins anew at once, without waiting for the end of the open read or
+  /// for a retry.
+  void onStoreEra(std::uint64_t Now);
+
   /// \returns true if the last call succeeded and the current one has not timed
   /// out.
   bool reachable() const { return Reachable.value_or(false); }
@@ -114,7 +124,11 @@
   void call(std::string Bytes, Duration Timeout, bool Newest);
   void onResult(const ExchangeResult &Result, bool Newest);
   /// Notes the era of the store that sent \p Response.
-  void updateEra(const HttpResponse &Response);
+  /// \returns true if it is another one than that of the position, which is
+  /// then forgotten.
+  bool updateEra(const HttpResponse &Response);
+  /// Forgets the position and the page.
+  void forgetPosition();
   void onExpired();
   void onFailure(StoreReadError Reason);
   void setReachable(bool Value);
@@ -136,7 +150,7 @@
   /// Position of the next read in the feed.
   std::uint64_t Position = 0;
   bool PositionKnown = false;
-  /// Era of the latest answer.
+  /// Era of the store in which Position is valid.
   std::optional<std::uint64_t> Era;
   /// Unknown until the first call has completed.
   std::optional<bool> Reachable;
