Write records again that a restored store has lost

After the store's drill a restarted node took requests for a server whose departure it had acknowledged, and nodes were missing from the list of members. Cause: a write that the store has acknowledged was taken for kept. A store that comes back from a copy has lost what it acknowledged since; only its era tells. Nodes that follow others never read the store and could not notice at all. Evidence: StoreDrillTest, records of members and departures do not come back within 7 s, at readers and at followers. Change: StoreWriter keeps its latest record with the era in which it was acknowledged and writes it again in a later one. Nodes announce the era of which the store has answered them with their digest; a node that hears of a later one writes its record, whose acknowledgement tells the era. Announcements alone are not believed, and cost at most one call a second. Left: a node that is killed before it can write its departure again.

--- a/packages/gateway/camphorpin/src/Gateway/DepartureStore.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/DepartureStore.cpp
@@ -20,7 +20,8 @@
                                const PlatformProtocol &Protocol,
                                std::string Node)
     : Protocol(Protocol), Node(std::move(Node)), Pool(Loop, Address),
-      Writer(Loop, RandomSource, Address, Protocol, StoreFeed::Departures),
+      Writer(Loop, RandomSource, Address, Protocol, StoreFeed::Departures,
+             /*OnEra=*/{}),
       Timer(Loop), WaitTimer(Loop) {}
 
 void DepartureStore::load(LoadCallback Done) {
--- a/packages/gateway/camphorpin/src/Gateway/DepartureStore.h
+++ b/packages/gateway/camphorpin/src/Gateway/DepartureStore.h
@@ -34,6 +34,9 @@
   /// Replaces the kept departures; retried until the store has acknowledged.
   void save(std::span<const BackendDeparture> Departures);
 
+  /// The store is in era \p Era, and may have lost the kept departures.
+  void onStoreEra(std::uint64_t Era) { Writer.onStoreEra(Era); }
+
 private:
   void read();
   void onReply(const ExchangeResult &Result);
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
@@ -59,6 +59,9 @@
        Number(Configuration.Version)},
       {"camphorpin_store_reachable", "1 if both feeds could be read last.",
        ConfigurationReader.reachable() && MemberReader.reachable() ? 1.0 : 0.0},
+      {"camphorpin_store_era",
+       "Latest era of the store that has answered this node.",
+       Number(Era.latest())},
       {"camphorpin_store_read", "1 if this node reads the store itself.",
        Disseminator.shouldReadStore() ? 1.0 : 0.0},
       {"camphorpin_store_answer_age_ms",
@@ -134,7 +137,8 @@
       MemberReader(Loop, Time, RandomSource, Settings.StoreAddress, Protocol,
                    StoreFeed::Members, *this),
       MemberWriter(Loop, RandomSource, Settings.StoreAddress, Protocol,
-                   StoreFeed::Members),
+                   StoreFeed::Members,
+                   [this](std::uint64_t Answered) { onStoreEra(Answered); }),
       Departures(Loop, RandomSource, Settings.StoreAddress, Protocol,
                  Settings.Node),
       Signals(Loop, SIGTERM, SIGINT, SIGHUP), TickTimer(Loop) {
@@ -253,10 +257,11 @@
 }
 
 PeerDigest Gateway::digest() const {
-  return {Configuration.Version, Network.directory().digest()};
+  return {Configuration.Version, Network.directory().digest(), Era.latest()};
 }
 
 void Gateway::onDigest(const std::string &Node, const PeerDigest &Received) {
+  checkAnnouncedEra(Received);
   Disseminator.onNotice(Node, Received);
 }
 
@@ -299,11 +304,13 @@
 
 PeerPollAnswer Gateway::onPoll(const std::string &Node,
                                const PeerDigest &Received) {
+  checkAnnouncedEra(Received);
   return Disseminator.onPoll(Node, Received);
 }
 
 void Gateway::onPollAnswer(const std::string &Node,
                            const PeerPollAnswer &Answer) {
+  checkAnnouncedEra(Answer.Digest);
   Disseminator.onPollAnswer(Node, Answer);
 }
 
@@ -353,9 +360,25 @@
                {"era", std::to_string(Change.Now)},
                {"before", std::to_string(*Change.Before)},
                {"position", std::to_string(Change.Position)}});
-  // The other feed may have an open read that has stalled.
-  ConfigurationReader.onStoreEra(Change.Now);
-  MemberReader.onStoreEra(Change.Now);
+  onStoreEra(Change.Now);
+}
+
+void Gateway::onStoreEra(std::uint64_t Answered) {
+  if (!Era.onAnswer(Answered))
+    return;
+  // An open read may have stalled.
+  ConfigurationReader.onStoreEra(Answered);
+  MemberReader.onStoreEra(Answered);
+  MemberWriter.onStoreEra(Answered);
+  Departures.onStoreEra(Answered);
+  // Nodes that don't read the store have to write their records again, too.
+  Disseminator.onStateChanged();
+}
+
+void Gateway::checkAnnouncedEra(const PeerDigest &Received) {
+  // The acknowledgement of a write tells the era.
+  if (MemberWriter.idle() && Era.onAnnouncement(Received.StoreEra, Time.now()))
+    MemberWriter.writeAgain();
 }
 
 void Gateway::updateStoreReaders() {
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.h
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.h
@@ -8,6 +8,7 @@
 #include "camphorpin/src/Gateway/ReadyHandler.h"
 #include "camphorpin/src/Gateway/ReportHandler.h"
 #include "camphorpin/src/Gateway/SettingsReload.h"
+#include "camphorpin/src/Gateway/StoreEra.h"
 #include "camphorpin/src/Gateway/StoreReader.h"
 #include "camphorpin/src/Gateway/StoreWriter.h"
 
@@ -62,6 +63,11 @@
   /// Bounds what the clients of each address can make the node hold.
   void limitClients();
   void addNode(const NodeRecord &Record);
+  /// An answer of the store comes from era \p Era.
+  void onStoreEra(std::uint64_t Era);
+  /// Asks the store for its era if \p Received announces a later one than
+  /// known.
+  void checkAnnouncedEra(const PeerDigest &Received);
   /// Replaces \p Other, a record under the name of this node, if it supersedes
   /// the node's own: it comes from an earlier process, which started before the
   /// wall clock was set back, or from another writer.
@@ -114,6 +120,7 @@
   AsyncHttpServer ReadyServer;
   AsyncHttpServer ReportServer;
   AsyncHttpServer MetricsServer;
+  StoreEra Era;
   StoreReader ConfigurationReader;
   StoreReader MemberReader;
   StoreWriter MemberWriter;
--- a/packages/gateway/camphorpin/src/Gateway/PeerClient.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerClient.cpp
@@ -171,7 +171,8 @@
 
 void PeerClient::onAnswer(PeerAnswer Answer) {
   updateStatus(Answer.Status);
-  const PeerDigest Received{Answer.Configuration, 0};
+  PeerDigest Received;
+  Received.Configuration = Answer.Configuration;
   const auto Found = Calls.find(Answer.Id);
   if (Found != Calls.end()) {
     if (!Found->second.Call.Idempotent)
--- a/packages/gateway/camphorpin/src/Gateway/PeerCodec.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerCodec.cpp
@@ -59,10 +59,11 @@
 void write(peer::Notice::Builder Target, const PeerDigest &Source) {
   Target.setConfiguration(Source.Configuration);
   Target.setMembers(Source.Members);
+  Target.setStoreEra(Source.StoreEra);
 }
 
 PeerDigest read(peer::Notice::Reader Source) {
-  return {Source.getConfiguration(), Source.getMembers()};
+  return {Source.getConfiguration(), Source.getMembers(), Source.getStoreEra()};
 }
 
 BackendStatus read(peer::GateState::Reader Source) {
--- a/packages/gateway/camphorpin/src/Gateway/PeerMessages.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerMessages.h
@@ -45,6 +45,9 @@
   std::uint64_t Configuration = 0;
   /// Digest of its member directory (NodeDirectory::digest()); 0 if not given.
   std::uint64_t Members = 0;
+  /// Latest era of the store of which the store has answered the sender; 0 if
+  /// none.
+  std::uint64_t StoreEra = 0;
 };
 
 /// \class PeerHello
--- a/packages/gateway/camphorpin/src/Gateway/StoreWriter.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/StoreWriter.cpp
@@ -14,13 +14,29 @@
 
 StoreWriter::StoreWriter(EventLoop &Loop, Random &RandomSource,
                          const HostAddress &Address,
-                         const PlatformProtocol &Protocol, StoreFeed Feed)
+                         const PlatformProtocol &Protocol, StoreFeed Feed,
+                         EraCallback OnEra)
     : Loop(Loop), RandomSource(RandomSource), Protocol(Protocol), Feed(Feed),
-      Pool(Loop, Address), Timer(Loop) {}
+      Pool(Loop, Address), Timer(Loop), OnEra(std::move(OnEra)) {}
 
-void StoreWriter::write(StoreRecord Record) {
-  Pending = std::move(Record);
-  ++PendingVersion;
+void StoreWriter::write(StoreRecord Value) {
+  Record = std::move(Value);
+  ++RecordVersion;
+  Pending = true;
+  if (!Busy)
+    send();
+}
+
+void StoreWriter::onStoreEra(std::uint64_t Era) {
+  LatestEra = std::max(LatestEra, Era);
+  if (AcknowledgedEra < LatestEra)
+    writeAgain();
+}
+
+void StoreWriter::writeAgain() {
+  if (!Record || Pending)
+    return;
+  Pending = true;
   if (!Busy)
     send();
 }
@@ -29,16 +45,12 @@
   Busy = true;
   Connection = Pool.acquire();
   ExchangeRequest Call;
-  Call.Bytes = Protocol.appendRequest(Feed, *Pending);
-  const std::uint64_t SentVersion = PendingVersion;
-  Connection->exchange(std::move(Call), [this, SentVersion](
-                                            const ExchangeResult &Result) {
-    Timer.cancel();
-    if (Result.Outcome == ExchangeOutcome::Complete &&
-        Result.Response.result_int() == 200 && SentVersion == PendingVersion)
-      Pending.reset();
-    onResult(Result);
-  });
+  Call.Bytes = Protocol.appendRequest(Feed, *Record);
+  const std::uint64_t SentVersion = RecordVersion;
+  Connection->exchange(std::move(Call),
+                       [this, SentVersion](const ExchangeResult &Result) {
+                         onResult(Result, SentVersion);
+                       });
   Timer.expires_after(detail::timerSpan(ResponseTimeout));
   Timer.async_wait([this](const boost::system::error_code &Error) {
     if (Error)
@@ -48,15 +60,28 @@
   });
 }
 
-void StoreWriter::onResult(const ExchangeResult &Result) {
-  if (Result.Outcome == ExchangeOutcome::Complete)
+void StoreWriter::onResult(const ExchangeResult &Result,
+                           std::uint64_t SentVersion) {
+  Timer.cancel();
+  if (Result.Outcome == ExchangeOutcome::Complete) {
     Pool.release(Connection);
-  if (!Pending) {
-    Busy = false;
-    Failures = 0;
+    if (Result.Response.result_int() == 200 && SentVersion == RecordVersion)
+      onAcknowledged(Result.Response);
+  }
+  if (Pending) {
+    retryLater();
     return;
   }
-  retryLater();
+  Busy = false;
+  Failures = 0;
+}
+
+void StoreWriter::onAcknowledged(const HttpResponse &Response) {
+  AcknowledgedEra = Protocol.storeEra(Response).value_or(0);
+  // An acknowledgement from before the latest era says nothing about it.
+  Pending = AcknowledgedEra != 0 && AcknowledgedEra < LatestEra;
+  if (OnEra)
+    OnEra(AcknowledgedEra);
 }
 
 void StoreWriter::retryLater() {
--- a/packages/gateway/camphorpin/src/Gateway/StoreWriter.h
+++ b/packages/gateway/camphorpin/src/Gateway/StoreWriter.h
@@ -4,29 +4,48 @@
 #include "camphorpin/src/Gateway/PlatformProtocol.h"
 #include "camphorpin/src/Http/HttpConnectionPool.h"
 
+#include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 
 namespace camphorpin {
 
 /// \class StoreWriter
-/// \brief Writes this node's record to the platform's store and retries until
-/// the store has acknowledged it. A newer record replaces one that is not yet
-/// acknowledged.
+/// \brief Keeps this node's record in the platform's store.
+///
+/// A write is retried until the store has acknowledged it; a newer record
+/// replaces one that is not yet acknowledged. A store that has been restored
+/// from a copy may have lost a record that it had acknowledged, so the record
+/// is written again in each later era.
 class StoreWriter {
 public:
+  /// Receives the era of each acknowledgement that tells it.
+  using EraCallback = std::function<void(std::uint64_t Era)>;
+
+  /// \param OnEra may be empty.
   StoreWriter(EventLoop &Loop, Random &RandomSource, const HostAddress &Address,
-              const PlatformProtocol &Protocol, StoreFeed Feed);
+              const PlatformProtocol &Protocol, StoreFeed Feed,
+              EraCallback OnEra);
 
   /// Replaces a record that is not yet acknowledged.
-  void write(StoreRecord Record);
+  void write(StoreRecord Value);
+
+  /// The store is in era \p Era. Writes the record again if the store
+  /// acknowledged it in an earlier one.
+  void onStoreEra(std::uint64_t Era);
+
+  /// Writes the latest record again if none is being written.
+  void writeAgain();
 
   /// \returns true if no write is pending.
   bool idle() const { return !Pending && !Busy; }
 
 private:
   void send();
-  void onResult(const ExchangeResult &Result);
+  void onResult(const ExchangeResult &Result, std::uint64_t SentVersion);
+  /// The store has acknowledged the record.
+  void onAcknowledged(const HttpResponse &Response);
   void retryLater();
 
   EventLoop &Loop;
@@ -36,10 +55,17 @@
   HttpConnectionPool Pool;
   boost::asio::steady_timer Timer;
   std::shared_ptr<HttpConnection> Connection;
-  /// The record to write; nothing if the latest one has been acknowledged.
-  std::optional<StoreRecord> Pending;
-  /// Number of records passed to write(); identifies the pending one.
-  std::uint64_t PendingVersion = 0;
+  EraCallback OnEra;
+  /// The latest record; nothing before the first write.
+  std::optional<StoreRecord> Record;
+  /// Number of records passed to write(); identifies the latest one.
+  std::uint64_t RecordVersion = 0;
+  /// The record is not acknowledged in the latest known era of the store.
+  bool Pending = false;
+  /// Era in which the store has acknowledged the record.
+  std::uint64_t AcknowledgedEra = 0;
+  /// Latest known era of the store.
+  std::uint64_t LatestEra = 0;
   /// A write is in flight or a retry is scheduled.
   bool Busy = false;
   unsigned Failures = 0;
--- a/packages/gateway/tests/StoreAnswerTest.cpp
+++ b/packages/gateway/tests/StoreAnswerTest.cpp
@@ -42,7 +42,7 @@
   SeededRandom RandomSource(1);
   const AppendProtocol Protocol;
   StoreWriter Writer(Loop, RandomSource, *HostAddress::parse(Store.address()),
-                     Protocol, StoreFeed::Departures);
+                     Protocol, StoreFeed::Departures, {});
   Writer.write({"node", std::string(RecordBytes, 'r')});
   runUntil(Loop, Duration::seconds(5), [&] { return Writer.idle(); });
   cr_expect(Writer.idle());
