Let peers tell a restarted node the departures that it acknowledged

After the drill a server that had left got requests again if its node was killed before it could write the departure to the restored store: nobody else had it. Cause: the store's copy was the only place outside the process. Evidence: departedServerStaysAwayIfItsNodeIsKilledInTheOutage failed (a departed server answered 200 within 3.5 s) at a reader and at a follower. Change: a node announces its departures to its peers, which keep them for 60 s and name them when they connect, before any call. Departures are saved only once the earlier ones have been read, and then together: a node that acknowledged one before overwrote them (a finding by reading). A restarted node also keeps the record that it has read, for the next drill.

--- a/packages/gateway/camphorpin/src/Gateway/BackendProxy.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/BackendProxy.cpp
@@ -151,10 +151,18 @@
     std::span<const BackendDeparture> Earlier) {
   const bool Known = std::exchange(DeparturesKnown, true);
   const bool Changed = Tracker.restoreDepartures(Earlier);
-  KnownDepartures = Tracker.departures();
+  // The store lacks what was acknowledged or heard of before it answered.
+  KnownDepartures.assign(Earlier.begin(), Earlier.end());
+  reportDepartures();
   onTrackerChange(Changed || !Known);
 }
 
+void BackendProxy::addDepartures(std::span<const BackendDeparture> Earlier) {
+  const bool Changed = Tracker.restoreDepartures(Earlier);
+  reportDepartures();
+  onTrackerChange(Changed);
+}
+
 void BackendProxy::reportDepartures() {
   std::vector<BackendDeparture> Departures = Tracker.departures();
   if (Departures == KnownDepartures)
--- a/packages/gateway/camphorpin/src/Gateway/BackendProxy.h
+++ b/packages/gateway/camphorpin/src/Gateway/BackendProxy.h
@@ -58,6 +58,15 @@
   /// acknowledged.
   void restoreDepartures(std::span<const BackendDeparture> Earlier);
 
+  /// Handles departures that an earlier process of this node has announced to
+  /// its peers. The store may lack them.
+  void addDepartures(std::span<const BackendDeparture> Earlier);
+
+  /// \returns the departures of the local backend servers, the latest ones.
+  std::vector<BackendDeparture> departures() const {
+    return Tracker.departures();
+  }
+
   /// Adds crash notices from another node.
   void addCrashes(const PeerCrashes &Crashes) {
     Detector.onPeerCrashes(Crashes);
--- a/packages/gateway/camphorpin/src/Gateway/BackendTracker.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/BackendTracker.cpp
@@ -111,9 +111,10 @@
   for (const BackendDeparture &Item : Earlier) {
     if (Item.StartedMillis == 0)
       continue;
-    makeRoom();
-    Departed.try_emplace(Item.Id,
-                         Departure{Item.StartedMillis, true, Instant()});
+    if (!Departed.contains(Item.Id)) {
+      makeRoom();
+      Departed[Item.Id] = Departure{Item.StartedMillis, true, Instant()};
+    }
     // A server that a health check has identified has no known start.
     const bool IsCurrent =
         Item.Id == Current.Id && (Current.StartedMillis == 0 ||
--- a/packages/gateway/camphorpin/src/Gateway/DepartureStore.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/DepartureStore.cpp
@@ -26,6 +26,7 @@
 
 void DepartureStore::load(LoadCallback Done) {
   OnLoaded = std::move(Done);
+  Loading = true;
   WaitTimer.expires_after(detail::timerSpan(MaxLoadWait));
   WaitTimer.async_wait([this](const boost::system::error_code &Error) {
     if (!Error)
@@ -66,12 +67,16 @@
     return;
   }
   WaitTimer.cancel();
+  Loading = false;
   const auto Own = std::find_if(
       Reply.Page.Records.begin(), Reply.Page.Records.end(),
       [this](const StoreRecord &Item) { return Item.Key == Node; });
-  OnLoaded(Own == Reply.Page.Records.end()
-               ? std::vector<BackendDeparture>()
-               : detail::parseDepartures(Own->Value));
+  if (Own == Reply.Page.Records.end()) {
+    OnLoaded({});
+    return;
+  }
+  Writer.adopt(*Own, Protocol.storeEra(Result.Response).value_or(0));
+  OnLoaded(detail::parseDepartures(Own->Value));
 }
 
 void DepartureStore::retryLater() {
@@ -83,7 +88,8 @@
 }
 
 void DepartureStore::save(std::span<const BackendDeparture> Departures) {
-  Writer.write({Node, detail::departuresToJson(Departures)});
+  if (!Loading)
+    Writer.write({Node, detail::departuresToJson(Departures)});
 }
 
 } // namespace camphorpin
--- a/packages/gateway/camphorpin/src/Gateway/DepartureStore.h
+++ b/packages/gateway/camphorpin/src/Gateway/DepartureStore.h
@@ -32,6 +32,8 @@
   void load(LoadCallback Done);
 
   /// Replaces the kept departures; retried until the store has acknowledged.
+  /// Has no effect before load() has received the earlier ones, which would be
+  /// lost; \p Done of load() may save them with the new ones.
   void save(std::span<const BackendDeparture> Departures);
 
   /// The store is in era \p Era, and may have lost the kept departures.
@@ -51,6 +53,8 @@
   boost::asio::steady_timer WaitTimer;
   std::shared_ptr<HttpConnection> Connection;
   LoadCallback OnLoaded;
+  /// The store has not answered load() yet.
+  bool Loading = false;
 };
 
 } // namespace camphorpin
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
@@ -185,7 +185,7 @@
              {"zone", Settings.Zone},
              {"region", ""}});
   Proxy.setDepartureListener([this](std::span<const BackendDeparture> Items) {
-    Departures.save(Items);
+    announceDepartures(Items);
   });
   if (!Settings.FirstStart) {
     Proxy.awaitDepartures();
@@ -227,6 +227,13 @@
   MemberWriter.write({Settings.Node, Record.toJson()});
 }
 
+void Gateway::announceDepartures(std::span<const BackendDeparture> Items) {
+  Departures.save(Items);
+  const DepartureNotice Notice{Settings.Node, {Items.begin(), Items.end()}};
+  Peers.broadcast(Notice);
+  Network.broadcast(Notice);
+}
+
 void Gateway::renewRecord(const NodeRecord &Other) {
   const NodeRecord &Own = Network.directory().all().at(Settings.Node);
   const bool Replaces =
@@ -318,6 +325,24 @@
   Proxy.addCrashes(Crashes);
 }
 
+void Gateway::onDepartures(const DepartureNotice &Notice) {
+  if (Notice.Node == Settings.Node)
+    Proxy.addDepartures(Notice.Departures);
+  else if (Network.directory().all().contains(Notice.Node))
+    DeparturesOfPeers.record(Notice, Time.now());
+}
+
+std::vector<DepartureNotice> Gateway::departuresFor(const std::string &Node) {
+  std::vector<DepartureNotice> Result;
+  DepartureNotice Own{Settings.Node, Proxy.departures()};
+  if (!Own.Departures.empty())
+    Result.push_back(std::move(Own));
+  DepartureNotice Others{Node, DeparturesOfPeers.of(Node, Time.now())};
+  if (!Others.Departures.empty())
+    Result.push_back(std::move(Others));
+  return Result;
+}
+
 void Gateway::onRecords(StoreFeed Feed,
                         const std::vector<StoreRecord> &Records) {
   for (const StoreRecord &Item : Records) {
@@ -435,6 +460,7 @@
   Proxy.tick();
   Peers.tick();
   Network.tick();
+  DeparturesOfPeers.expire(Time.now());
   updateStoreReaders();
   Disseminator.tick();
   if (Time.now() - LastReload >= ReloadInterval)
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.h
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.h
@@ -5,6 +5,7 @@
 #include "camphorpin/src/Gateway/MetricsHandler.h"
 #include "camphorpin/src/Gateway/NetworkDisseminatorContext.h"
 #include "camphorpin/src/Gateway/OutboundHandler.h"
+#include "camphorpin/src/Gateway/PeerDepartures.h"
 #include "camphorpin/src/Gateway/ReadyHandler.h"
 #include "camphorpin/src/Gateway/ReportHandler.h"
 #include "camphorpin/src/Gateway/SettingsReload.h"
@@ -47,6 +48,8 @@
   void onPollAnswer(const std::string &Node,
                     const PeerPollAnswer &Answer) override;
   void onCrashes(const PeerCrashes &Crashes) override;
+  void onDepartures(const DepartureNotice &Notice) override;
+  std::vector<DepartureNotice> departuresFor(const std::string &Node) override;
   PeerDigest digest() const override;
   PeerUpdateRequest updateRequest() const override {
     return Disseminator.request();
@@ -79,6 +82,8 @@
   /// read from the store.
   void applyConfiguration(FleetConfiguration Next, std::string_view Peer);
   void publish(bool Departed);
+  /// The departures of the local backend servers have changed.
+  void announceDepartures(std::span<const BackendDeparture> Items);
   void armTick();
   void tick();
   void waitForSignal();
@@ -125,6 +130,7 @@
   StoreReader MemberReader;
   StoreWriter MemberWriter;
   DepartureStore Departures;
+  PeerDepartures DeparturesOfPeers;
   FleetConfiguration Configuration;
   boost::asio::signal_set Signals;
   boost::asio::steady_timer TickTimer;
--- a/packages/gateway/camphorpin/src/Gateway/PeerClient.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerClient.cpp
@@ -71,6 +71,10 @@
   Channel = std::make_shared<PeerChannel>(std::move(Socket));
   Channel->start(*this);
   Channel->send(Listener.hello());
+  // Before any call, which a later process of a node must not run on a server
+  // whose departure an earlier one has acknowledged.
+  for (DepartureNotice &Item : Listener.departuresFor(Node))
+    Channel->send(std::move(Item));
 }
 
 void PeerClient::onConnectFailed() {
@@ -167,6 +171,8 @@
     Listener.onPollAnswer(Node, *Polled);
   else if (const auto *Crashes = std::get_if<PeerCrashes>(&Frame))
     Listener.onCrashes(*Crashes);
+  else if (const auto *Departed = std::get_if<DepartureNotice>(&Frame))
+    Listener.onDepartures(*Departed);
 }
 
 void PeerClient::onAnswer(PeerAnswer Answer) {
--- a/packages/gateway/camphorpin/src/Gateway/PeerClient.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerClient.h
@@ -32,6 +32,10 @@
   virtual void onPollAnswer(const std::string &Node,
                             const PeerPollAnswer &Answer) = 0;
   virtual void onCrashes(const PeerCrashes &Crashes) = 0;
+  virtual void onDepartures(const DepartureNotice &Notice) = 0;
+  /// \returns the departures that \p Node should know when it connects.
+  virtual std::vector<DepartureNotice>
+  departuresFor(const std::string &Node) = 0;
 };
 
 /// \class PeerClient
--- a/packages/gateway/camphorpin/src/Gateway/PeerCodec.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerCodec.cpp
@@ -207,6 +207,16 @@
       Notices[Index].setCrash(Value.Notices[Index].Crash);
     }
   }
+  void operator()(const DepartureNotice &Value) {
+    peer::DepartureNotice::Builder Target = Root.initDepartures();
+    Target.setNode(Value.Node);
+    auto Items =
+        Target.initDepartures(static_cast<unsigned>(Value.Departures.size()));
+    for (unsigned Index = 0; Index < Items.size(); ++Index) {
+      Items[Index].setBackend(Value.Departures[Index].Id);
+      Items[Index].setStartedMs(Value.Departures[Index].StartedMillis);
+    }
+  }
 };
 
 PeerHello readHello(peer::Hello::Reader Source) {
@@ -324,6 +334,15 @@
   return Result;
 }
 
+DepartureNotice readDepartures(peer::DepartureNotice::Reader Source) {
+  DepartureNotice Result;
+  Result.Node = textOf(Source.getNode());
+  for (const peer::Departure::Reader Item : Source.getDepartures())
+    Result.Departures.push_back(
+        {textOf(Item.getBackend()), Item.getStartedMs()});
+  return Result;
+}
+
 PeerFrame readFrame(peer::PeerFrame::Reader Root) {
   switch (Root.which()) {
   case peer::PeerFrame::HELLO:
@@ -361,6 +380,8 @@
     return readBodyRequest(Root.getBodyRequest());
   case peer::PeerFrame::BODY_PART:
     return readBodyPart(Root.getBodyPart());
+  case peer::PeerFrame::DEPARTURES:
+    return readDepartures(Root.getDepartures());
   }
   // A frame of a later version is ignored.
   return PeerPong{0};
--- a/packages/gateway/camphorpin/src/Gateway/PeerMessages.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerMessages.h
@@ -2,6 +2,7 @@
 #define CAMPHORPIN_SRC_GATEWAY_PEERMESSAGES_H
 
 #include "camphorpin/Core.h"
+#include "camphorpin/src/Gateway/BackendReport.h"
 #include "camphorpin/src/Http/SharedBody.h"
 
 #include <cstdint>
@@ -234,12 +235,20 @@
   std::vector<CrashNotice> Notices;
 };
 
+/// \class DepartureNotice
+/// \brief Departures that a node has acknowledged. Sent by that node to its
+/// peers, and by these to a later process of the node.
+struct DepartureNotice {
+  std::string Node;
+  std::vector<BackendDeparture> Departures;
+};
+
 /// A frame of the protocol between nodes.
 using PeerFrame =
     std::variant<PeerHello, PeerCall, PeerAnswer, PeerCancel, PeerPing,
                  PeerPong, BackendStatus, PeerUpdateRequest, PeerUpdate,
                  PeerAck, PeerCrashes, PeerDigest, PeerPoll, PeerPollAnswer,
-                 PeerLargeCall, PeerBodyRequest, PeerBodyPart>;
+                 PeerLargeCall, PeerBodyRequest, PeerBodyPart, DepartureNotice>;
 
 inline Verdict PeerAnswer::verdict() const {
   switch (Outcome) {
--- a/packages/gateway/camphorpin/src/Gateway/PeerServer.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerServer.cpp
@@ -86,6 +86,8 @@
       send(Server.Listener.onPoll(From.Node, Poll->Digest));
     } else if (const auto *Crashes = std::get_if<PeerCrashes>(&Frame)) {
       Server.Listener.onCrashes(*Crashes);
+    } else if (const auto *Departed = std::get_if<DepartureNotice>(&Frame)) {
+      Server.Listener.onDepartures(*Departed);
     }
   }
 
@@ -99,6 +101,8 @@
       return;
     }
     send(Server.Listener.hello());
+    for (DepartureNotice &Item : Server.Listener.departuresFor(From.Node))
+      send(std::move(Item));
     onDigest(Hello.Digest);
   }
 
--- a/packages/gateway/camphorpin/src/Gateway/StoreWriter.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/StoreWriter.cpp
@@ -1,6 +1,7 @@
 #include "camphorpin/src/Gateway/StoreWriter.h"
 
 #include <algorithm>
+#include <cassert>
 
 namespace camphorpin {
 
@@ -27,6 +28,14 @@
     send();
 }
 
+void StoreWriter::adopt(StoreRecord Value, std::uint64_t Era) {
+  assert(!Record && "nothing has been written");
+  Record = std::move(Value);
+  ++RecordVersion;
+  AcknowledgedEra = Era;
+  onStoreEra(Era);
+}
+
 void StoreWriter::onStoreEra(std::uint64_t Era) {
   LatestEra = std::max(LatestEra, Era);
   if (AcknowledgedEra < LatestEra)
--- a/packages/gateway/camphorpin/src/Gateway/StoreWriter.h
+++ b/packages/gateway/camphorpin/src/Gateway/StoreWriter.h
@@ -31,6 +31,9 @@
   /// Replaces a record that is not yet acknowledged.
   void write(StoreRecord Value);
 
+  /// The store has \p Value in era \p Era; an earlier process has written it.
+  void adopt(StoreRecord Value, std::uint64_t Era);
+
   /// The store is in era \p Era. Writes the record again if the store
   /// acknowledged it in an earlier one.
   void onStoreEra(std::uint64_t Era);
--- a/packages/gateway/tests/PeerCodecTest.cpp
+++ b/packages/gateway/tests/PeerCodecTest.cpp
@@ -75,6 +75,22 @@
   }));
 }
 
+// Guards against nodes that don't hear of a restored store, and against
+// departures that reach a restarted node with another id or start.
+Test(PeerCodec, eraAndDeparturesRoundTrip) {
+  std::string Stream;
+  encodeFrame(PeerDigest{7, 8, 9}, Stream);
+  const PeerDigest Digest = std::get<PeerDigest>(decodeFrame(Stream).Frame);
+  cr_assert_eq(Digest.StoreEra, 9U);
+  Stream.clear();
+  const DepartureNotice Notice{"shop-1", {{"i-1", 1'700'000'000'123}, {"", 0}}};
+  encodeFrame(Notice, Stream);
+  const DepartureNotice Decoded =
+      std::get<DepartureNotice>(decodeFrame(Stream).Frame);
+  cr_assert_eq(Decoded.Node, Notice.Node);
+  cr_assert(Decoded.Departures == Notice.Departures);
+}
+
 Test(PeerCodec, updateRequestRoundTrips) {
   std::string Stream;
   const std::vector<std::uint32_t> Parts = {1, 0, 0xffffffff};
--- a/packages/gateway/tests/PeerServerFixture.h
+++ b/packages/gateway/tests/PeerServerFixture.h
@@ -34,6 +34,10 @@
     return {};
   }
   void onCrashes(const PeerCrashes &) override {}
+  void onDepartures(const DepartureNotice &) override {}
+  std::vector<DepartureNotice> departuresFor(const std::string &) override {
+    return {};
+  }
 };
 
 class TestClientListener final : public PeerClientListener {
@@ -58,6 +62,10 @@
     return {};
   }
   void onCrashes(const PeerCrashes &) override {}
+  void onDepartures(const DepartureNotice &) override {}
+  std::vector<DepartureNotice> departuresFor(const std::string &) override {
+    return {};
+  }
 
 private:
   std::string Node;
--- /dev/null
+++ b/packages/gateway/tests/StoreEraTest.cpp
@@ -0,0 +1,140 @@
+// Guards records of a node against a store that is restored from an older copy:
+// what it acknowledged in an earlier era may be lost.
+#include "camphorpin/src/Gateway/StoreEra.h"
+#include "GatewayFixture.h"
+#include "ScriptedServer.h"
+#include "camphorpin/src/Gateway/PeerDepartures.h"
+#include "camphorpin/src/Gateway/StoreWriter.h"
+
+#include <atomic>
+#include <criterion/criterion.h>
+#include <string>
+
+using namespace camphorpin;
+using namespace camphorpin::test;
+
+namespace {
+
+/// A protocol whose store takes a record as the body of a POST and tells its
+/// era in a header.
+class EraProtocol final : public PlainProtocol {
+public:
+  std::string appendRequest(StoreFeed,
+                            const StoreRecord &Record) const override {
+    return "POST /append HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+           std::to_string(Record.Value.size()) + "\r\n\r\n" + Record.Value;
+  }
+  std::optional<std::uint64_t>
+  storeEra(const HttpResponse &Response) const override {
+    return std::stoul(std::string(detail::headerOf(Response, "Era")));
+  }
+};
+
+/// A writer, and a store that acknowledges each write at once.
+struct WriterFixture {
+  bool waitForWrites(int Count) {
+    runUntil(Loop, Duration::seconds(3),
+             [&] { return Writes >= Count && Writer.idle(); });
+    return Writes == Count && Writer.idle();
+  }
+
+  std::atomic<int> Writes = 0;
+  std::atomic<int> Era = 1;
+  ScriptedServer Store{[this](std::string_view) {
+    ++Writes;
+    return ScriptedAnswer{"HTTP/1.1 200 OK\r\nEra: " + std::to_string(Era) +
+                          "\r\nContent-Length: 0\r\n\r\n"};
+  }};
+  EventLoop Loop;
+  SeededRandom RandomSource{1};
+  EraProtocol Protocol;
+  std::uint64_t AnsweredEra = 0;
+  StoreWriter Writer{
+      Loop,
+      RandomSource,
+      *HostAddress::parse(Store.address()),
+      Protocol,
+      StoreFeed::Departures,
+      [this](std::uint64_t Answered) { AnsweredEra = Answered; }};
+};
+
+} // namespace
+
+Test(StoreEra, acknowledgedRecordIsWrittenAgainOnceInALaterEra) {
+  WriterFixture Fixture;
+  Fixture.Writer.write({"node", "record"});
+  cr_assert(Fixture.waitForWrites(1));
+  cr_assert_eq(Fixture.AnsweredEra, 1U);
+  Fixture.Writer.onStoreEra(1);
+  cr_assert(Fixture.Writer.idle());
+  Fixture.Era = 2;
+  Fixture.Writer.onStoreEra(2);
+  cr_assert(Fixture.waitForWrites(2));
+  Fixture.Writer.onStoreEra(2);
+  cr_assert(Fixture.Writer.idle());
+}
+
+// A write of before the restore may be acknowledged after the node has heard of
+// the new era.
+Test(StoreEra, acknowledgementOfAnEarlierEraIsNone) {
+  WriterFixture Fixture;
+  Fixture.Writer.onStoreEra(2);
+  Fixture.Writer.write({"node", "record"});
+  runUntil(Fixture.Loop, Duration::seconds(3),
+           [&] { return Fixture.Writes == 2; });
+  cr_assert_not(Fixture.Writer.idle());
+  Fixture.Era = 2;
+  runUntil(Fixture.Loop, Duration::seconds(5),
+           [&] { return Fixture.Writer.idle(); });
+  cr_assert(Fixture.Writer.idle());
+}
+
+// A restarted node has read a record that it has not written itself.
+Test(StoreEra, recordOfAnEarlierProcessIsWrittenAgain) {
+  WriterFixture Fixture;
+  Fixture.Writer.adopt({"node", "record"}, 1);
+  cr_assert(Fixture.Writer.idle());
+  Fixture.Era = 2;
+  Fixture.Writer.onStoreEra(2);
+  cr_assert(Fixture.waitForWrites(1));
+}
+
+// A peer with a wrong era must not make a node call the store without end, nor
+// hide later eras.
+Test(StoreEra, announcementsAreNotBelieved) {
+  StoreEra Era;
+  cr_assert(Era.onAnswer(4));
+  cr_assert_not(Era.onAnswer(4));
+  Instant Now = Instant::fromMillis(1000);
+  cr_assert_not(Era.onAnnouncement(4, Now));
+  cr_assert(Era.onAnnouncement(1'000'000, Now));
+  cr_assert_eq(Era.latest(), 4U);
+  Now = Now + Duration::millis(999);
+  cr_assert_not(Era.onAnnouncement(1'000'000, Now));
+  Now = Now + Duration::millis(1);
+  cr_assert(Era.onAnnouncement(5, Now));
+  cr_assert(Era.onAnswer(5));
+  cr_assert_eq(Era.latest(), 5U);
+}
+
+// A node that announces one departure after another, or many at once, must not
+// fill the memory of its peers; the latest ones are kept, and all are forgotten
+// after their servers have ended.
+Test(StoreEra, departuresOfPeersAreBoundedAndExpire) {
+  PeerDepartures Departures;
+  const Instant Start = Instant::fromMillis(1000);
+  DepartureNotice Notice{"shop-1", {}};
+  for (int Count = 1; Count <= 1000; ++Count)
+    Notice.Departures.push_back({"i-" + std::to_string(Count), Count});
+  Departures.record(Notice, Start);
+  Departures.record({"shop-1", {{std::string(1U << 20U, 'x'), 5}}}, Start);
+  Departures.record({"shop-1", {{"i-1001", 1001}}}, Start);
+  const std::vector<BackendDeparture> Kept = Departures.of("shop-1", Start);
+  cr_assert_eq(Kept.size(), 8U);
+  cr_assert_eq(Kept.back().Id, std::string("i-1001"));
+  cr_assert(Departures.of("shop-2", Start).empty());
+  const Instant Later = Start + Duration::seconds(60);
+  cr_assert(Departures.of("shop-1", Later).empty());
+  Departures.expire(Later);
+  cr_assert(Departures.of("shop-1", Start).empty());
+}
