Count nodes that take over for stopped readers among the readers

Cause: the readers of all zones were the first two records of each, reachable or not. Nobody notified the nodes that had taken over. Change: each node leaves out readers that it can't reach and counts their successors in their place, up to 16 nodes of a zone.

--- a/packages/gateway/camphorpin/src/Gateway/DisseminationTopology.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/DisseminationTopology.cpp
@@ -10,6 +10,8 @@
 /// Maximum number of followers per node. At two polls a second they cost much
 /// less than the calls that the node handles.
 constexpr std::size_t FollowersPerNode = 16;
+/// Nodes of a zone that may take over for stopped readers.
+constexpr std::size_t MaxCandidatesPerZone = 16;
 /// Validity of an answer of a followed node. Polls are 0.5 s apart, so one may
 /// be lost, and a change is still applied within the two seconds that the
 /// platform allows.
@@ -36,13 +38,16 @@
   for (const auto &[Node, Record] : Directory.all())
     if (!Record.Departed)
       Zones[Record.Zone].emplace_back(stableHash(Node), Node);
-  Readers.clear();
+  Candidates.clear();
   Predecessors.clear();
   for (auto &[Name, Nodes] : Zones) {
     std::sort(Nodes.begin(), Nodes.end());
-    const std::size_t Count = std::min(ReadersPerZone, Nodes.size());
-    for (std::size_t Index = 0; Index < Count; ++Index)
-      Readers.push_back(Nodes[Index].second);
+    std::vector<std::string> &First = Candidates.emplace_back();
+    for (const auto &[Hash, Node] : Nodes) {
+      if (First.size() == MaxCandidatesPerZone)
+        break;
+      First.push_back(Node);
+    }
     if (Name != Zone)
       continue;
     for (auto &[Hash, Node] : Nodes) {
@@ -53,6 +58,22 @@
   }
 }
 
+void DisseminationTopology::chooseReaders(
+    const std::function<bool(const std::string &)> &Reachable) {
+  Readers.clear();
+  for (const std::vector<std::string> &Zone : Candidates) {
+    std::size_t Count = 0;
+    for (const std::string &Node : Zone) {
+      if (Count == ReadersPerZone)
+        break;
+      if (Node != Self && !Reachable(Node))
+        continue;
+      Readers.push_back(Node);
+      ++Count;
+    }
+  }
+}
+
 void DisseminationTopology::update(
     const NodeDirectory &Directory,
     const std::function<bool(const std::string &)> &Reachable) {
@@ -60,6 +81,7 @@
     OrderedDigest = Directory.digest();
     orderNodes(Directory);
   }
+  chooseReaders(Reachable);
   std::vector<std::string> ReachableNodes;
   std::copy_if(Predecessors.begin(), Predecessors.end(),
                std::back_inserter(ReachableNodes), Reachable);
--- a/packages/gateway/camphorpin/src/Gateway/DisseminationTopology.h
+++ b/packages/gateway/camphorpin/src/Gateway/DisseminationTopology.h
@@ -44,7 +44,7 @@
   const std::vector<std::string> &followed() const { return Followed; }
 
   /// \returns the nodes of all availability zones that read the store in normal
-  /// operation.
+  /// operation. Nodes that can't be reached are replaced by their successors.
   const std::vector<std::string> &readers() const { return Readers; }
 
   /// A followed node has answered a poll.
@@ -62,16 +62,21 @@
   Instant storeReadDue(Instant Now) const;
 
 private:
-  /// Computes Predecessors and Readers from the order of the name hashes.
+  /// Computes Predecessors and Candidates from the order of the name hashes.
   void orderNodes(const NodeDirectory &Directory);
+  /// Computes Readers from Candidates.
+  void chooseReaders(const std::function<bool(const std::string &)> &Reachable);
 
   std::string Self;
   std::string Zone;
   Instant Started;
-  /// Digest of the directory from which Predecessors and Readers were computed.
+  /// Digest of the directory from which Predecessors and Candidates were
+  /// computed.
   std::uint64_t OrderedDigest = 0;
   /// The nodes of the zone that precede this one.
   std::vector<std::string> Predecessors;
+  /// The first nodes of each zone.
+  std::vector<std::vector<std::string>> Candidates;
   /// The nodes of all zones that read the store in normal operation.
   std::vector<std::string> Readers;
   /// Number of reachable nodes that precede this one.
