Keep readers of the store in touch, and their reads apart

A zone whose readers had stopped could be on an older configuration for up to 4.4 s (3 zones) or 5.7 s (5 zones) after open reads were lost, if nothing had been announced since; 3 s are allowed. Cause: readers learn that another one has stopped only when they notify it. And their long polls end one after the other only after a change that all have seen with the same list of readers; after starts and takeovers several end together and none for seconds. Evidence: StoreReaderLossTest firstConfigurationAfterReadersStoppedIsApplied, up to 3,983 ms in its cases on the code before. Change: readers poll each other once a second, so that stopped ones are left out and updates that one has missed are exchanged. Each reader ends its read in its own part of a period that begins at the same wall-clock time on all hosts; a wrong clock moves the reads of its host only. Readers of a zone are no longer neighbours in the order.

--- a/packages/core/camphorpin/src/Core/Clock.h
+++ b/packages/core/camphorpin/src/Core/Clock.h
@@ -16,7 +16,8 @@
   virtual Instant now() const = 0;
 
   /// \returns the wall clock time since the Unix epoch. It may jump, so it is
-  /// only used for the timestamps of request keys and incarnations.
+  /// only used for the timestamps of request keys and incarnations, and to
+  /// spread calls of different hosts over time.
   virtual Instant wallNow() const = 0;
 };
 
--- a/packages/gateway/camphorpin/src/Gateway/DisseminationTopology.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/DisseminationTopology.cpp
@@ -1,6 +1,7 @@
 #include "camphorpin/src/Gateway/DisseminationTopology.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace camphorpin {
@@ -60,18 +61,21 @@
 
 void DisseminationTopology::chooseReaders(
     const std::function<bool(const std::string &)> &Reachable) {
-  Readers.clear();
+  std::array<std::vector<std::string>, ReadersPerZone> Ranks;
   for (const std::vector<std::string> &Zone : Candidates) {
-    std::size_t Count = 0;
+    std::size_t Rank = 0;
     for (const std::string &Node : Zone) {
-      if (Count == ReadersPerZone)
+      if (Rank == ReadersPerZone)
         break;
-      if (Node != Self && !Reachable(Node))
-        continue;
-      Readers.push_back(Node);
-      ++Count;
+      if (Node == Self || Reachable(Node))
+        Ranks[Rank++].push_back(Node);
     }
   }
+  // The reads of the readers end one after the other. Those of a zone are not
+  // neighbours, so that the loss of a zone leaves no long gap.
+  Readers.clear();
+  for (const std::vector<std::string> &Rank : Ranks)
+    Readers.insert(Readers.end(), Rank.begin(), Rank.end());
 }
 
 void DisseminationTopology::update(
--- a/packages/gateway/camphorpin/src/Gateway/StoreReadPacing.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/StoreReadPacing.cpp
@@ -41,7 +41,8 @@
 
 } // namespace
 
-Duration StoreReadPacing::longPollTimeout(const ReaderRole &Role) const {
+Duration StoreReadPacing::longPollTimeout(const ReaderRole &Role,
+                                          Instant WallNow) const {
   assert(Role.Position < Role.Readers && "a position among the readers");
   if (Failures > 0)
     return {};
@@ -49,15 +50,12 @@
     return MaxLongPoll;
   const double Readers = static_cast<double>(Role.Readers);
   const Duration Period = std::min(MaxLongPoll, LongPollSpacing * Readers);
-  // A change ends the long polls of all readers at the same time.
-  return Spread ? Period
-                : Period * (static_cast<double>(Role.Position + 1) / Readers);
-}
-
-void StoreReadPacing::onAnswer(bool Idle) {
-  // The first answer after a failure comes at once.
-  Spread = Idle && Failures == 0;
-  Failures = 0;
+  const Duration Part = Period / static_cast<std::int64_t>(Role.Readers);
+  const Duration Elapsed =
+      Duration::ticks(WallNow.sinceOrigin().ticks() % Period.ticks());
+  const Duration Wait = Part * static_cast<double>(Role.Position + 1) - Elapsed;
+  // An answer that comes a little early does not cause another read at once.
+  return std::min(MaxLongPoll, Wait < Part / 2 ? Wait + Period : Wait);
 }
 
 Duration StoreReadPacing::onFailure(const ReaderRole &Role, Duration Elapsed) {
--- a/packages/gateway/camphorpin/src/Gateway/StoreReadPacing.h
+++ b/packages/gateway/camphorpin/src/Gateway/StoreReadPacing.h
@@ -38,11 +38,13 @@
 
   /// \returns how long the store may hold the next read open. 0 after a failed
   /// read: if it is not answered either, it should not delay the next one.
-  Duration longPollTimeout(const ReaderRole &Role) const;
+  /// \param WallNow the wall-clock time. The reads of the readers end one after
+  /// the other, each in its own part of a period that begins at the same time
+  /// on all hosts. A clock that is wrong only moves the reads of its host.
+  Duration longPollTimeout(const ReaderRole &Role, Instant WallNow) const;
 
   /// The store has answered a read.
-  /// \param Idle the store has held the read open to its end.
-  void onAnswer(bool Idle);
+  void onAnswer() { Failures = 0; }
 
   /// A read has failed.
   /// \param Elapsed the time since the read was sent.
@@ -61,9 +63,6 @@
   StoreFeed Feed;
   Random &RandomSource;
   unsigned Failures = 0;
-  /// The previous read was held open to its end, so the reads of the readers
-  /// end one after the other.
-  bool Spread = false;
 };
 
 } // namespace camphorpin
--- a/packages/gateway/camphorpin/src/Gateway/StoreReader.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/StoreReader.cpp
@@ -52,7 +52,8 @@
 }
 
 void StoreReader::readNext() {
-  const Duration Wait = Pacing.longPollTimeout(Listener.readerRole());
+  const Duration Wait =
+      Pacing.longPollTimeout(Listener.readerRole(), Time.wallNow());
   call(Protocol.readRequest(Feed, Position, Wait),
        Wait + StoreReadPacing::ResponseTimeout,
        /*Newest=*/false);
@@ -120,7 +121,7 @@
     readNewest();
     return;
   }
-  Pacing.onAnswer(/*Idle=*/!Newest && Reply.Page.Records.empty());
+  Pacing.onAnswer();
   LastAnswer = Time.now();
   setReachable(true);
   // The pages of the newest records are not a consistent snapshot, so reading
--- a/packages/gateway/camphorpin/src/Gateway/UpdateDisseminator.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/UpdateDisseminator.cpp
@@ -23,6 +23,8 @@
 constexpr Duration MembersBatchDelay = Duration::millis(50);
 /// Longer than an answer takes, so that nothing is requested twice.
 constexpr Duration RequestRetryInterval = Duration::millis(200);
+/// Interval between polls of the other readers.
+constexpr Duration ReaderPollInterval = Duration::seconds(1);
 /// A node that has not polled for this long no longer counts as a follower.
 constexpr Duration FollowerTimeout = Duration::seconds(2);
 
@@ -33,7 +35,8 @@
                                        std::string Self, std::string Zone)
     : Time(Time), RandomSource(RandomSource), Context(Context), Self(Self),
       Topology(std::move(Self), std::move(Zone), Time.now()),
-      LastConfigurationRequest(Time.now() - RequestRetryInterval) {}
+      LastConfigurationRequest(Time.now() - RequestRetryInterval),
+      LastReaderPoll(Time.now()) {}
 
 PeerUpdateRequest UpdateDisseminator::request() const {
   const PeerDigest Known = Context.known();
@@ -197,7 +200,8 @@
   if (ReaderNotifyDue && *ReaderNotifyDue <= Now) {
     ReaderNotifyDue.reset();
     for (const std::string &Node : Topology.readers())
-      if (Node != Self && Context.reachable(Node))
+      // Followers have been notified.
+      if (Node != Self && !Followers.contains(Node))
         Context.send(Node, Known);
   }
 }
@@ -231,6 +235,16 @@
     Context.send(Node, Poll);
 }
 
+void UpdateDisseminator::pollReaders(Instant Now) {
+  if (!Topology.followed().empty() || Now - LastReaderPoll < ReaderPollInterval)
+    return;
+  LastReaderPoll = Now;
+  const PeerPoll Poll{Context.known()};
+  for (const std::string &Node : Topology.readers())
+    if (Node != Self)
+      Context.send(Node, Poll);
+}
+
 void UpdateDisseminator::requestFromRandomPeer() {
   const PeerUpdateRequest Request =
       isolated() ? request() : configurationRequest();
@@ -251,6 +265,7 @@
     return Now - Entry.second > FollowerTimeout;
   });
   poll();
+  pollReaders(Now);
   if (isolated() || Context.known().Configuration == 0)
     requestFromRandomPeer();
   scheduleTimer();
--- a/packages/gateway/camphorpin/src/Gateway/UpdateDisseminator.h
+++ b/packages/gateway/camphorpin/src/Gateway/UpdateDisseminator.h
@@ -107,6 +107,9 @@
   bool isolated() const;
   /// Determines the nodes to follow and polls them.
   void poll();
+  /// Polls the other readers, if this node is one, to find out in time which of
+  /// them have stopped, and to exchange updates that one of them has missed.
+  void pollReaders(Instant Now);
   void scheduleConfigurationRequest(const std::string &Node,
                                     const PeerDigest &Notice);
   void scheduleMembersRequest(const std::string &Node,
@@ -138,6 +141,8 @@
   Instant LastConfigurationRequest;
   std::optional<Instant> FollowerNotifyDue;
   std::optional<Instant> ReaderNotifyDue;
+  /// When the other readers were last polled.
+  Instant LastReaderPoll;
 };
 
 } // namespace camphorpin
--- a/packages/gateway/tests/SimulatedFleet.h
+++ b/packages/gateway/tests/SimulatedFleet.h
@@ -135,7 +135,7 @@
       Events.after(MessageDelay, [Item = Item.get()] {
         if (!Item->Alive)
           return;
-        Item->Pacing.onAnswer(/*Idle=*/false);
+        Item->Pacing.onAnswer();
         Item->applyStore();
         Item->readStore();
       });
@@ -268,7 +268,8 @@
   Reading = true;
   ReadLost = Owner.Silent;
   const std::uint64_t Generation = ++ReadGeneration;
-  const Duration Wait = Pacing.longPollTimeout(Disseminator->readerRole());
+  const Duration Wait = Pacing.longPollTimeout(Disseminator->readerRole(),
+                                               Owner.Events.clock().wallNow());
   const auto AfterUnlessEnded = [&](Duration Span, auto Action) {
     Owner.Events.after(Span, [this, Generation, Action] {
       if (Alive && Reading && ReadGeneration == Generation)
@@ -290,7 +291,7 @@
 
 inline void SimulatedNode::onReadEnd() {
   Reading = false;
-  Pacing.onAnswer(/*Idle=*/true);
+  Pacing.onAnswer();
   readStore();
 }
 
--- a/packages/gateway/tests/StoreReadPacingTest.cpp
+++ b/packages/gateway/tests/StoreReadPacingTest.cpp
@@ -32,20 +32,23 @@
   return static_cast<double>(Readers) * 1000 / Delay.toMillis();
 }
 
-/// \returns when the long polls of idle readers end within \p Span after a
-/// change, in order.
-std::vector<Duration> longPollEnds(std::size_t Readers, Duration Span) {
+/// \returns when the long polls of idle readers end within \p Span, in order.
+/// \param LastStart each reader starts at a drawn time up to this.
+std::vector<Duration> longPollEnds(std::size_t Readers, Duration Span,
+                                   Duration LastStart = Duration()) {
+  const Instant WallOrigin = Instant::fromMillis(1'700'000'000'123);
+  SeededRandom RandomSource(1);
   std::vector<Duration> Ends;
   for (std::size_t Position = 0; Position < Readers; ++Position) {
     SeededPacing Reader;
-    Reader.Pacing.onAnswer(/*Idle=*/false);
-    Duration End;
+    Duration End = LastStart * RandomSource.uniform01();
     while (true) {
-      End += Reader.Pacing.longPollTimeout(roleOf(Readers, Position));
+      End += Reader.Pacing.longPollTimeout(roleOf(Readers, Position),
+                                           WallOrigin + End);
       if (End > Span)
         break;
       Ends.push_back(End);
-      Reader.Pacing.onAnswer(/*Idle=*/true);
+      Reader.Pacing.onAnswer();
     }
   }
   std::sort(Ends.begin(), Ends.end());
@@ -89,6 +92,23 @@
   }
 }
 
+// Guards against readers that started or took over at any time, so that several
+// of them end their reads together and none for long after.
+Test(StoreReadPacing, someLongPollEndsEachSecondWheneverReadersStart) {
+  for (const std::size_t Readers : {2U, 3U, 6U, 10U, 18U}) {
+    const Duration LastStart = Duration::seconds(9);
+    // By then each reader has ended a read.
+    const Duration Settled = Duration::seconds(23);
+    Duration Last = Settled;
+    for (const Duration End :
+         longPollEnds(Readers, Duration::seconds(60), LastStart)) {
+      cr_assert_leq(End - Last, Duration::seconds(1), "%zu readers", Readers);
+      Last = std::max(Last, End);
+    }
+    cr_assert_geq(Last, Duration::seconds(59));
+  }
+}
+
 // Guards the store against idle readers that make many calls.
 Test(StoreReadPacing, idleReadersMakeFewCalls) {
   for (const std::size_t Readers : {1U, 2U, 3U, 6U, 18U, 35U})
@@ -96,13 +116,15 @@
                   "%zu readers", Readers);
   for (const std::size_t Readers : {6U, 18U, 7100U}) {
     SeededPacing Reader;
-    Reader.Pacing.onAnswer(/*Idle=*/true);
-    const Duration Span = Reader.Pacing.longPollTimeout(roleOf(Readers));
-    cr_assert_geq(Span, Duration::millis(2800));
-    cr_assert_leq(Span, Duration::seconds(25));
+    const Duration Span =
+        Reader.Pacing.longPollTimeout(roleOf(Readers), Instant());
+    const Duration Next =
+        Reader.Pacing.longPollTimeout(roleOf(Readers), Instant() + Span);
+    cr_assert_geq(Next, Duration::millis(2800));
+    cr_assert_leq(Next, Duration::seconds(25));
   }
   SeededPacing Members(StoreFeed::Members);
-  cr_assert_eq(Members.Pacing.longPollTimeout(roleOf(13)),
+  cr_assert_eq(Members.Pacing.longPollTimeout(roleOf(13), Instant()),
                Duration::seconds(25));
 }
 
@@ -115,10 +137,12 @@
       const Duration Delay =
           Reader.Pacing.onFailure(roleOf(6), StoreReadPacing::ResponseTimeout);
       cr_assert_leq(Delay, Duration::millis(300));
-      cr_assert_eq(Reader.Pacing.longPollTimeout(roleOf(6)), Duration());
+      cr_assert_eq(Reader.Pacing.longPollTimeout(roleOf(6), Instant()),
+                   Duration());
     }
-    Reader.Pacing.onAnswer(/*Idle=*/true);
-    cr_assert_gt(Reader.Pacing.longPollTimeout(roleOf(6)), Duration());
+    Reader.Pacing.onAnswer();
+    cr_assert_gt(Reader.Pacing.longPollTimeout(roleOf(6), Instant()),
+                 Duration());
   }
 }
 
