Honour a departure after an odd report of the same server

Cause: the report was accepted, and later reports, also that the server drains, were ignored for their smaller number though they were acknowledged. A report that the current incarnation drains holds in any order, since an incarnation that drains never becomes ready again. Left: a report with a wrong, later start replaces the server until the true one has reported for 2 s.

--- a/packages/gateway/camphorpin/src/Gateway/BackendTracker.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/BackendTracker.cpp
@@ -128,9 +128,13 @@
 }
 
 bool BackendTracker::update(const BackendReport &Report, Instant Now) {
-  if (Report.Sequence <= Current.Sequence)
+  const bool Leaves = Report.Phase != BackendPhase::Ready &&
+                      Current.Phase == BackendPhase::Ready;
+  // An incarnation that drains never becomes ready again, so a report that it
+  // drains is true in any order. The current sequence number may be wrong.
+  const bool InAnyOrder = Leaves && Report.StartedMillis != 0;
+  if (Report.Sequence <= Current.Sequence && !InAnyOrder)
     return false;
-  // An incarnation that drains never becomes ready again.
   if (Current.Phase != BackendPhase::Ready &&
       Report.Phase == BackendPhase::Ready)
     return false;
@@ -138,8 +142,6 @@
   const bool Changed = Report.Phase != Current.Phase ||
                        Report.Slots != Current.Slots || Confirms;
   Confirmed = Confirmed || Confirms;
-  const bool Leaves = Report.Phase != BackendPhase::Ready &&
-                      Current.Phase == BackendPhase::Ready;
   Rival.reset();
   Current = Report;
   if (Leaves)
--- a/packages/gateway/tests/BackendTrackerTest.cpp
+++ b/packages/gateway/tests/BackendTrackerTest.cpp
@@ -51,6 +51,20 @@
   cr_assert_not(Tracker.accepting());
 }
 
+// Guards against requests for a server that has reported that it leaves after
+// another writer sent a report under its name with a much larger number.
+Test(BackendTracker, departureHoldsAfterAReportWithAWrongNumber) {
+  BackendTracker Tracker(Address, "shop");
+  Tracker.onReport(report("a", 100, 1), Start);
+  Tracker.onReport(report("a", 100, ~0ULL), Start);
+  cr_assert(
+      Tracker.onReport(report("a", 100, 3, BackendPhase::Draining), Start));
+  cr_assert_not(Tracker.accepting());
+  cr_assert_eq(Tracker.departures().size(), 1U);
+  cr_assert_not(Tracker.onReport(report("a", 100, ~0ULL), Start));
+  cr_assert_not(Tracker.accepting());
+}
+
 // Guards against ignoring a server that restarts with the same id and restarts
 // its sequence numbers.
 Test(BackendTracker, treatsLaterStartWithSameIdAsNewServer) {
