Count the runs that a server loses in one crash as one crash

Cause: each lost run got a crash id of its own, so two equal requests at work were two crashes of that request, which is the limit. Change: runs that were in progress together share the id of the first crash after their start, also if their connections end at different moments. A run that starts after the detection counts anew. Left: two crashes of servers that run a popular request, within ten minutes and without a completed run on a node between them, still make that node refuse it.

--- a/packages/decision/camphorpin/src/Crash/CrashGuard.cpp
+++ b/packages/decision/camphorpin/src/Crash/CrashGuard.cpp
@@ -15,7 +15,7 @@
   const bool IsSuspect = Crashes > 0;
   if (IsSuspect && isSuspectRunning(Now))
     return CrashDecision::Defer;
-  Running[RunId] = Run{Fingerprint, IsSuspect};
+  Running[RunId] = Run{Fingerprint, IsSuspect, DetectedCrashes};
   return CrashDecision::Start;
 }
 
@@ -50,24 +50,23 @@
   Entry->second.TransmissionsLeft = Options.Transmissions;
 }
 
-std::uint64_t CrashGuard::nextCrashId() {
-  ++CrashCounter;
-  return std::max<std::uint64_t>(1,
-                                 stableHash(Self.stableHash(), CrashCounter));
+std::uint64_t CrashGuard::crashIdFor(const Run &Record) {
+  const std::uint64_t Number = Record.EarlierCrashes + 1;
+  DetectedCrashes = std::max(DetectedCrashes, Number);
+  return std::max<std::uint64_t>(1, stableHash(Self.stableHash(), Number));
 }
 
 void CrashGuard::onRunLost(std::uint64_t RunId, Instant Now) {
   const auto Found = Running.find(RunId);
   if (Found == Running.end())
     return;
-  addCrash(Found->second.Fingerprint, nextCrashId(), Now);
+  addCrash(Found->second.Fingerprint, crashIdFor(Found->second), Now);
   Running.erase(Found);
 }
 
 void CrashGuard::onBackendCrash(Instant Now) {
-  const std::uint64_t CrashId = nextCrashId();
   for (const auto &[RunId, Record] : Running)
-    addCrash(Record.Fingerprint, CrashId, Now);
+    addCrash(Record.Fingerprint, crashIdFor(Record), Now);
   Running.clear();
 }
 
--- a/packages/decision/camphorpin/src/Crash/CrashGuard.h
+++ b/packages/decision/camphorpin/src/Crash/CrashGuard.h
@@ -76,7 +76,7 @@
   /// The connection of one run was lost before its answer. The backend server
   /// may have crashed and been restarted before any node detected it, so the
   /// loss is counted as a crash, unless onBackendCrash() has already counted it
-  /// for this run.
+  /// for this run. Runs that were in progress together are lost in one crash.
   void onRunLost(std::uint64_t RunId, Instant Now);
 
   void onReport(const CrashReport &Report, Instant Now);
@@ -100,9 +100,12 @@
   struct Run {
     std::uint64_t Fingerprint = 0;
     bool IsSuspect = false;
+    /// Number of crashes that had been detected when the run started.
+    std::uint64_t EarlierCrashes = 0;
   };
 
-  std::uint64_t nextCrashId();
+  /// \returns the id of the first crash after the start of \p Record.
+  std::uint64_t crashIdFor(const Run &Record);
   Suspect *findOrInsert(std::uint64_t Fingerprint);
   void addCrash(std::uint64_t Fingerprint, std::uint64_t CrashId,
                 Instant CrashTime);
@@ -111,7 +114,8 @@
 
   ProcessId Self;
   CrashOptions Options;
-  std::uint64_t CrashCounter = 0;
+  /// Number of detected crashes.
+  std::uint64_t DetectedCrashes = 0;
   std::map<std::uint64_t, Suspect> Suspects;
   std::map<std::uint64_t, Run> Running;
 };
--- a/packages/decision/tests/CrashTest.cpp
+++ b/packages/decision/tests/CrashTest.cpp
@@ -166,6 +166,24 @@
   cr_assert(Guard.start(4, 40, 2, Now) == CrashDecision::Refuse);
 }
 
+// Guards a popular request against the refusal after one crash of a server that
+// ran it several times.
+Test(Crash, equalRunsInProgressCountOneCrash) {
+  CrashGuard Guard(ProcessId{HostAddress{1, 1}, 1}, CrashOptions());
+  const Instant Now = Instant::fromMillis(1000);
+  for (std::uint64_t RunId = 1; RunId <= 3; ++RunId)
+    cr_assert_eq(Guard.start(RunId, CrashingRequest, 0, Now),
+                 CrashDecision::Start);
+  Guard.onRunLost(1, Now);
+  Guard.onRunLost(2, Now + Duration::millis(10));
+  Guard.onBackendCrash(Now + Duration::millis(20));
+  cr_assert_eq(Guard.crashCount(CrashingRequest, Now), 1);
+  // It runs again, and its server crashes again.
+  cr_assert_eq(Guard.start(4, CrashingRequest, 0, Now), CrashDecision::Start);
+  Guard.onRunLost(4, Now + Duration::seconds(5));
+  cr_assert(Guard.mustRefuse(CrashingRequest, Now + Duration::seconds(5)));
+}
+
 // The same report must not count as a second crash, and a refusal must end.
 Test(Crash, reportsAreCountedOnceAndExpire) {
   CrashGuard Guard(ProcessId{HostAddress{1, 1}, 1}, CrashOptions());
