Tell nodes that connect which requests are refused for their crashes

Cause: crash reports went once to the nodes connected at that moment. A node that started later never heard of them and let the request run. Change: on each new connection a node names the crashes of the requests that it refuses, after its hello and before any call. The notices carry their age, so that restarts do not prolong a refusal; older nodes send none, which counts as 0 as before.

--- a/packages/decision/camphorpin/src/Crash/CrashGuard.cpp
+++ b/packages/decision/camphorpin/src/Crash/CrashGuard.cpp
@@ -120,6 +120,15 @@
   return Result;
 }
 
+std::vector<CrashReport> CrashGuard::refusals(Instant Now) const {
+  std::vector<CrashReport> Result;
+  for (const auto &[Fingerprint, Record] : Suspects)
+    if (mustRefuse(Fingerprint, Now))
+      for (const std::uint64_t CrashId : Record.CrashIds)
+        Result.push_back({Fingerprint, CrashId, Now - Record.LastCrash});
+  return Result;
+}
+
 void CrashGuard::tick(Instant Now) {
   std::erase_if(Suspects, [this, Now](const auto &Entry) {
     return expired(Entry.second, Now);
--- a/packages/decision/camphorpin/src/Crash/CrashGuard.h
+++ b/packages/decision/camphorpin/src/Crash/CrashGuard.h
@@ -84,6 +84,9 @@
   /// \returns up to \p Limit reports to forward, least often forwarded first.
   std::vector<CrashReport> takeReports(std::size_t Limit, Instant Now);
 
+  /// \returns the crashes of all requests that must be refused.
+  std::vector<CrashReport> refusals(Instant Now) const;
+
   void tick(Instant Now);
 
   std::size_t suspectCount() const { return Suspects.size(); }
--- a/packages/decision/tests/CrashTest.cpp
+++ b/packages/decision/tests/CrashTest.cpp
@@ -184,6 +184,24 @@
   cr_assert(Guard.mustRefuse(CrashingRequest, Now + Duration::seconds(5)));
 }
 
+// Guards against nodes that start after the crashes and let the request run,
+// and against a refusal that each restarted node prolongs.
+Test(Crash, refusalsReachLaterNodesAndKeepTheirAge) {
+  CrashGuard First(ProcessId{HostAddress{1, 1}, 1}, CrashOptions());
+  const Instant Crash = Instant::fromMillis(1000);
+  First.onReport({CrashingRequest, 7, Duration()}, Crash);
+  cr_assert(First.refusals(Crash).empty());
+  First.onReport({CrashingRequest, 8, Duration()}, Crash);
+  CrashGuard Later(ProcessId{HostAddress{2, 1}, 1}, CrashOptions());
+  const Instant Start = Crash + Duration::seconds(400);
+  for (const CrashReport &Report : First.refusals(Start))
+    Later.onReport(Report, Start);
+  cr_assert(Later.mustRefuse(CrashingRequest, Start));
+  const Instant End = Crash + Duration::seconds(600);
+  cr_assert_not(Later.mustRefuse(CrashingRequest, End));
+  cr_assert(Later.refusals(End).empty());
+}
+
 // The same report must not count as a second crash, and a refusal must end.
 Test(Crash, reportsAreCountedOnceAndExpire) {
   CrashGuard Guard(ProcessId{HostAddress{1, 1}, 1}, CrashOptions());
--- a/packages/gateway/camphorpin/src/Gateway/BackendProxy.h
+++ b/packages/gateway/camphorpin/src/Gateway/BackendProxy.h
@@ -62,6 +62,9 @@
   /// its peers. The store may lack them.
   void addDepartures(std::span<const BackendDeparture> Earlier);
 
+  /// \returns the crashes of the requests that are refused.
+  PeerCrashes crashRefusals() const { return Detector.refusals(); }
+
   /// \returns the departures of the local backend servers, the latest ones.
   std::vector<BackendDeparture> departures() const {
     return Tracker.departures();
--- a/packages/gateway/camphorpin/src/Gateway/CrashDetector.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/CrashDetector.cpp
@@ -1,6 +1,7 @@
 #include "camphorpin/src/Gateway/CrashDetector.h"
 
 #include <memory>
+#include <span>
 
 namespace camphorpin {
 
@@ -10,6 +11,13 @@
 constexpr CrashOptions GuardOptions = {.Transmissions = 1};
 constexpr std::size_t MaxReports = 256;
 
+PeerCrashes noticesOf(std::span<const CrashReport> Reports) {
+  PeerCrashes Result;
+  for (const CrashReport &Report : Reports)
+    Result.Notices.push_back({Report.Fingerprint, Report.CrashId, Report.Age});
+  return Result;
+}
+
 } // namespace
 
 CrashDetector::CrashDetector(EventLoop &Loop, const Clock &Time,
@@ -53,17 +61,19 @@
   }
   if (!Refused)
     return;
-  PeerCrashes Crashes;
-  for (const CrashReport &Report : Guard.takeReports(MaxReports, Now))
-    Crashes.Notices.push_back({Report.Fingerprint, Report.CrashId});
+  const PeerCrashes Crashes = noticesOf(Guard.takeReports(MaxReports, Now));
   if (OnCrash)
     OnCrash(Runs.size(), Crashes);
 }
 
+PeerCrashes CrashDetector::refusals() const {
+  return noticesOf(Guard.refusals(Time.now()));
+}
+
 void CrashDetector::onPeerCrashes(const PeerCrashes &Crashes) {
   const Instant Now = Time.now();
   for (const CrashNotice &Notice : Crashes.Notices)
-    Guard.onReport({Notice.Fingerprint, Notice.Crash, Duration()}, Now);
+    Guard.onReport({Notice.Fingerprint, Notice.Crash, Notice.Age}, Now);
   // Discards the reports of other nodes, which are not forwarded.
   (void)Guard.takeReports(MaxReports, Now);
 }
--- a/packages/gateway/camphorpin/src/Gateway/CrashDetector.h
+++ b/packages/gateway/camphorpin/src/Gateway/CrashDetector.h
@@ -41,6 +41,10 @@
   /// The connection of the run was lost before it was answered.
   void onRunLost(std::uint64_t RunId);
 
+  /// \returns the crashes of the requests that are refused, for nodes that have
+  /// not received the reports.
+  PeerCrashes refusals() const;
+
   /// Another node has reported a crash.
   void onPeerCrashes(const PeerCrashes &Crashes);
 
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
@@ -332,14 +332,18 @@
     DeparturesOfPeers.record(Notice, Time.now());
 }
 
-std::vector<DepartureNotice> Gateway::departuresFor(const std::string &Node) {
-  std::vector<DepartureNotice> Result;
+std::vector<PeerFrame> Gateway::greeting(const std::string &Node) {
+  std::vector<PeerFrame> Result;
   DepartureNotice Own{Settings.Node, Proxy.departures()};
   if (!Own.Departures.empty())
-    Result.push_back(std::move(Own));
-  DepartureNotice Others{Node, DeparturesOfPeers.of(Node, Time.now())};
-  if (!Others.Departures.empty())
-    Result.push_back(std::move(Others));
+    Result.emplace_back(std::move(Own));
+  // An earlier process of the node may have acknowledged them.
+  DepartureNotice Earlier{Node, DeparturesOfPeers.of(Node, Time.now())};
+  if (!Earlier.Departures.empty())
+    Result.emplace_back(std::move(Earlier));
+  PeerCrashes Crashes = Proxy.crashRefusals();
+  if (!Crashes.Notices.empty())
+    Result.emplace_back(std::move(Crashes));
   return Result;
 }
 
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.h
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.h
@@ -49,7 +49,7 @@
                     const PeerPollAnswer &Answer) override;
   void onCrashes(const PeerCrashes &Crashes) override;
   void onDepartures(const DepartureNotice &Notice) override;
-  std::vector<DepartureNotice> departuresFor(const std::string &Node) override;
+  std::vector<PeerFrame> greeting(const std::string &Node) override;
   PeerDigest digest() const override;
   PeerUpdateRequest updateRequest() const override {
     return Disseminator.request();
--- a/packages/gateway/camphorpin/src/Gateway/PeerClient.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerClient.cpp
@@ -71,9 +71,7 @@
   Channel = std::make_shared<PeerChannel>(std::move(Socket));
   Channel->start(*this);
   Channel->send(Listener.hello());
-  // Before any call, which a later process of a node must not run on a server
-  // whose departure an earlier one has acknowledged.
-  for (DepartureNotice &Item : Listener.departuresFor(Node))
+  for (PeerFrame &Item : Listener.greeting(Node))
     Channel->send(std::move(Item));
 }
 
--- a/packages/gateway/camphorpin/src/Gateway/PeerClient.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerClient.h
@@ -33,9 +33,9 @@
                             const PeerPollAnswer &Answer) = 0;
   virtual void onCrashes(const PeerCrashes &Crashes) = 0;
   virtual void onDepartures(const DepartureNotice &Notice) = 0;
-  /// \returns the departures that \p Node should know when it connects.
-  virtual std::vector<DepartureNotice>
-  departuresFor(const std::string &Node) = 0;
+  /// \returns the frames that follow the hello on a new connection with
+  /// \p Node, before any call.
+  virtual std::vector<PeerFrame> greeting(const std::string &Node) = 0;
 };
 
 /// \class PeerClient
--- a/packages/gateway/camphorpin/src/Gateway/PeerCodec.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerCodec.cpp
@@ -205,6 +205,7 @@
     for (unsigned Index = 0; Index < Notices.size(); ++Index) {
       Notices[Index].setFingerprint(Value.Notices[Index].Fingerprint);
       Notices[Index].setCrash(Value.Notices[Index].Crash);
+      Notices[Index].setAgeMs(millisOf(Value.Notices[Index].Age));
     }
   }
   void operator()(const DepartureNotice &Value) {
@@ -330,7 +331,8 @@
 PeerCrashes readCrashes(peer::PeerFrame::Reader Root) {
   PeerCrashes Result;
   for (const peer::CrashNotice::Reader Notice : Root.getCrashes())
-    Result.Notices.push_back({Notice.getFingerprint(), Notice.getCrash()});
+    Result.Notices.push_back({Notice.getFingerprint(), Notice.getCrash(),
+                              Duration::millis(Notice.getAgeMs())});
   return Result;
 }
 
--- a/packages/gateway/camphorpin/src/Gateway/PeerMessages.h
+++ b/packages/gateway/camphorpin/src/Gateway/PeerMessages.h
@@ -229,6 +229,8 @@
   std::uint64_t Fingerprint = 0;
   /// Identifies the crash; 0 clears the suspicion.
   std::uint64_t Crash = 0;
+  /// Time since the crash.
+  Duration Age;
 };
 
 struct PeerCrashes {
--- a/packages/gateway/camphorpin/src/Gateway/PeerServer.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerServer.cpp
@@ -101,7 +101,7 @@
       return;
     }
     send(Server.Listener.hello());
-    for (DepartureNotice &Item : Server.Listener.departuresFor(From.Node))
+    for (PeerFrame &Item : Server.Listener.greeting(From.Node))
       send(std::move(Item));
     onDigest(Hello.Digest);
   }
--- a/packages/gateway/tests/PeerCodecTest.cpp
+++ b/packages/gateway/tests/PeerCodecTest.cpp
@@ -75,6 +75,16 @@
   }));
 }
 
+// Guards against a refusal that lasts longer at each node that hears of it
+// late.
+Test(PeerCodec, crashesKeepTheirAge) {
+  std::string Stream;
+  encodeFrame(PeerCrashes{{{5, 6, Duration::seconds(7)}}}, Stream);
+  const PeerCrashes Decoded = std::get<PeerCrashes>(decodeFrame(Stream).Frame);
+  cr_assert_eq(Decoded.Notices.front().Crash, 6U);
+  cr_assert_eq(Decoded.Notices.front().Age, Duration::seconds(7));
+}
+
 // Guards against nodes that don't hear of a restored store, and against
 // departures that reach a restarted node with another id or start.
 Test(PeerCodec, eraAndDeparturesRoundTrip) {
--- a/packages/gateway/tests/PeerServerFixture.h
+++ b/packages/gateway/tests/PeerServerFixture.h
@@ -35,9 +35,7 @@
   }
   void onCrashes(const PeerCrashes &) override {}
   void onDepartures(const DepartureNotice &) override {}
-  std::vector<DepartureNotice> departuresFor(const std::string &) override {
-    return {};
-  }
+  std::vector<PeerFrame> greeting(const std::string &) override { return {}; }
 };
 
 class TestClientListener final : public PeerClientListener {
@@ -63,9 +61,7 @@
   }
   void onCrashes(const PeerCrashes &) override {}
   void onDepartures(const DepartureNotice &) override {}
-  std::vector<DepartureNotice> departuresFor(const std::string &) override {
-    return {};
-  }
+  std::vector<PeerFrame> greeting(const std::string &) override { return {}; }
 
 private:
   std::string Node;
