Refuse a large body rather than end another caller's answer

Cause: an announced body reclaimed bytes from every session that had not read for a second, whatever was pending on it, and was refused all the same. Small messages and answers reclaim as before, so that callers who never read do not keep others out.

--- a/packages/gateway/camphorpin/src/Gateway/AsyncHttpServer.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/AsyncHttpServer.cpp
@@ -88,8 +88,9 @@
 }
 
 bool AsyncHttpServer::reclaim() {
-  const std::shared_ptr<detail::HttpSession> Chosen =
-      earliest(Sessions, &detail::HttpSession::holdsBytesSince);
+  const std::shared_ptr<detail::HttpSession> Chosen = earliest(
+      Sessions, KeepsAnswers ? &detail::HttpSession::receivesBodySlowlySince
+                             : &detail::HttpSession::holdsBytesSince);
   if (Chosen)
     Chosen->giveUp();
   return Chosen != nullptr;
--- a/packages/gateway/camphorpin/src/Gateway/AsyncHttpServer.h
+++ b/packages/gateway/camphorpin/src/Gateway/AsyncHttpServer.h
@@ -133,6 +133,8 @@
   std::shared_ptr<ByteBudget> Budget;
   std::size_t MaxConnections = std::numeric_limits<std::size_t>::max();
   bool Draining = false;
+  /// Connections on which an answer is being sent are not given up.
+  bool KeepsAnswers = false;
   std::set<std::shared_ptr<detail::HttpSession>> Sessions;
 };
 
--- a/packages/gateway/camphorpin/src/Gateway/HttpSession.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/HttpSession.cpp
@@ -247,7 +247,12 @@
   const std::uint64_t Announced =
       CurrentParser->content_length().value_or(std::uint64_t(0));
   const std::size_t Bytes = std::max<std::size_t>(Announced, Body.size());
-  return reserve([&] { return Body.reserve(Bytes); });
+  // A large body that does not fit is refused before it runs. That costs its
+  // caller less than the loss of an answer would cost another.
+  Server->KeepsAnswers = !Server->Budget->isSmall(Bytes);
+  const bool Result = reserve([&] { return Body.reserve(Bytes); });
+  Server->KeepsAnswers = false;
+  return Result;
 }
 
 bool HttpSession::reserve(const std::function<bool()> &Reserve) {
@@ -422,14 +427,26 @@
   return hasPartialRequest() ? ReceiveStart : LastActivity;
 }
 
+std::optional<HttpSession::TimePoint>
+HttpSession::receivesBodySlowlySince() const {
+  if (Writing || !isReceivingBody())
+    return std::nullopt;
+  return receivesSlowlySince();
+}
+
 std::optional<HttpSession::TimePoint> HttpSession::holdsBytesSince() const {
   if (Reserving)
     return std::nullopt;
   const TimePoint Now = steady_clock::now();
   if (Writing && elapsed(LastSent, Now) >= SlowAfter)
     return LastSent;
-  if (!hasPartialRequest() || !mayParse())
+  return receivesSlowlySince();
+}
+
+std::optional<HttpSession::TimePoint> HttpSession::receivesSlowlySince() const {
+  if (Reserving || !hasPartialRequest() || !mayParse())
     return std::nullopt;
+  const TimePoint Now = steady_clock::now();
   const Duration Receiving = elapsed(ReceiveStart, Now);
   const double Seconds = Receiving.toMillis() / 1000.0;
   const bool Slow =
--- a/packages/gateway/camphorpin/src/Gateway/HttpSession.h
+++ b/packages/gateway/camphorpin/src/Gateway/HttpSession.h
@@ -42,6 +42,10 @@
   /// the bytes held for it may be given up when the byte budget is short.
   std::optional<TimePoint> holdsBytesSince() const;
 
+  /// \returns since when the caller has been sending a body too slowly, if its
+  /// request can be refused without the loss of an answer.
+  std::optional<TimePoint> receivesBodySlowlySince() const;
+
   /// Calls \p Reserve, which may reclaim bytes of other sessions, but not of
   /// this one.
   /// \returns the result of \p Reserve.
@@ -59,6 +63,8 @@
   void onReadable(const ErrorCode &Error);
   void onRead(std::string_view Bytes);
   void parse();
+  /// \returns since when the caller has been sending a request too slowly.
+  std::optional<TimePoint> receivesSlowlySince() const;
   /// \returns true if a further request may be parsed now.
   bool mayParse() const;
   /// Passes received bytes to the parser.
--- a/packages/gateway/tests/ClientLimitsTest.cpp
+++ b/packages/gateway/tests/ClientLimitsTest.cpp
@@ -37,6 +37,53 @@
 };
 
 constexpr const char *Get = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+/// More than the kernel takes for a connection with a small buffer.
+constexpr std::size_t UnreadBytes = std::size_t(5) << 20U;
+
+/// A caller that has not read an answer of UnreadBytes for longer than a
+/// second.
+struct SlowReader {
+  explicit SlowReader(LimitedServer &Fixture) : Socket(Fixture.Loop) {
+    Socket.open(boost::asio::ip::tcp::v4());
+    Socket.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+    Socket.connect(detail::endpointOf(Fixture.Address));
+    boost::asio::write(Socket, boost::asio::buffer(std::string(Get)));
+    if (!Fixture.waitFor([&] { return Fixture.Deferred.size() == 1; }))
+      return;
+    HttpExchange &Exchange = *Fixture.Deferred.front();
+    if (!Exchange.reserve(UnreadBytes))
+      return;
+    Exchange.reply(stampedReply(Exchange, std::string(UnreadBytes, 'a')));
+    Fixture.pause(Duration::millis(1300));
+    HoldsBytes = Fixture.Budget->used() > 0;
+  }
+
+  /// \returns the number of bytes that arrive before the connection ends or has
+  /// been silent for a second.
+  std::size_t readAll(LimitedServer &Fixture) {
+    std::size_t Total = 0;
+    std::vector<char> Chunk(std::size_t(1) << 16U);
+    Socket.non_blocking(true);
+    const SystemClock Time;
+    Instant LastRead = Time.now();
+    while (Time.now() - LastRead < Duration::seconds(1)) {
+      boost::system::error_code Error;
+      const std::size_t Bytes =
+          Socket.read_some(boost::asio::buffer(Chunk), Error);
+      Total += Bytes;
+      if (Bytes > 0)
+        LastRead = Time.now();
+      else if (Error != boost::asio::error::would_block)
+        break;
+      Fixture.pause(Duration::millis(1));
+    }
+    return Total;
+  }
+
+  TcpSocket Socket;
+  /// The server holds bytes that have not been read.
+  bool HoldsBytes = false;
+};
 
 } // namespace
 
@@ -124,26 +171,27 @@
 // answer to another caller takes their place.
 Test(ClientLimits, unreadAnswerGivesWayToAnother) {
   LimitedServer Fixture;
-  TcpSocket Unread(Fixture.Loop);
-  Unread.open(boost::asio::ip::tcp::v4());
-  Unread.set_option(boost::asio::socket_base::receive_buffer_size(4096));
-  Unread.connect(detail::endpointOf(Fixture.Address));
-  boost::asio::write(Unread, boost::asio::buffer(std::string(Get)));
-  cr_assert(Fixture.waitFor([&] { return Fixture.Deferred.size() == 1; }));
-  HttpExchange &First = *Fixture.Deferred.front();
-  // More than the kernel takes for the connection.
-  constexpr std::size_t AnswerBytes = std::size_t(5) << 20U;
-  cr_assert(First.reserve(AnswerBytes));
-  First.reply(stampedReply(First, std::string(AnswerBytes, 'a')));
-  Fixture.pause(Duration::millis(1300));
-  const std::size_t Held = Fixture.Budget->used();
-  cr_assert_gt(Held, 0U);
+  const SlowReader Unread(Fixture);
+  cr_assert(Unread.HoldsBytes);
   const auto Caller = Fixture.connect();
   Caller->send(Get);
   cr_assert(Fixture.waitFor([&] { return Fixture.Deferred.size() == 2; }));
   cr_assert(Fixture.Deferred.back()->reserve(BudgetBytes * 7 / 8));
 }
 
+// Guards a caller that reads slowly against the loss of its answer to a large
+// body, which can be refused before it runs.
+Test(ClientLimits, largeBodyDoesNotEndAnAnswer) {
+  LimitedServer Fixture;
+  SlowReader Reader(Fixture);
+  cr_assert(Reader.HoldsBytes);
+  const auto Caller = Fixture.connect();
+  Caller->send(postHead(LargeBytes));
+  cr_assert(Fixture.waitFor([&] { return !Caller->Received.empty(); }));
+  cr_assert(Caller->Received.starts_with("HTTP/1.1 503"));
+  cr_assert_gt(Reader.readAll(Fixture), UnreadBytes);
+}
+
 // Guards against a request that is dropped while it is handled, because its
 // connection is closed to make room for the bytes of another one.
 Test(ClientLimits, closedConnectionIsReportedLater) {
--- a/packages/http/camphorpin/src/Http/ByteBudget.cpp
+++ b/packages/http/camphorpin/src/Http/ByteBudget.cpp
@@ -3,8 +3,7 @@
 namespace camphorpin {
 
 bool ByteBudget::fits(std::size_t Bytes, std::size_t Others) const {
-  const bool Small = Bytes <= Capacity / SmallMessageDivisor;
-  const std::size_t Room = Small ? Capacity : largestMessage();
+  const std::size_t Room = isSmall(Bytes) ? Capacity : largestMessage();
   return Others <= Room && Bytes <= Room - Others;
 }
 
--- a/packages/http/camphorpin/src/Http/ByteBudget.h
+++ b/packages/http/camphorpin/src/Http/ByteBudget.h
@@ -39,6 +39,11 @@
     return Capacity - Capacity / SmallShareDivisor;
   }
 
+  /// \returns true if a message of \p Bytes may use the whole budget.
+  bool isSmall(std::size_t Bytes) const {
+    return Bytes <= Capacity / SmallMessageDivisor;
+  }
+
 private:
   friend class BudgetShare;
 
