--- a/packages/gateway/camphorpin/src/Gateway/PeerClient.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerClient.cpp
@@ -71,8 +71,8 @@
   Channel = std::make_shared<PeerChannel>(std::move(Socket));
   Channel->start(*this);
   Channel->send(Listener.hello());
-  for (PeerFrame &Item : Listener.greeting(Node))
-    Channel->send(std::move(Item));
+  for (const PeerFrame &Item : Listener.greeting(Node))
+    Channel->send(Item);
 }
 
 void PeerClient::onConnectFailed() {
--- a/packages/gateway/camphorpin/src/Gateway/PeerServer.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/PeerServer.cpp
@@ -101,8 +101,8 @@
       return;
     }
     send(Server.Listener.hello());
-    for (PeerFrame &Item : Server.Listener.greeting(From.Node))
-      send(std::move(Item));
+    for (const PeerFrame &Item : Server.Listener.greeting(From.Node))
+      send(Item);
     onDigest(Hello.Digest);
   }
 
