--- a/packages/decision/tests/CrashTest.cpp
+++ b/packages/decision/tests/CrashTest.cpp
@@ -166,8 +166,7 @@
   cr_assert(Guard.start(4, 40, 2, Now) == CrashDecision::Refuse);
 }
 
-// Guards a popular request against the refusal after one crash of a server that
-// ran it several times.
+// Guards a popular request against its refusal after one crash.
 Test(Crash, equalRunsInProgressCountOneCrash) {
   CrashGuard Guard(ProcessId{HostAddress{1, 1}, 1}, CrashOptions());
   const Instant Now = Instant::fromMillis(1000);
@@ -184,8 +183,7 @@
   cr_assert(Guard.mustRefuse(CrashingRequest, Now + Duration::seconds(5)));
 }
 
-// Guards against nodes that start after the crashes and let the request run,
-// and against a refusal that each restarted node prolongs.
+// Guards against nodes that start after the crashes and let the request run.
 Test(Crash, refusalsReachLaterNodesAndKeepTheirAge) {
   CrashGuard First(ProcessId{HostAddress{1, 1}, 1}, CrashOptions());
   const Instant Crash = Instant::fromMillis(1000);
--- a/packages/gateway/tests/BackendTrackerTest.cpp
+++ b/packages/gateway/tests/BackendTrackerTest.cpp
@@ -51,8 +51,7 @@
   cr_assert_not(Tracker.accepting());
 }
 
-// Guards against requests for a server that has reported that it leaves after
-// another writer sent a report under its name with a much larger number.
+// Another writer has sent a report under the server's name.
 Test(BackendTracker, departureHoldsAfterAReportWithAWrongNumber) {
   BackendTracker Tracker(Address, "shop");
   Tracker.onReport(report("a", 100, 1), Start);
--- a/packages/gateway/tests/ClientLimitsTest.cpp
+++ b/packages/gateway/tests/ClientLimitsTest.cpp
@@ -179,8 +179,7 @@
   cr_assert(Fixture.Deferred.back()->reserve(BudgetBytes * 7 / 8));
 }
 
-// Guards a caller that reads slowly against the loss of its answer to a large
-// body, which can be refused before it runs.
+// The body can be refused before its request runs.
 Test(ClientLimits, largeBodyDoesNotEndAnAnswer) {
   LimitedServer Fixture;
   SlowReader Reader(Fixture);
--- a/packages/gateway/tests/PeerCodecTest.cpp
+++ b/packages/gateway/tests/PeerCodecTest.cpp
@@ -85,8 +85,7 @@
   cr_assert_eq(Decoded.Notices.front().Age, Duration::seconds(7));
 }
 
-// Guards against nodes that don't hear of a restored store, and against
-// departures that reach a restarted node with another id or start.
+// Guards against restores and departures that peers announce in vain.
 Test(PeerCodec, eraAndDeparturesRoundTrip) {
   std::string Stream;
   encodeFrame(PeerDigest{7, 8, 9}, Stream);
--- a/packages/gateway/tests/StoreEraTest.cpp
+++ b/packages/gateway/tests/StoreEraTest.cpp
@@ -68,8 +68,7 @@
   cr_assert(Fixture.Writer.idle());
 }
 
-// A write of before the restore may be acknowledged after the node has heard of
-// the new era.
+// The node has heard of the new era while the write was on its way.
 Test(StoreEra, acknowledgementOfAnEarlierEraIsNone) {
   WriterFixture Fixture;
   Fixture.Writer.onStoreEra(2);
@@ -93,8 +92,7 @@
   cr_assert(Fixture.waitForWrites(1));
 }
 
-// A peer with a wrong era must not make a node call the store without end, nor
-// hide later eras.
+// A wrong era must neither cause calls without end nor hide later eras.
 Test(StoreEra, announcementsAreNotBelieved) {
   StoreEra Era;
   cr_assert(Era.onAnswer(4));
@@ -111,9 +109,7 @@
   cr_assert_eq(Era.latest(), 5U);
 }
 
-// A node that announces one departure after another, or many at once, must not
-// fill the memory of its peers; the latest ones are kept, and all are forgotten
-// after their servers have ended.
+// Peers keep the latest departures of a node until the servers have ended.
 Test(StoreEra, departuresOfPeersAreBoundedAndExpire) {
   PeerDepartures Departures;
   const Instant Start = Instant::fromMillis(1000);
--- a/packages/gateway/tests/StoreReadPacingTest.cpp
+++ b/packages/gateway/tests/StoreReadPacingTest.cpp
@@ -92,8 +92,7 @@
   }
 }
 
-// Guards against readers that started or took over at any time, so that several
-// of them end their reads together and none for long after.
+// Guards against readers that take over and end their reads all together.
 Test(StoreReadPacing, someLongPollEndsEachSecondWheneverReadersStart) {
   for (const std::size_t Readers : {2U, 3U, 6U, 10U, 18U}) {
     const Duration LastStart = Duration::seconds(9);
