--- a/tools/test.sh
+++ b/tools/test.sh
@@ -12,7 +12,7 @@
 run_tests() { # label, parallel jobs
   # Criterion's closing lines stay in the output.
   ctest --test-dir build -V -j "$2" -L "$1" -E "$EXCLUDE" --no-tests=ignore |
-    grep --line-buffered -E 'Synthesis|MB, [0-9]+ descriptors|\[FAIL\]|\[CRASH\]|Failed|Failure|\*\*\*|tests passed|Falsifiable|Test *#|: (assert|Warning)|[0-9]+ passed, [0-9]+ failed'
+    grep --line-buffered -E 'Synthesis|MB, [0-9]+ descriptors|\[FAIL\]|\[CRASH\]|\[----\]|Failed|Failure|\*\*\*|tests passed|Falsifiable|Test *#|: (assert|Warning)|[0-9]+ passed, [0-9]+ failed'
   return "${PIPESTATUS[0]}"
 }
 
