Answer requests that a stopping node has received but not read

Callers saw: a connection that breaks without an answer at the end of a planned stop of a stand-alone node. Cause: HttpServer::stop closed the listening socket with connections that it had not accepted, the threads ended while requests waited for them, and parked connections were closed without a last look at what had arrived. Change: the server accepts what waits before it closes its socket (an accept loop of its own; the library's has no such end and a backlog of 5), and the scheduler ends when each connection has been served or found idle. WakeSignal replaces the event counter that stood twice.

--- a/packages/daemon/camphorpin/src/Daemon/ConnectionScheduler.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/ConnectionScheduler.cpp
@@ -4,9 +4,7 @@
 #include <cassert>
 #include <poll.h>
 #include <string_view>
-#include <sys/eventfd.h>
 #include <sys/socket.h>
-#include <unistd.h>
 #include <utility>
 
 namespace camphorpin {
@@ -20,6 +18,8 @@
 constexpr milliseconds IdleTimeout{60000};
 /// Interval at which the poller looks for headers that arrive too slowly.
 constexpr milliseconds PartCheckInterval{20};
+/// Time for which a stopping server waits for the rest of headers.
+constexpr milliseconds StopTimeout{1000};
 /// Interval at which the poller looks for connections that idled too long.
 constexpr milliseconds IdleCheckInterval{1000};
 
@@ -45,9 +45,7 @@
                                          std::size_t MaxConnections,
                                          RequestServer Serve)
     : Limits(Limits), MaxConnections(MaxConnections), Serve(std::move(Serve)),
-      WakeSocket(::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)),
       PeekBuffer(std::min(Limits.Headers, MaxPeekBytes) + 1) {
-  assert(WakeSocket >= 0 && "an event counter can be made");
   Threads.emplace_back([this] { runPoller(); });
   for (std::size_t Index = 0; Index < Limits.Threads; ++Index)
     Threads.emplace_back([this] { runWorker(); });
@@ -59,16 +57,13 @@
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
     Stopping = true;
+    StoppingSince = steady_clock::now();
   }
-  Changed.notify_all();
-  wakePoller();
+  Wake.give();
   for (std::thread &Item : Threads)
     Item.join();
   Threads.clear();
-  Parked.clear();
-  Ready.clear();
-  ReadyCount = 0;
-  ::close(WakeSocket);
+  assert(Parked.empty() && Ready.empty() && "each connection has been closed");
 }
 
 void ConnectionScheduler::add(int Socket) {
@@ -95,14 +90,7 @@
     const std::lock_guard<std::mutex> Lock(Mutex);
     Parked.push_back(std::move(Item));
   }
-  wakePoller();
-}
-
-void ConnectionScheduler::wakePoller() const {
-  const std::uint64_t One = 1;
-  // The write only fails when the counter is full, and then the poller wakes.
-  [[maybe_unused]] const ssize_t Written =
-      ::write(WakeSocket, &One, sizeof(One));
+  Wake.give();
 }
 
 void ConnectionScheduler::runWorker() {
@@ -110,8 +98,8 @@
     Connection Item;
     {
       std::unique_lock<std::mutex> Lock(Mutex);
-      Changed.wait(Lock, [this] { return !Ready.empty() || Stopping; });
-      if (Stopping)
+      Changed.wait(Lock, [this] { return !Ready.empty() || hasEnded(); });
+      if (Ready.empty())
         return;
       Item = std::move(Ready.front());
       Ready.pop_front();
@@ -125,8 +113,12 @@
   Item.Stream->beginRequest(Item.RequestBegin.value_or(steady_clock::now()));
   if (!Serve(*Item.Stream) || Stopping) {
     Item.Stream.reset();
-    const std::lock_guard<std::mutex> Lock(Mutex);
-    --Open;
+    {
+      const std::lock_guard<std::mutex> Lock(Mutex);
+      --Open;
+    }
+    if (Stopping)
+      Wake.give();
     return;
   }
   if (!Item.Stream->hasInput()) {
@@ -150,16 +142,19 @@
 }
 
 void ConnectionScheduler::runPoller() {
-  while (!Stopping) {
+  bool Ended = false;
+  while (!Ended) {
     const std::unordered_map<int, short> Readable = poll();
     const std::lock_guard<std::mutex> Lock(Mutex);
     checkParked(Readable);
+    Ended = hasEnded();
   }
+  Changed.notify_all();
 }
 
 std::unordered_map<int, short> ConnectionScheduler::poll() {
   milliseconds Timeout = IdleCheckInterval;
-  std::vector<pollfd> Polled = {{WakeSocket, POLLIN, 0}};
+  std::vector<pollfd> Polled = {{Wake.descriptor(), POLLIN, 0}};
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
     for (const Connection &Item : Parked) {
@@ -169,9 +164,7 @@
     }
   }
   ::poll(Polled.data(), Polled.size(), static_cast<int>(Timeout.count()));
-  std::uint64_t Count = 0;
-  [[maybe_unused]] const ssize_t Got =
-      ::read(WakeSocket, &Count, sizeof(Count));
+  Wake.clear();
   std::unordered_map<int, short> Readable;
   for (const pollfd &Item : Polled)
     if (Item.revents != 0)
@@ -184,11 +177,13 @@
   const TimePoint Now = steady_clock::now();
   const milliseconds ReadTimeout(Limits.ReadTimeout.wholeMillis());
   for (auto Item = Parked.begin(); Item != Parked.end();) {
-    const auto Events = Readable.find(Item->Stream->socket());
+    const auto Found = Readable.find(Item->Stream->socket());
+    const short Events = Found == Readable.end() ? short(0) : Found->second;
+    // What has arrived since poll() is not closed unread at the end.
     Arrival Arrived =
-        Events == Readable.end() ? Arrival::Nothing : arrivalOn(*Item->Stream);
+        Events == 0 && !Stopping ? Arrival::Nothing : arrivalOn(*Item->Stream);
     // No more will arrive; a thread answers what is there.
-    if (Arrived == Arrival::Part && (Events->second & POLLRDHUP) != 0)
+    if (Arrived == Arrival::Part && (Events & POLLRDHUP) != 0)
       Arrived = Arrival::Headers;
     Item->AwaitsMore = Item->AwaitsMore || Arrived == Arrival::Part;
     if (Arrived != Arrival::Nothing && !Item->RequestBegin)
@@ -196,10 +191,7 @@
     // A thread answers a request that is too slow.
     const bool Late =
         Item->RequestBegin && Now - *Item->RequestBegin >= ReadTimeout;
-    const bool Ended =
-        Arrived == Arrival::End ||
-        (!Item->RequestBegin && Now - Item->ParkedSince >= IdleTimeout);
-    if (Ended)
+    if (shouldClose(*Item, Arrived, Now))
       --Open;
     else if (Arrived == Arrival::Headers || Late)
       makeReady(std::move(*Item));
@@ -211,6 +203,17 @@
   }
 }
 
+bool ConnectionScheduler::shouldClose(const Connection &Item, Arrival Arrived,
+                                      TimePoint Now) const {
+  if (Arrived == Arrival::End)
+    return true;
+  if (Arrived == Arrival::Headers)
+    return false;
+  if (Item.RequestBegin)
+    return Stopping && Now - StoppingSince >= StopTimeout;
+  return Stopping || Now - Item.ParkedSince >= IdleTimeout;
+}
+
 ConnectionScheduler::Arrival
 ConnectionScheduler::arrivalOn(const HttpStream &Stream) {
   const ssize_t Count = ::recv(Stream.socket(), PeekBuffer.data(),
--- a/packages/daemon/camphorpin/src/Daemon/ConnectionScheduler.h
+++ b/packages/daemon/camphorpin/src/Daemon/ConnectionScheduler.h
@@ -2,6 +2,7 @@
 #define CAMPHORPIN_SRC_DAEMON_CONNECTIONSCHEDULER_H
 
 #include "camphorpin/src/Daemon/HttpStream.h"
+#include "camphorpin/src/Daemon/WakeSignal.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -41,8 +42,9 @@
   /// Takes over an accepted connection.
   void add(int Socket);
 
-  /// Finishes the requests that are being served, closes all connections and
-  /// joins all threads.
+  /// Serves the requests that have arrived, closes all connections and joins
+  /// all threads. A connection on which only a part of a request's headers has
+  /// arrived is closed after a second.
   void stop();
 
   /// \returns true if requests wait for a thread.
@@ -70,12 +72,17 @@
   /// \returns the sockets on which something has arrived, with the events of
   /// poll().
   std::unordered_map<int, short> poll();
+  /// \returns true if no connection is left for the poller. Needs Mutex.
+  bool hasEnded() const { return Stopping && Open == 0; }
   /// Moves parked connections with whole headers to the threads, and closes
   /// those that have ended or idled too long. Needs Mutex.
   void checkParked(const std::unordered_map<int, short> &Readable);
+  /// \returns true if a parked connection that has received \p Arrived must be
+  /// closed. Needs Mutex.
+  bool shouldClose(const Connection &Item, Arrival Arrived,
+                   TimePoint Now) const;
   Arrival arrivalOn(const HttpStream &Stream);
   void makeReady(Connection Item);
-  void wakePoller() const;
 
   const HttpLimits &Limits;
   const std::size_t MaxConnections;
@@ -89,8 +96,9 @@
   /// All connections, also those that are being served.
   std::size_t Open = 0;
   std::atomic<bool> Stopping = false;
-  /// Event counter that wakes the poller.
-  int WakeSocket = -1;
+  TimePoint StoppingSince;
+  /// Wakes the poller.
+  WakeSignal Wake;
   std::vector<char> PeekBuffer;
   std::vector<std::thread> Threads;
 };
--- a/packages/daemon/camphorpin/src/Daemon/HttpServer.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/HttpServer.cpp
@@ -2,11 +2,15 @@
 
 #include "camphorpin/src/Daemon/HttpHeaders.h"
 #include "camphorpin/src/Daemon/HttpStream.h"
+#include "camphorpin/src/Daemon/Listener.h"
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
+#include <chrono>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <string_view>
 #include <sys/resource.h>
 #include <sys/socket.h>
@@ -17,6 +21,8 @@
 
 namespace {
 
+/// Wait for a free descriptor.
+constexpr std::chrono::milliseconds AcceptRetryDelay{1};
 /// Time for which an idle connection is kept open.
 constexpr Duration KeepAlive = Duration::seconds(60);
 /// Requests on one connection; it is not bounded.
@@ -35,14 +41,6 @@
                      });
 }
 
-/// \class AcceptingThread
-/// \brief Hands over accepted connections in the thread that accepts them.
-class AcceptingThread final : public httplib::TaskQueue {
-public:
-  void enqueue(std::function<void()> HandOver) override { HandOver(); }
-  void shutdown() override {}
-};
-
 /// \returns the connections that may be open. Descriptors are kept for the
 /// backend server, the log and other nodes.
 std::size_t connectionLimit(const HttpLimits &Limits) {
@@ -54,11 +52,6 @@
                                Process.rlim_cur / DescriptorDivisor);
 }
 
-void setOptions(int Socket) {
-  const int On = 1;
-  ::setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
-}
-
 void refuse(httplib::Response &Response, int Status, std::string_view Text) {
   Response.status = Status;
   Response.set_header(headers::Verdict, std::string(toString(Verdict::NotRun)));
@@ -137,10 +130,6 @@
   // The header Keep-Alive of the answers shows these two.
   set_keep_alive_timeout(KeepAlive.wholeMillis() / 1000);
   set_keep_alive_max_count(KeepAliveRequests);
-  set_socket_options(setOptions);
-  set_tcp_nodelay(true);
-  // The HTTP library deletes the queue when the server has stopped.
-  new_task_queue = [] { return new AcceptingThread(); };
   set_pre_routing_handler(
       [this](const httplib::Request &Request, httplib::Response &Response) {
         return handleWithoutBody(Request, Response);
@@ -157,36 +146,62 @@
   });
 }
 
-HttpServer::~HttpServer() { stop(); }
+HttpServer::~HttpServer() {
+  stop();
+  if (ListenSocket >= 0)
+    ::close(ListenSocket);
+}
 
 bool HttpServer::bind(const HostAddress &Address) {
-  const std::string Text = Address.toString();
-  return bind_to_port(Text.substr(0, Text.find(':')), Address.Port);
+  ListenSocket = listenTcp(Address);
+  return ListenSocket >= 0;
 }
 
 void HttpServer::start() {
   Connections = std::make_unique<ConnectionScheduler>(
       Limits, connectionLimit(Limits),
       [this](HttpStream &Stream) { return serveOne(Stream); });
-  Thread = std::thread([this] { listen_after_bind(); });
+  Thread = std::thread([this] { acceptAll(); });
 }
 
 void HttpServer::stop() {
   if (!Thread.joinable())
     return;
   Stopping = true;
-  while (!is_running())
-    std::this_thread::yield();
-  httplib::Server::stop();
+  Wake.give();
   Thread.join();
   Connections->stop();
 }
 
-bool HttpServer::process_and_close_socket(int Socket) {
-  const int On = 1;
-  ::setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
-  Connections->add(Socket);
-  return true;
+void HttpServer::acceptAll() {
+  while (!Stopping) {
+    std::array<pollfd, 2> Waiting = {
+        {{ListenSocket, POLLIN, 0}, {Wake.descriptor(), POLLIN, 0}}};
+    ::poll(Waiting.data(), Waiting.size(), /*timeout=*/-1);
+    acceptWaiting();
+  }
+  // Their callers were not refused.
+  acceptWaiting();
+  ::close(std::exchange(ListenSocket, -1));
+}
+
+void HttpServer::acceptWaiting() {
+  while (true) {
+    const int Socket = ::accept4(ListenSocket, nullptr, nullptr, SOCK_CLOEXEC);
+    if (Socket >= 0) {
+      const int On = 1;
+      ::setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
+      Connections->add(Socket);
+      continue;
+    }
+    // A connection that has ended before it was accepted is passed over.
+    if (errno == ECONNABORTED || errno == EINTR)
+      continue;
+    // No descriptor is free; some are once connections have ended.
+    if (errno != EAGAIN)
+      std::this_thread::sleep_for(AcceptRetryDelay);
+    return;
+  }
 }
 
 bool HttpServer::serveOne(HttpStream &Stream) {
--- a/packages/daemon/camphorpin/src/Daemon/HttpServer.h
+++ b/packages/daemon/camphorpin/src/Daemon/HttpServer.h
@@ -3,6 +3,7 @@
 
 #include "camphorpin/src/Daemon/ConnectionScheduler.h"
 #include "camphorpin/src/Daemon/Settings.h"
+#include "camphorpin/src/Daemon/WakeSignal.h"
 
 #include <atomic>
 #include <cstddef>
@@ -38,14 +39,18 @@
   /// Serves on a thread of its own and one thread for each request.
   void start();
 
-  /// Finishes the requests that are being handled, then joins all threads.
+  /// Serves the requests that have arrived, also on connections that are not
+  /// accepted yet, then joins all threads.
   void stop();
 
   /// \returns the number of requests that are being handled.
   std::size_t handling() const { return Handling; }
 
 private:
-  bool process_and_close_socket(int Socket) override;
+  /// Accepts connections until the server stops.
+  void acceptAll();
+  /// Accepts the connections that are open now.
+  void acceptWaiting();
   bool serveOne(class HttpStream &Stream);
   void prepare(httplib::Request &Request);
   HandlerResponse handleWithoutBody(const httplib::Request &Request,
@@ -58,6 +63,9 @@
   const RequestHandler Handler;
   std::atomic<bool> Stopping{false};
   std::atomic<std::size_t> Handling{0};
+  int ListenSocket = -1;
+  /// Wakes the thread that accepts connections.
+  WakeSignal Wake;
   std::unique_ptr<ConnectionScheduler> Connections;
   std::thread Thread;
 };
--- a/packages/daemon/camphorpin/src/Daemon/Listener.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/Listener.cpp
@@ -21,7 +21,8 @@
 }
 
 int listenTcp(const HostAddress &Address) {
-  const int Socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int Socket =
+      ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
   if (Socket < 0)
     return -1;
   const int On = 1;
--- a/packages/daemon/camphorpin/src/Daemon/RpcThread.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/RpcThread.cpp
@@ -5,11 +5,8 @@
 #include "camphorpin/src/Daemon/RpcService.h"
 
 #include <algorithm>
-#include <cassert>
 #include <memory>
-#include <sys/eventfd.h>
 #include <sys/resource.h>
-#include <unistd.h>
 #include <unordered_map>
 #include <unordered_set>
 #include <utility>
@@ -101,9 +98,9 @@
 class RpcLoop {
 public:
   RpcLoop(RpcThread &Thread, BoundedQueue<RpcCommand> &Commands,
-          detail::RpcEnvironment &Environment, int WakeSocket)
+          detail::RpcEnvironment &Environment, const WakeSignal &Wake)
       : Thread(Thread), Commands(Commands), Environment(Environment),
-        Wake(Environment.Io.lowLevelProvider->wrapInputFd(WakeSocket)),
+        Wake(Environment.Io.lowLevelProvider->wrapInputFd(Wake.descriptor())),
         Listener(Environment.Io.lowLevelProvider->wrapListenSocketFd(
             Environment.Options.ListenSocket,
             kj::LowLevelAsyncIoProvider::TAKE_OWNERSHIP)),
@@ -268,15 +265,7 @@
 
 RpcThread::RpcThread(RpcOptions Options, EventQueue &Events, EventLog &Log)
     : Options(std::move(Options)), Events(Events), Log(Log),
-      Commands(this->Options.MaxCommands),
-      WakeSocket(::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {
-  assert(WakeSocket >= 0 && "an event counter can be made");
-}
-
-RpcThread::~RpcThread() {
-  stop();
-  ::close(WakeSocket);
-}
+      Commands(this->Options.MaxCommands) {}
 
 void RpcThread::start() {
   Thread = std::thread([this] { run(); });
@@ -286,29 +275,22 @@
   if (!Thread.joinable())
     return;
   Stopping = true;
-  wake();
+  Wake.give();
   Thread.join();
 }
 
 bool RpcThread::post(RpcCommand &&Command) {
   if (!Commands.push(std::move(Command)))
     return false;
-  wake();
+  Wake.give();
   return true;
 }
 
-void RpcThread::wake() const {
-  const std::uint64_t One = 1;
-  // The write only fails when the counter is full, and then the loop is awake.
-  [[maybe_unused]] const ssize_t Written =
-      ::write(WakeSocket, &One, sizeof(One));
-}
-
 void RpcThread::run() {
   kj::AsyncIoContext Io = kj::setupAsyncIo();
   Io.waitScope.setBusyPollInterval(EventsBetweenPolls);
   detail::RpcEnvironment Environment(Options, Events, Log, Io);
-  RpcLoop Loop(*this, Commands, Environment, WakeSocket);
+  RpcLoop Loop(*this, Commands, Environment, Wake);
   Environment.Tasks.add(Loop.acceptAll());
   Environment.Tasks.add(Loop.watchSilence());
   Loop.carryOut(Stopping).wait(Io.waitScope);
--- a/packages/daemon/camphorpin/src/Daemon/RpcThread.h
+++ b/packages/daemon/camphorpin/src/Daemon/RpcThread.h
@@ -4,6 +4,7 @@
 #include "camphorpin/src/Daemon/EventLog.h"
 #include "camphorpin/src/Daemon/EventQueue.h"
 #include "camphorpin/src/Daemon/RpcCommand.h"
+#include "camphorpin/src/Daemon/WakeSignal.h"
 
 #include <atomic>
 #include <cstddef>
@@ -35,7 +36,7 @@
 public:
   /// \param Events and \p Log must outlive the thread.
   RpcThread(RpcOptions Options, EventQueue &Events, EventLog &Log);
-  ~RpcThread();
+  ~RpcThread() { stop(); }
   RpcThread(const RpcThread &) = delete;
   RpcThread &operator=(const RpcThread &) = delete;
 
@@ -50,14 +51,12 @@
 
 private:
   void run();
-  void wake() const;
 
   const RpcOptions Options;
   EventQueue &Events;
   EventLog &Log;
   BoundedQueue<RpcCommand> Commands;
-  /// Event counter that wakes the event loop.
-  int WakeSocket = -1;
+  WakeSignal Wake;
   std::atomic<bool> Stopping{false};
   std::thread Thread;
 };
--- a/packages/daemon/tests/HttpServerTest.cpp
+++ b/packages/daemon/tests/HttpServerTest.cpp
@@ -5,8 +5,15 @@
 #include "FreeAddress.h"
 #include "RawConnection.h"
 
+#include <algorithm>
+#include <condition_variable>
 #include <criterion/criterion.h>
+#include <memory>
+#include <mutex>
+#include <span>
 #include <string>
+#include <thread>
+#include <vector>
 
 using namespace camphorpin;
 using camphorpin::test::freeAddress;
@@ -186,3 +193,83 @@
   cr_assert(Connection.readUntil("<POST /a/d >").find("<closed>") ==
             std::string::npos);
 }
+
+namespace {
+
+/// \class Gate
+/// \brief Holds handlers until it is opened.
+class Gate {
+public:
+  void open() {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Open = true;
+    Changed.notify_all();
+  }
+
+  void wait() {
+    std::unique_lock<std::mutex> Lock(Mutex);
+    Changed.wait(Lock, [this] { return Open; });
+  }
+
+private:
+  std::mutex Mutex;
+  std::condition_variable Changed;
+  bool Open = false;
+};
+
+/// Opens connections and sends a request on each.
+std::vector<std::unique_ptr<RawConnection>> sendRequests(const HostAddress &To,
+                                                         std::size_t Count) {
+  std::vector<std::unique_ptr<RawConnection>> Result;
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    Result.push_back(std::make_unique<RawConnection>(To));
+    cr_assert(Result.back()->send("GET /a/b HTTP/1.1\r\n\r\n"));
+  }
+  return Result;
+}
+
+/// \returns the number of connections that end with a whole answer.
+std::size_t answered(std::span<const std::unique_ptr<RawConnection>> Asked) {
+  return static_cast<std::size_t>(
+      std::count_if(Asked.begin(), Asked.end(),
+                    [](const std::unique_ptr<RawConnection> &Item) {
+                      return startsWith(Item->readToEnd(), "HTTP/1.1 200 OK");
+                    }));
+}
+
+} // namespace
+
+// Guards against requests that a stopping node drops without an answer while
+// they wait for a thread.
+Test(HttpServer, requestsThatWaitForAThreadAreAnsweredAtTheStop) {
+  constexpr std::size_t Requests = 40;
+  Gate Handlers;
+  const HttpLimits Limits = EchoServer::limits();
+  HttpServer Server(Limits, [&](const httplib::Request &, std::string &&,
+                                httplib::Response &) { Handlers.wait(); });
+  const HostAddress Address = freeAddress();
+  cr_assert(Server.bind(Address));
+  Server.start();
+  const auto Asked = sendRequests(Address, Requests);
+  while (Server.handling() < Limits.Threads)
+    std::this_thread::yield();
+  std::thread Stopping([&Server] { Server.stop(); });
+  // The requests wait while the server stops.
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  Handlers.open();
+  Stopping.join();
+  cr_assert_eq(answered(Asked), Requests);
+}
+
+// Guards against requests that a stopping node drops without an answer because
+// it has not accepted their connections.
+Test(HttpServer, requestsThatAreNotAcceptedAreAnsweredAtTheStop) {
+  constexpr int Rounds = 100;
+  constexpr std::size_t Requests = 5;
+  for (int Round = 0; Round < Rounds; ++Round) {
+    EchoServer Node;
+    const auto Asked = sendRequests(Node.Address, Requests);
+    Node.Server.stop();
+    cr_assert_eq(answered(Asked), Requests, "round %d", Round);
+  }
+}
