Say in ShutdownTest how a request that was not served ended

Change: the stand-in of a backend server prints why a nested call failed, and Oracle::interruptedRequests adds it and the answers of each send.

--- a/tests/process/Oracle.cpp
+++ b/tests/process/Oracle.cpp
@@ -53,12 +53,21 @@
   return Value.Operation + " key " + Value.Key + " id " + Value.Id;
 }
 
+std::string describeSends(const std::vector<Send> &Sends) {
+  std::string Text;
+  for (const Send &Value : Sends)
+    Text += ", sent at " + std::to_string(Value.SentAt) + " us, " +
+            Value.Outcome + Value.Detail;
+  return Text;
+}
+
 } // namespace
 
 Oracle::Oracle(Mesh &Source) {
   for (const Worker &Target : Source.workers()) {
     const std::vector<Run> Ledger = runsAfter(Source.ledgerPath(Target), 0);
     Runs.insert(Runs.end(), Ledger.begin(), Ledger.end());
+    Failures += readFile(Source.ledgerPath(Target) + ".out");
   }
   std::istringstream Lines(readFile(Source.sendsPath()));
   std::string Line;
@@ -67,6 +76,7 @@
     Send Value;
     Fields >> Value.SentAt >> Value.AnsweredAt >> Value.Operation >>
         Value.Key >> Value.Id >> Value.Attempt >> Value.Outcome;
+    std::getline(Fields, Value.Detail);
     Sends.push_back(Value);
   }
 }
@@ -131,11 +141,22 @@
         std::any_of(Found->second.begin(), Found->second.end(),
                     [](const Send &Sent) { return Sent.Outcome == "served"; });
     if (!Served)
-      Faults.push_back("ran without an answer: " + describeRun(Value));
+      Faults.push_back("ran without an answer: " + describeRun(Value) +
+                       describeSends(Found->second) + failureOf(Value.Id));
   }
   return Faults;
 }
 
+std::string Oracle::failureOf(const std::string &Id) const {
+  const std::string Start = "request " + Id + ":";
+  const std::size_t Found = Failures.find(Start);
+  if (Found == std::string::npos)
+    return {};
+  const std::size_t Begin = Found + Start.size();
+  return ", nested call" +
+         Failures.substr(Begin, Failures.find('\n', Begin) - Begin);
+}
+
 std::size_t Oracle::runsOf(std::string_view Operation) const {
   return static_cast<std::size_t>(
       std::count_if(Runs.begin(), Runs.end(), [&](const Run &Value) {
--- a/tests/process/Oracle.h
+++ b/tests/process/Oracle.h
@@ -29,6 +29,8 @@
   std::string Id;
   int Attempt = 1;
   std::string Outcome;
+  /// Status and reason of the answer.
+  std::string Detail;
 };
 
 /// \class Oracle
@@ -52,7 +54,8 @@
   std::vector<std::string> inventedAnswers() const;
 
   /// \returns a line for each request of a caller that a backend server began
-  /// and that no send was served for.
+  /// and that no send was served for, with its answers and, if a nested call
+  /// failed, the reason.
   std::vector<std::string> interruptedRequests() const;
 
   /// \returns the number of runs of \p Operation.
@@ -69,8 +72,13 @@
                                     std::int64_t Micros);
 
 private:
+  /// \returns why a nested call of request \p Id failed; empty if none did.
+  std::string failureOf(const std::string &Id) const;
+
   std::vector<Run> Runs;
   std::vector<Send> Sends;
+  /// What the backend servers printed of nested calls that failed.
+  std::string Failures;
 };
 
 /// \returns the first lines of \p Faults for a failure message.
--- a/tests/standins/Backend.cpp
+++ b/tests/standins/Backend.cpp
@@ -1,6 +1,7 @@
 #include "Backend.h"
 
 #include <charconv>
+#include <cstdio>
 #include <nlohmann/json.hpp>
 #include <unistd.h>
 
@@ -23,6 +24,13 @@
   Reply.set_header("Camphorpin-Shed", "not-run");
 }
 
+/// Prints why a nested call of request \p Id failed.
+void printFailure(const std::string &Id, const NestedOutcome &Failed) {
+  std::printf("request %s: %s %d %s %s\n", Id.c_str(), Failed.Target.c_str(),
+              Failed.Status, Failed.Verdict.c_str(), Failed.Reason.c_str());
+  std::fflush(stdout);
+}
+
 std::string operationOf(const std::string &Path) {
   return Path.substr(Path.rfind('/') + 1);
 }
@@ -92,6 +100,8 @@
   if (Whole)
     Result.Nested =
         Nested.run(Operation, Request.Context, Asker.Id, deadlineOf(Asked));
+  if (!allServed(Result.Nested))
+    printFailure(Asker.Id, Result.Nested.back());
   Reply.status = Whole && allServed(Result.Nested) ? 200 : 502;
   Result.ServiceMs = static_cast<double>(monotonicMicros() - Start) / 1000;
   Reply.set_content(encode(Result, Asker.AnswerBytes),
--- a/tests/standins/NestedCalls.cpp
+++ b/tests/standins/NestedCalls.cpp
@@ -62,13 +62,14 @@
       Connection.Post("/" + Target, {{"Camphorpin-Context", Context}},
                       encode(Question{Id, 0, false}), "application/json");
   if (!Reply)
-    return {Target, 0, "no-answer"};
+    return {Target, 0, "no-answer", httplib::to_string(Reply.error())};
   if (Reply->status == 200) {
     const std::optional<Answer> Received = decodeAnswer(Reply->body);
     if (!Received || Received->Id != Id)
-      return {Target, Reply->status, "wrong-answer"};
+      return {Target, Reply->status, "wrong-answer", {}};
   }
-  return {Target, Reply->status, Reply->get_header_value("Camphorpin-Verdict")};
+  return {Target, Reply->status, Reply->get_header_value("Camphorpin-Verdict"),
+          Reply->get_header_value("Camphorpin-Reason")};
 }
 
 bool allServed(const std::vector<NestedOutcome> &Outcomes) {
--- a/tests/standins/Protocol.h
+++ b/tests/standins/Protocol.h
@@ -36,6 +36,8 @@
   std::string Target;
   int Status = 0;
   std::string Verdict;
+  /// Why the node refused the call, or why its answer was not taken.
+  std::string Reason;
 };
 
 /// \class Answer
