Let the store refuse a write that is done after a newer one

Callers would see: requests sent to a node or a backend server that has left, because its older record is the newest in the store. Cause: a write that got no answer may be done seconds later (PROTOCOL.md). StoreWriter had written a newer record by then, or another process of the node had, and the older one became the newest again. The store refuses earlier epochs and does each once. A later era begins another epoch. If the wall clock was set back, epochs are raised until the store takes one.

--- a/packages/gateway/camphorpin/src/Gateway/DepartureStore.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/DepartureStore.cpp
@@ -15,12 +15,12 @@
 
 } // namespace
 
-DepartureStore::DepartureStore(EventLoop &Loop, Random &RandomSource,
-                               const HostAddress &Address,
+DepartureStore::DepartureStore(EventLoop &Loop, const Clock &Time,
+                               Random &RandomSource, const HostAddress &Address,
                                const PlatformProtocol &Protocol,
                                std::string Node)
     : Protocol(Protocol), Node(std::move(Node)), Pool(Loop, Address),
-      Writer(Loop, RandomSource, Address, Protocol, StoreFeed::Departures,
+      Writer(Loop, Time, RandomSource, Address, Protocol, StoreFeed::Departures,
              /*OnEra=*/{}),
       Timer(Loop), WaitTimer(Loop) {}
 
--- a/packages/gateway/camphorpin/src/Gateway/DepartureStore.h
+++ b/packages/gateway/camphorpin/src/Gateway/DepartureStore.h
@@ -23,7 +23,7 @@
   using LoadCallback = std::function<void(std::vector<BackendDeparture>)>;
 
   /// \param Node the name of this node.
-  DepartureStore(EventLoop &Loop, Random &RandomSource,
+  DepartureStore(EventLoop &Loop, const Clock &Time, Random &RandomSource,
                  const HostAddress &Address, const PlatformProtocol &Protocol,
                  std::string Node);
 
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
@@ -136,10 +136,10 @@
                           Protocol, StoreFeed::Configuration, *this),
       MemberReader(Loop, Time, RandomSource, Settings.StoreAddress, Protocol,
                    StoreFeed::Members, *this),
-      MemberWriter(Loop, RandomSource, Settings.StoreAddress, Protocol,
+      MemberWriter(Loop, Time, RandomSource, Settings.StoreAddress, Protocol,
                    StoreFeed::Members,
                    [this](std::uint64_t Answered) { onStoreEra(Answered); }),
-      Departures(Loop, RandomSource, Settings.StoreAddress, Protocol,
+      Departures(Loop, Time, RandomSource, Settings.StoreAddress, Protocol,
                  Settings.Node),
       Signals(Loop, SIGTERM, SIGINT, SIGHUP), TickTimer(Loop) {
   limitClients();
--- a/packages/gateway/camphorpin/src/Gateway/PlatformProtocol.h
+++ b/packages/gateway/camphorpin/src/Gateway/PlatformProtocol.h
@@ -128,8 +128,12 @@
 
   /// \returns the request that appends a record; an empty value deletes its
   /// key.
-  virtual std::string appendRequest(StoreFeed Feed,
-                                    const StoreRecord &Record) const = 0;
+  /// \param Epoch of the record among those of its key. The store does each
+  /// epoch once, and none after a later one.
+  virtual std::string appendRequest(StoreFeed Feed, const StoreRecord &Record,
+                                    std::uint64_t Epoch) const = 0;
+  /// \returns true if the store refuses the epoch of an append.
+  virtual bool isFenced(const HttpResponse &Response) const = 0;
 
   /// \returns the configuration in \p Record, or nothing if the record isn't
   /// a configuration. An unreadable one has version 0 and a problem.
--- a/packages/gateway/camphorpin/src/Gateway/StoreWriter.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/StoreWriter.cpp
@@ -10,20 +10,27 @@
 constexpr Duration ResponseTimeout = Duration::millis(1500);
 constexpr Duration MinBackoff = Duration::millis(200);
 constexpr Duration MaxBackoff = Duration::seconds(2);
+/// Milliseconds by which an epoch is raised first if the store has seen a later
+/// one, because the wall clock was set back. Each further step is larger by
+/// FencedBits binary digits.
+constexpr std::uint64_t FencedStep = 1000;
+constexpr unsigned FencedBits = 3;
+constexpr unsigned MaxFencedSteps = 10;
 
 } // namespace
 
-StoreWriter::StoreWriter(EventLoop &Loop, Random &RandomSource,
-                         const HostAddress &Address,
+StoreWriter::StoreWriter(EventLoop &Loop, const Clock &Time,
+                         Random &RandomSource, const HostAddress &Address,
                          const PlatformProtocol &Protocol, StoreFeed Feed,
                          EraCallback OnEra)
-    : Loop(Loop), RandomSource(RandomSource), Protocol(Protocol), Feed(Feed),
-      Pool(Loop, Address), Timer(Loop), OnEra(std::move(OnEra)) {}
+    : Loop(Loop), Time(Time), RandomSource(RandomSource), Protocol(Protocol),
+      Feed(Feed), Pool(Loop, Address), Timer(Loop), OnEra(std::move(OnEra)) {}
 
 void StoreWriter::write(StoreRecord Value) {
   Record = std::move(Value);
   ++RecordVersion;
   Pending = true;
+  beginEpoch();
   if (!Busy)
     send();
 }
@@ -46,15 +53,23 @@
   if (!Record || Pending)
     return;
   Pending = true;
+  // The store may take another write of the same epoch for a repeated one.
+  beginEpoch();
   if (!Busy)
     send();
 }
 
+void StoreWriter::beginEpoch() {
+  const std::int64_t Now = Time.wallNow().wholeMillis();
+  Epoch = std::max(Epoch + 1,
+                   static_cast<std::uint64_t>(std::max<std::int64_t>(0, Now)));
+}
+
 void StoreWriter::send() {
   Busy = true;
   Connection = Pool.acquire();
   ExchangeRequest Call;
-  Call.Bytes = Protocol.appendRequest(Feed, *Record);
+  Call.Bytes = Protocol.appendRequest(Feed, *Record, Epoch);
   const std::uint64_t SentVersion = RecordVersion;
   Connection->exchange(std::move(Call),
                        [this, SentVersion](const ExchangeResult &Result) {
@@ -76,6 +91,8 @@
     Pool.release(Connection);
     if (Result.Response.result_int() == 200 && SentVersion == RecordVersion)
       onAcknowledged(Result.Response);
+    else if (Protocol.isFenced(Result.Response))
+      Epoch += FencedStep << (FencedBits * std::min(Failures, MaxFencedSteps));
   }
   if (Pending) {
     retryLater();
@@ -89,6 +106,8 @@
   AcknowledgedEra = Protocol.storeEra(Response).value_or(0);
   // An acknowledgement from before the latest era says nothing about it.
   Pending = AcknowledgedEra != 0 && AcknowledgedEra < LatestEra;
+  if (Pending)
+    beginEpoch();
   if (OnEra)
     OnEra(AcknowledgedEra);
 }
--- a/packages/gateway/camphorpin/src/Gateway/StoreWriter.h
+++ b/packages/gateway/camphorpin/src/Gateway/StoreWriter.h
@@ -17,16 +17,18 @@
 /// A write is retried until the store has acknowledged it; a newer record
 /// replaces one that is not yet acknowledged. A store that has been restored
 /// from a copy may have lost a record that it had acknowledged, so the record
-/// is written again in each later era.
+/// is written again in each later era. A write that got no answer may be done
+/// seconds later; each record has a later epoch than those before it, also than
+/// those of earlier processes of the node, so that the store then refuses it.
 class StoreWriter {
 public:
   /// Receives the era of each acknowledgement that tells it.
   using EraCallback = std::function<void(std::uint64_t Era)>;
 
   /// \param OnEra may be empty.
-  StoreWriter(EventLoop &Loop, Random &RandomSource, const HostAddress &Address,
-              const PlatformProtocol &Protocol, StoreFeed Feed,
-              EraCallback OnEra);
+  StoreWriter(EventLoop &Loop, const Clock &Time, Random &RandomSource,
+              const HostAddress &Address, const PlatformProtocol &Protocol,
+              StoreFeed Feed, EraCallback OnEra);
 
   /// Replaces a record that is not yet acknowledged.
   void write(StoreRecord Value);
@@ -45,6 +47,8 @@
   bool idle() const { return !Pending && !Busy; }
 
 private:
+  /// Begins a new epoch.
+  void beginEpoch();
   void send();
   void onResult(const ExchangeResult &Result, std::uint64_t SentVersion);
   /// The store has acknowledged the record.
@@ -52,6 +56,7 @@
   void retryLater();
 
   EventLoop &Loop;
+  const Clock &Time;
   Random &RandomSource;
   const PlatformProtocol &Protocol;
   StoreFeed Feed;
@@ -63,6 +68,7 @@
   std::optional<StoreRecord> Record;
   /// Number of records passed to write(); identifies the latest one.
   std::uint64_t RecordVersion = 0;
+  std::uint64_t Epoch = 0;
   /// The record is not acknowledged in the latest known era of the store.
   bool Pending = false;
   /// Era in which the store has acknowledged the record.
--- a/packages/gateway/tests/GatewayFixture.h
+++ b/packages/gateway/tests/GatewayFixture.h
@@ -37,9 +37,11 @@
   std::optional<std::uint64_t> storeEra(const HttpResponse &) const override {
     return std::nullopt;
   }
-  std::string appendRequest(StoreFeed, const StoreRecord &) const override {
+  std::string appendRequest(StoreFeed, const StoreRecord &,
+                            std::uint64_t) const override {
     return {};
   }
+  bool isFenced(const HttpResponse &) const override { return false; }
   std::optional<FleetConfiguration>
   configuration(const StoreRecord &) const override {
     return std::nullopt;
@@ -65,8 +67,8 @@
 /// A protocol whose store takes a record as the body of a POST.
 class AppendProtocol : public PlainProtocol {
 public:
-  std::string appendRequest(StoreFeed,
-                            const StoreRecord &Record) const override {
+  std::string appendRequest(StoreFeed, const StoreRecord &Record,
+                            std::uint64_t) const override {
     return "POST /append HTTP/1.1\r\nHost: h\r\nContent-Length: " +
            std::to_string(Record.Value.size()) + "\r\n\r\n" + Record.Value;
   }
--- a/packages/gateway/tests/StoreAnswerTest.cpp
+++ b/packages/gateway/tests/StoreAnswerTest.cpp
@@ -29,10 +29,12 @@
     return ScriptedAnswer{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"};
   });
   EventLoop Loop;
+  const SystemClock Time;
   SeededRandom RandomSource(1);
   const AppendProtocol Protocol;
-  StoreWriter Writer(Loop, RandomSource, *HostAddress::parse(Store.address()),
-                     Protocol, StoreFeed::Departures, {});
+  StoreWriter Writer(Loop, Time, RandomSource,
+                     *HostAddress::parse(Store.address()), Protocol,
+                     StoreFeed::Departures, {});
   Writer.write({"node", std::string(RecordBytes, 'r')});
   runUntil(Loop, Duration::seconds(5), [&] { return Writer.idle(); });
   cr_expect(Writer.idle());
--- a/packages/gateway/tests/StoreEraTest.cpp
+++ b/packages/gateway/tests/StoreEraTest.cpp
@@ -40,11 +40,13 @@
                           "\r\nContent-Length: 0\r\n\r\n"};
   }};
   EventLoop Loop;
+  SystemClock Time;
   SeededRandom RandomSource{1};
   EraProtocol Protocol;
   std::uint64_t AnsweredEra = 0;
   StoreWriter Writer{
       Loop,
+      Time,
       RandomSource,
       *HostAddress::parse(Store.address()),
       Protocol,
