Keep a leaving home until the payments that it accepted are answered

Callers saw: a payment that ran and was answered 'may have run', or a failure, beside a planned stop. Cause: a home that leaves accepts payments until another home takes over. It entered 'leaving' when nothing was in progress, and 'ended' when the claims had been handed over, without a look at what it had accepted in between: it announced its end with runs in progress.

--- a/packages/decision/camphorpin/src/Engine/NodeEngineImpl.cpp
+++ b/packages/decision/camphorpin/src/Engine/NodeEngineImpl.cpp
@@ -355,7 +355,8 @@
   if (!Lifecycle.isLeaving())
     return;
   const bool TimedOut = Now - *WorkFinishedAt >= HandOverTimeout;
-  if ((Server.mayExit() || TimedOut) &&
+  // Calls were accepted until another home had taken over.
+  if ((Server.mayExit() || TimedOut) && inProgress() == 0 &&
       handleLifecycleEvent(LifecycleEvent::HandedOver))
     announceExit();
 }
--- a/packages/decision/tests/EngineTest.cpp
+++ b/packages/decision/tests/EngineTest.cpp
@@ -2,6 +2,7 @@
 // or repeated completions, correct verdicts, and a drain that aborts no
 // accepted work.
 #include "EngineFixture.h"
+#include "camphorpin/src/Engine/HomeSetRecord.h"
 
 #include <algorithm>
 #include <criterion/criterion.h>
@@ -97,6 +98,83 @@
   cr_assert(Node.Engine.hasEnded());
 }
 
+namespace {
+
+/// \class HomeNode
+/// \brief A node that is the only home of its service, and the log from which
+/// it reads the home set.
+class HomeNode : public EngineFixture {
+public:
+  HomeNode() : EngineFixture(options()) {
+    setHomes(options().Self);
+    advanceReading(Duration::millis(3000));
+  }
+
+  /// Makes \p Home the only home.
+  void setHomes(const ProcessId &Home) {
+    const HomeCandidate Candidate{Home, ZoneName("z1")};
+    Homes = Homes.next({&Candidate, 1});
+    Log.push_back({Log.size(), detail::formatHomeSetChange(
+                                   ServiceName("orders"), Home, Homes)});
+  }
+
+  /// Advances the clock and answers the node's reads of the log.
+  void advanceReading(Duration Span) {
+    const Instant End = Time.now() + Span;
+    while (Time.now() < End) {
+      advance(Duration::millis(10));
+      for (const std::uint64_t From : std::exchange(Out.LogReads, {}))
+        Engine.onLogPage({0, Log.size(), {Log.begin() + From, Log.end()}});
+    }
+  }
+
+  RequestContext paymentContext() {
+    RequestContext Context = idempotentContext();
+    Context.Operation = OperationName("pay");
+    Context.Rank = Rank(0);
+    Context.Idempotent = false;
+    Context.FirstSend = true;
+    Context.HomeEpoch = Homes.epoch();
+    Context.Remaining = Duration::seconds(5);
+    return Context;
+  }
+
+private:
+  static EngineOptions options() {
+    EngineOptions Options = defaultOptions();
+    Options.HasLog = true;
+    return Options;
+  }
+
+  HomeSet Homes;
+  std::vector<RawRecord> Log;
+};
+
+} // namespace
+
+// Guards payments that a leaving home accepts until another home takes over:
+// the node must not end before they are answered.
+Test(Engine, leavingHomeCompletesTheRunsThatItAccepts) {
+  HomeNode Node;
+  cr_assert_eq(Node.Engine.state(), "serving");
+  Node.Engine.onDrain();
+  Node.advanceReading(Duration::millis(1100));
+  cr_assert_eq(Node.Engine.state(), "leaving");
+  const RequestId Payment = Node.deliverCall(Node.paymentContext());
+  cr_assert_eq(Node.Out.StartedRuns.size(), 1);
+  const ProcessId Other = Node.addMember("orders", 7001);
+  Node.setHomes(Other);
+  Node.advanceReading(Duration::millis(1500));
+  Node.Engine.onClaimMessage(EngineFixture::defaultOptions().Self,
+                             HandOverDone{Other, 2});
+  Node.advanceReading(Duration::millis(50));
+  cr_assert_not(Node.Engine.hasEnded());
+  Node.Engine.onRunDone(Payment, RanResult);
+  cr_assert(Node.Out.singleAnswer(Payment)->Verdict == Verdict::Ran);
+  Node.advanceReading(Duration::millis(50));
+  cr_assert(Node.Engine.hasEnded());
+}
+
 // Guards the verdicts during a drain: a draining node cannot answer a resend as
 // not-run, so it forwards the resend instead of answering may-have-run.
 Test(Engine, drainingNodeForwardsResends) {
