--- a/packages/gateway/tests/HttpSessionTest.cpp
+++ b/packages/gateway/tests/HttpSessionTest.cpp
@@ -238,9 +238,8 @@
   const auto IsLast = [](const RawClient &Caller) {
     return Caller.Received.find("Connection: close") != std::string::npos;
   };
-  runUntil(Fixture.Loop, Duration::seconds(2), [&] {
-    return IsLast(Open) && IsLast(NotAccepted) && Idle.Ended;
-  });
+  runUntil(Fixture.Loop, Duration::seconds(2),
+           [&] { return IsLast(Open) && IsLast(NotAccepted) && Idle.Ended; });
   cr_assert(IsLast(Open) && IsLast(NotAccepted) && Idle.Ended);
   cr_assert(Fixture.Server.closeIdle());
 }
