--- a/tests/process/HostedStopTest.cpp
+++ b/tests/process/HostedStopTest.cpp
@@ -122,8 +122,8 @@
     if (Status == 200 && Result.Response.body().size() == AnswerBytes)
       ++Whole;
     else if (Status != 503)
-      Failed.push_back(std::to_string(Status) + " " +
-                       std::string(Result.Response.body().substr(0, 80)));
+      Failed.push_back(Request.Id + " " + std::to_string(Status) + " " +
+                       Result.Response.body().substr(0, 80));
   }
 
   /// Stops \p Node as the platform does.
--- a/tests/process/TemporaryDirectory.h
+++ b/tests/process/TemporaryDirectory.h
@@ -9,7 +9,8 @@
 namespace camphorpin::process {
 
 /// \class TemporaryDirectory
-/// \brief A new directory that is removed with this object.
+/// \brief A new directory that is removed with this object, unless the
+/// environment has CAMPHORPIN_KEEP_FILES.
 struct TemporaryDirectory {
   TemporaryDirectory() {
     std::string Name =
@@ -20,7 +21,8 @@
   }
   ~TemporaryDirectory() {
     std::error_code Ignored;
-    std::filesystem::remove_all(Path, Ignored);
+    if (std::getenv("CAMPHORPIN_KEEP_FILES") == nullptr)
+      std::filesystem::remove_all(Path, Ignored);
   }
   TemporaryDirectory(const TemporaryDirectory &) = delete;
   TemporaryDirectory &operator=(const TemporaryDirectory &) = delete;
