--- a/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
@@ -58,15 +58,15 @@
       {"camphorpin_configuration_version", "Version in force.",
        Number(Configuration.Version)},
       {"camphorpin_store_reachable", "1 if both feeds could be read last.",
-       ConfigurationReader.reachable() && MemberReader.reachable() ? 1.0 : 0.0},
+       Store.reachable() ? 1.0 : 0.0},
       {"camphorpin_store_era",
        "Latest era of the store that has answered this node.",
-       Number(Era.latest())},
+       Number(Store.era())},
       {"camphorpin_store_read", "1 if this node reads the store itself.",
        Disseminator.shouldReadStore() ? 1.0 : 0.0},
       {"camphorpin_store_answer_age_ms",
        "Time since the store has last answered a read of the configuration.",
-       ConfigurationReader.answerAge().toMillis()},
+       Store.answerAge().toMillis()},
       {"camphorpin_current",
        "1 if the store, or a node that this one follows, answers.",
        Disseminator.current() ? 1.0 : 0.0},
@@ -123,7 +123,7 @@
           Loop, RandomSource, Network, Peers, [this] { return digest(); },
           [this] {
             Disseminator.onTimer();
-            updateStoreReaders();
+            Store.update();
           }),
       Disseminator(Time, RandomSource, DisseminatorContext, Settings.Node,
                    Settings.Zone),
@@ -132,15 +132,8 @@
       MetricsPage(RequestMetrics, [this] { return gauges(); }),
       CallServer(Loop, Outbound), ReadyServer(Loop, ReadyPage),
       ReportServer(Loop, Reports), MetricsServer(Loop, MetricsPage),
-      ConfigurationReader(Loop, Time, RandomSource, Settings.StoreAddress,
-                          Protocol, StoreFeed::Configuration, *this),
-      MemberReader(Loop, Time, RandomSource, Settings.StoreAddress, Protocol,
-                   StoreFeed::Members, *this),
-      MemberWriter(Loop, Time, RandomSource, Settings.StoreAddress, Protocol,
-                   StoreFeed::Members,
-                   [this](std::uint64_t Answered) { onStoreEra(Answered); }),
-      Departures(Loop, Time, RandomSource, Settings.StoreAddress, Protocol,
-                 Settings.Node),
+      Store(Loop, Time, RandomSource, Settings, Protocol, Log, Disseminator,
+            *this),
       Signals(Loop, SIGTERM, SIGINT, SIGHUP), TickTimer(Loop) {
   limitClients();
 }
@@ -189,12 +182,11 @@
   });
   if (!Settings.FirstStart) {
     Proxy.awaitDepartures();
-    Departures.load([this](const std::vector<BackendDeparture> &Earlier) {
+    Store.loadDepartures([this](const std::vector<BackendDeparture> &Earlier) {
       Proxy.restoreDepartures(Earlier);
     });
   }
-  ConfigurationReader.start();
-  MemberReader.start();
+  Store.start();
   publish(/*Departed=*/false);
   Proxy.probe();
   armTick();
@@ -224,11 +216,11 @@
   Record.Incarnation = RecordIncarnation;
   Record.Departed = Departed;
   Network.add(Record);
-  MemberWriter.write({Settings.Node, Record.toJson()});
+  Store.writeOwnRecord(Record.toJson());
 }
 
 void Gateway::announceDepartures(std::span<const BackendDeparture> Items) {
-  Departures.save(Items);
+  Store.saveDepartures(Items);
   const DepartureNotice Notice{Settings.Node, {Items.begin(), Items.end()}};
   Peers.broadcast(Notice);
   Network.broadcast(Notice);
@@ -264,11 +256,11 @@
 }
 
 PeerDigest Gateway::digest() const {
-  return {Configuration.Version, Network.directory().digest(), Era.latest()};
+  return {Configuration.Version, Network.directory().digest(), Store.era()};
 }
 
 void Gateway::onDigest(const std::string &Node, const PeerDigest &Received) {
-  checkAnnouncedEra(Received);
+  Store.checkAnnouncedEra(Received);
   Disseminator.onNotice(Node, Received);
 }
 
@@ -311,13 +303,13 @@
 
 PeerPollAnswer Gateway::onPoll(const std::string &Node,
                                const PeerDigest &Received) {
-  checkAnnouncedEra(Received);
+  Store.checkAnnouncedEra(Received);
   return Disseminator.onPoll(Node, Received);
 }
 
 void Gateway::onPollAnswer(const std::string &Node,
                            const PeerPollAnswer &Answer) {
-  checkAnnouncedEra(Answer.Digest);
+  Store.checkAnnouncedEra(Answer.Digest);
   Disseminator.onPollAnswer(Node, Answer);
 }
 
@@ -364,61 +356,6 @@
     Disseminator.onInitialMembers();
 }
 
-void Gateway::onReachable(StoreFeed Feed, bool Reachable) {
-  Log.write(Reachable ? LogEvent::StoreReachable : LogEvent::StoreUnreachable,
-            {{"feed", detail::nameOf(Feed)}});
-  // The open read of the other feed may have stalled at the same time.
-  if (Feed == StoreFeed::Configuration && Reachable)
-    MemberReader.restartRead();
-  updateStoreReaders();
-}
-
-void Gateway::onReadFailed(StoreFeed Feed, const StoreReadFailure &Failure) {
-  Log.write(LogEvent::StoreReadFailed,
-            {{"feed", detail::nameOf(Feed)},
-             {"reason", detail::nameOf(Failure.Reason)},
-             {"elapsedMs", std::to_string(Failure.Elapsed.wholeMillis())},
-             {"failures", std::to_string(Failure.Failures)},
-             {"retryMs", std::to_string(Failure.RetryDelay.wholeMillis())}});
-}
-
-void Gateway::onEraChanged(StoreFeed Feed, const StoreEraChange &Change) {
-  if (Change.Before)
-    Log.write(LogEvent::StoreEraChanged,
-              {{"feed", detail::nameOf(Feed)},
-               {"era", std::to_string(Change.Now)},
-               {"before", std::to_string(*Change.Before)},
-               {"position", std::to_string(Change.Position)}});
-  onStoreEra(Change.Now);
-}
-
-void Gateway::onStoreEra(std::uint64_t Answered) {
-  if (!Era.onAnswer(Answered))
-    return;
-  // An open read may have stalled.
-  ConfigurationReader.onStoreEra(Answered);
-  MemberReader.onStoreEra(Answered);
-  MemberWriter.onStoreEra(Answered);
-  Departures.onStoreEra(Answered);
-  // Nodes that don't read the store have to write their records again, too.
-  Disseminator.onStateChanged();
-}
-
-void Gateway::checkAnnouncedEra(const PeerDigest &Received) {
-  // The acknowledgement of a write tells the era.
-  if (MemberWriter.idle() && Era.onAnnouncement(Received.StoreEra, Time.now()))
-    MemberWriter.writeAgain();
-}
-
-void Gateway::updateStoreReaders() {
-  if (Disseminator.shouldReadStore()) {
-    ConfigurationReader.resume();
-    MemberReader.resume();
-  }
-  Disseminator.onStoreReachability(ConfigurationReader.isReading() &&
-                                   MemberReader.isReading());
-}
-
 void Gateway::applyConfiguration(FleetConfiguration Next,
                                  std::string_view Peer) {
   const bool Newer = Next.Version > Configuration.Version;
@@ -465,7 +402,7 @@
   Peers.tick();
   Network.tick();
   DeparturesOfPeers.expire(Time.now());
-  updateStoreReaders();
+  Store.update();
   Disseminator.tick();
   if (Time.now() - LastReload >= ReloadInterval)
     reload(/*Requested=*/false);
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.h
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.h
@@ -1,7 +1,6 @@
 #ifndef CAMPHORPIN_SRC_GATEWAY_GATEWAY_H
 #define CAMPHORPIN_SRC_GATEWAY_GATEWAY_H
 
-#include "camphorpin/src/Gateway/DepartureStore.h"
 #include "camphorpin/src/Gateway/MetricsHandler.h"
 #include "camphorpin/src/Gateway/NetworkDisseminatorContext.h"
 #include "camphorpin/src/Gateway/OutboundHandler.h"
@@ -9,9 +8,7 @@
 #include "camphorpin/src/Gateway/ReadyHandler.h"
 #include "camphorpin/src/Gateway/ReportHandler.h"
 #include "camphorpin/src/Gateway/SettingsReload.h"
-#include "camphorpin/src/Gateway/StoreEra.h"
-#include "camphorpin/src/Gateway/StoreReader.h"
-#include "camphorpin/src/Gateway/StoreWriter.h"
+#include "camphorpin/src/Gateway/StoreAccess.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <string>
@@ -22,7 +19,7 @@
 /// \brief A node on a hosted platform. All work runs on one event loop.
 class Gateway final : private PeerClientListener,
                       private PeerServerListener,
-                      private StoreReaderListener {
+                      private StoreRecordListener {
 public:
   /// \param ReloadSource source from which the settings are reloaded; may be
   /// null.
@@ -57,27 +54,14 @@
   PeerUpdate makeUpdate(const PeerUpdateRequest &Request) override;
   void onRecords(StoreFeed Feed,
                  const std::vector<StoreRecord> &Records) override;
-  void onReachable(StoreFeed Feed, bool Reachable) override;
-  void onReadFailed(StoreFeed Feed, const StoreReadFailure &Failure) override;
-  void onEraChanged(StoreFeed Feed, const StoreEraChange &Change) override;
-  ReaderRole readerRole() override { return Disseminator.readerRole(); }
-  bool shouldRead() override { return Disseminator.shouldReadStore(); }
 
   /// Bounds what the clients of each address can make the node hold.
   void limitClients();
   void addNode(const NodeRecord &Record);
-  /// An answer of the store comes from era \p Era.
-  void onStoreEra(std::uint64_t Era);
-  /// Asks the store for its era if \p Received announces a later one than
-  /// known.
-  void checkAnnouncedEra(const PeerDigest &Received);
   /// Replaces \p Other, a record under the name of this node, if it supersedes
   /// the node's own: it comes from an earlier process, which started before the
   /// wall clock was set back, or from another writer.
   void renewRecord(const NodeRecord &Other);
-  /// Resumes reading the store if this node is a reader, and tells the exchange
-  /// whether the store is reachable.
-  void updateStoreReaders();
   /// \param Peer the node that sent the configuration; empty if it has been
   /// read from the store.
   void applyConfiguration(FleetConfiguration Next, std::string_view Peer);
@@ -125,11 +109,7 @@
   AsyncHttpServer ReadyServer;
   AsyncHttpServer ReportServer;
   AsyncHttpServer MetricsServer;
-  StoreEra Era;
-  StoreReader ConfigurationReader;
-  StoreReader MemberReader;
-  StoreWriter MemberWriter;
-  DepartureStore Departures;
+  StoreAccess Store;
   PeerDepartures DeparturesOfPeers;
   FleetConfiguration Configuration;
   boost::asio::signal_set Signals;
