--- a/packages/daemon/camphorpin/src/Daemon/HttpServer.cpp
+++ b/packages/daemon/camphorpin/src/Daemon/HttpServer.cpp
@@ -180,7 +180,7 @@
     ::poll(Waiting.data(), Waiting.size(), /*timeout=*/-1);
     acceptWaiting();
   }
-  // Their callers were not refused.
+  // What has connected before the stop is not dropped.
   acceptWaiting();
   ::close(std::exchange(ListenSocket, -1));
 }
--- a/packages/gateway/camphorpin/src/Gateway/StoreWriter.h
+++ b/packages/gateway/camphorpin/src/Gateway/StoreWriter.h
@@ -68,6 +68,7 @@
   std::optional<StoreRecord> Record;
   /// Number of records passed to write(); identifies the latest one.
   std::uint64_t RecordVersion = 0;
+  /// Epoch of the latest record, see PlatformProtocol::appendRequest().
   std::uint64_t Epoch = 0;
   /// The record is not acknowledged in the latest known era of the store.
   bool Pending = false;
