Pass crash reports on to all nodes

Cause: the node beside a crashed server told only the nodes that were connected to it at that moment, and these did not pass the report on. Nodes of one service need no connection to each other, so one knew of the first crash, another of the second, and neither refused. A node that connected later was told only of requests that were refused already, so the first crash was forgotten by each node that restarted.

Change: each node passes a report that is new to it on once, along the connections on which configurations are announced, and a node that connects is told all that is known, the refused requests first, up to 256 reports.

Why it works: those connections link all nodes of the fleet, so both halves meet everywhere (UpdateDisseminatorTest: 2 to 300 nodes, within 0.5 s, at most 4 frames a node and 30 more).

--- a/packages/decision/camphorpin/src/Crash/CrashGuard.cpp
+++ b/packages/decision/camphorpin/src/Crash/CrashGuard.cpp
@@ -120,12 +120,26 @@
   return Result;
 }
 
-std::vector<CrashReport> CrashGuard::refusals(Instant Now) const {
+std::vector<CrashReport> CrashGuard::knownReports(std::size_t Limit,
+                                                  Instant Now) const {
+  using Entry = std::pair<const std::uint64_t, Suspect>;
+  std::vector<const Entry *> Order;
+  for (const Entry &Item : Suspects)
+    if (crashCount(Item.first, Now) > 0)
+      Order.push_back(&Item);
+  std::sort(Order.begin(), Order.end(), [](const Entry *A, const Entry *B) {
+    if (A->second.CrashIds.size() != B->second.CrashIds.size())
+      return A->second.CrashIds.size() > B->second.CrashIds.size();
+    return A->second.LastCrash > B->second.LastCrash;
+  });
   std::vector<CrashReport> Result;
-  for (const auto &[Fingerprint, Record] : Suspects)
-    if (mustRefuse(Fingerprint, Now))
-      for (const std::uint64_t CrashId : Record.CrashIds)
-        Result.push_back({Fingerprint, CrashId, Now - Record.LastCrash});
+  for (const Entry *Item : Order) {
+    const Suspect &Record = Item->second;
+    if (Result.size() + Record.CrashIds.size() > Limit)
+      break;
+    for (const std::uint64_t CrashId : Record.CrashIds)
+      Result.push_back({Item->first, CrashId, Now - Record.LastCrash});
+  }
   return Result;
 }
 
--- a/packages/decision/camphorpin/src/Crash/CrashGuard.h
+++ b/packages/decision/camphorpin/src/Crash/CrashGuard.h
@@ -84,8 +84,9 @@
   /// \returns up to \p Limit reports to forward, least often forwarded first.
   std::vector<CrashReport> takeReports(std::size_t Limit, Instant Now);
 
-  /// \returns the crashes of all requests that must be refused.
-  std::vector<CrashReport> refusals(Instant Now) const;
+  /// \returns up to \p Limit reports for a node that may have received none:
+  /// first those of requests that must be refused, then the latest ones.
+  std::vector<CrashReport> knownReports(std::size_t Limit, Instant Now) const;
 
   void tick(Instant Now);
 
--- a/packages/decision/tests/CrashTest.cpp
+++ b/packages/decision/tests/CrashTest.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::uint64_t CrashingRequest = 666;
 constexpr std::size_t Nodes = 40;
+constexpr std::size_t MaxReports = 100;
 
 /// \class Fleet
 /// \brief Nodes with one backend server each, gossip, and a caller that sends a
@@ -184,20 +185,36 @@
 }
 
 // Guards against nodes that start after the crashes and let the request run.
-Test(Crash, refusalsReachLaterNodesAndKeepTheirAge) {
+Test(Crash, knownReportsReachLaterNodesAndKeepTheirAge) {
   CrashGuard First(ProcessId{HostAddress{1, 1}, 1}, CrashOptions());
   const Instant Crash = Instant::fromMillis(1000);
   First.onReport({CrashingRequest, 7, Duration()}, Crash);
-  cr_assert(First.refusals(Crash).empty());
+  cr_assert_eq(First.knownReports(MaxReports, Crash).size(), 1);
   First.onReport({CrashingRequest, 8, Duration()}, Crash);
   CrashGuard Later(ProcessId{HostAddress{2, 1}, 1}, CrashOptions());
   const Instant Start = Crash + Duration::seconds(400);
-  for (const CrashReport &Report : First.refusals(Start))
+  for (const CrashReport &Report : First.knownReports(MaxReports, Start))
     Later.onReport(Report, Start);
   cr_assert(Later.mustRefuse(CrashingRequest, Start));
   const Instant End = Crash + Duration::seconds(600);
   cr_assert_not(Later.mustRefuse(CrashingRequest, End));
-  cr_assert(Later.refusals(End).empty());
+  cr_assert(Later.knownReports(MaxReports, End).empty());
+}
+
+// Many requests that ran beside a crash must not displace a refused one from
+// the reports for a node that starts.
+Test(Crash, knownReportsBeginWithRefusals) {
+  CrashGuard Guard(ProcessId{HostAddress{1, 1}, 1}, CrashOptions());
+  const Instant Now = Instant::fromMillis(5000);
+  Guard.onReport({CrashingRequest, 77, Duration()}, Now);
+  Guard.onReport({CrashingRequest, 78, Duration()}, Now);
+  for (std::uint64_t Other = 1000; Other < 1500; ++Other)
+    Guard.onReport({Other, 79, Duration()}, Now + Duration::seconds(1));
+  const std::vector<CrashReport> Reports =
+      Guard.knownReports(MaxReports, Now + Duration::seconds(1));
+  cr_assert_eq(Reports.size(), MaxReports);
+  cr_assert_eq(Reports[0].Fingerprint, CrashingRequest);
+  cr_assert_eq(Reports[1].Fingerprint, CrashingRequest);
 }
 
 // The same report must not count as a second crash, and a refusal must end.
--- a/packages/gateway/camphorpin/src/Gateway/BackendProxy.h
+++ b/packages/gateway/camphorpin/src/Gateway/BackendProxy.h
@@ -62,8 +62,8 @@
   /// its peers. The store may lack them.
   void addDepartures(std::span<const BackendDeparture> Earlier);
 
-  /// \returns the crashes of the requests that are refused.
-  PeerCrashes crashRefusals() const { return Detector.refusals(); }
+  /// \returns the known crashes, for a node that connects.
+  PeerCrashes knownCrashes() const { return Detector.knownCrashes(); }
 
   /// \returns the departures of the local backend servers, the latest ones.
   std::vector<BackendDeparture> departures() const {
@@ -75,6 +75,10 @@
     Detector.onPeerCrashes(Crashes);
   }
 
+  /// \returns the crash notices that no call has returned before and that the
+  /// listener has not received.
+  PeerCrashes takeCrashReports() { return Detector.takeReports(); }
+
   /// \returns true if the request has crashed too many backend servers.
   bool isCrashSuspect(std::uint64_t Fingerprint) const {
     return Detector.refuses(Fingerprint);
--- a/packages/gateway/camphorpin/src/Gateway/CrashDetector.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/CrashDetector.cpp
@@ -1,15 +1,20 @@
 #include "camphorpin/src/Gateway/CrashDetector.h"
 
 #include <memory>
-#include <span>
+#include <utility>
 
 namespace camphorpin {
 
 namespace {
 
-/// Reports are sent directly to all peers and are not forwarded.
+/// Each node forwards a report once.
 constexpr CrashOptions GuardOptions = {.Transmissions = 1};
-constexpr std::size_t MaxReports = 256;
+/// All reports that a node can have.
+constexpr std::size_t MaxReports =
+    GuardOptions.MaxSuspects * GuardOptions.MaxCrashes;
+/// Reports for a node that connects. A fleet that restarts opens many
+/// connections at once.
+constexpr std::size_t MaxKnownReports = 256;
 
 PeerCrashes noticesOf(std::span<const CrashReport> Reports) {
   PeerCrashes Result;
@@ -51,31 +56,29 @@
 
 void CrashDetector::onProbed(bool Refused) {
   const Instant Now = Time.now();
-  const std::vector<std::uint64_t> Runs = std::move(LostRuns);
-  LostRuns.clear();
+  const std::vector<std::uint64_t> Runs = std::exchange(LostRuns, {});
   for (const std::uint64_t RunId : Runs) {
     if (Refused)
       Guard.onRunLost(RunId, Now);
     else
       Guard.end(RunId, /*Completed=*/false, Now);
   }
-  if (!Refused)
-    return;
-  const PeerCrashes Crashes = noticesOf(Guard.takeReports(MaxReports, Now));
-  if (OnCrash)
-    OnCrash(Runs.size(), Crashes);
+  if (Refused && OnCrash)
+    OnCrash(Runs.size(), takeReports());
 }
 
-PeerCrashes CrashDetector::refusals() const {
-  return noticesOf(Guard.refusals(Time.now()));
+PeerCrashes CrashDetector::knownCrashes() const {
+  return noticesOf(Guard.knownReports(MaxKnownReports, Time.now()));
 }
 
 void CrashDetector::onPeerCrashes(const PeerCrashes &Crashes) {
   const Instant Now = Time.now();
   for (const CrashNotice &Notice : Crashes.Notices)
     Guard.onReport({Notice.Fingerprint, Notice.Crash, Notice.Age}, Now);
-  // Discards the reports of other nodes, which are not forwarded.
-  (void)Guard.takeReports(MaxReports, Now);
+}
+
+PeerCrashes CrashDetector::takeReports() {
+  return noticesOf(Guard.takeReports(MaxReports, Time.now()));
 }
 
 } // namespace camphorpin
--- a/packages/gateway/camphorpin/src/Gateway/CrashDetector.h
+++ b/packages/gateway/camphorpin/src/Gateway/CrashDetector.h
@@ -41,13 +41,16 @@
   /// The connection of the run was lost before it was answered.
   void onRunLost(std::uint64_t RunId);
 
-  /// \returns the crashes of the requests that are refused, for nodes that have
-  /// not received the reports.
-  PeerCrashes refusals() const;
+  /// \returns the known crashes, for a node that may not have received the
+  /// reports. Their number is bounded; requests that are refused come first.
+  PeerCrashes knownCrashes() const;
 
-  /// Another node has reported a crash.
+  /// Another node has reported crashes.
   void onPeerCrashes(const PeerCrashes &Crashes);
 
+  /// \returns the reports that have not been returned before, for other nodes.
+  PeerCrashes takeReports();
+
   /// \returns true if the request is suspected of too many crashes.
   bool refuses(std::uint64_t Fingerprint) const {
     return Guard.mustRefuse(Fingerprint, Time.now());
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
@@ -315,6 +315,13 @@
 
 void Gateway::onCrashes(const PeerCrashes &Crashes) {
   Proxy.addCrashes(Crashes);
+  forwardCrashes();
+}
+
+void Gateway::forwardCrashes() {
+  const PeerCrashes Reports = Proxy.takeCrashReports();
+  if (!Reports.Notices.empty())
+    Disseminator.forward(Reports);
 }
 
 void Gateway::onDepartures(const DepartureNotice &Notice) {
@@ -333,7 +340,7 @@
   DepartureNotice Earlier{Node, DeparturesOfPeers.of(Node, Time.now())};
   if (!Earlier.Departures.empty())
     Result.emplace_back(std::move(Earlier));
-  PeerCrashes Crashes = Proxy.crashRefusals();
+  PeerCrashes Crashes = Proxy.knownCrashes();
   if (!Crashes.Notices.empty())
     Result.emplace_back(std::move(Crashes));
   return Result;
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.h
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.h
@@ -66,6 +66,8 @@
   /// read from the store.
   void applyConfiguration(FleetConfiguration Next, std::string_view Peer);
   void publish(bool Departed);
+  /// Passes on the crash reports that are new to this node.
+  void forwardCrashes();
   /// The departures of the local backend servers have changed.
   void announceDepartures(std::span<const BackendDeparture> Items);
   void armTick();
--- a/packages/gateway/camphorpin/src/Gateway/UpdateDisseminator.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/UpdateDisseminator.cpp
@@ -194,18 +194,33 @@
   const PeerDigest Known = Context.known();
   if (FollowerNotifyDue && *FollowerNotifyDue <= Now) {
     FollowerNotifyDue.reset();
-    for (const auto &[Node, Polled] : Followers)
-      Context.sendToInboundPeer(Node, Known);
+    sendToFollowers(Known);
   }
   if (ReaderNotifyDue && *ReaderNotifyDue <= Now) {
     ReaderNotifyDue.reset();
-    for (const std::string &Node : Topology.readers())
-      // Followers have been notified.
-      if (Node != Self && !Followers.contains(Node))
-        Context.send(Node, Known);
+    sendToOtherReaders(Known);
   }
 }
 
+void UpdateDisseminator::sendToFollowers(const PeerFrame &Frame) {
+  for (const auto &[Node, Polled] : Followers)
+    Context.sendToInboundPeer(Node, Frame);
+}
+
+void UpdateDisseminator::sendToOtherReaders(const PeerFrame &Frame) {
+  for (const std::string &Node : Topology.readers())
+    if (Node != Self && !Followers.contains(Node))
+      Context.send(Node, Frame);
+}
+
+void UpdateDisseminator::forward(const PeerFrame &Frame) {
+  sendToFollowers(Frame);
+  for (const std::string &Node : Topology.followed())
+    Context.send(Node, Frame);
+  if (Topology.followed().empty())
+    sendToOtherReaders(Frame);
+}
+
 void UpdateDisseminator::scheduleTimer() {
   const Instant Now = Time.now();
   Instant Next = Instant::never();
--- a/packages/gateway/camphorpin/src/Gateway/UpdateDisseminator.h
+++ b/packages/gateway/camphorpin/src/Gateway/UpdateDisseminator.h
@@ -76,6 +76,11 @@
 
   void onPollAnswer(const std::string &Node, const PeerPollAnswer &Answer);
 
+  /// Sends \p Frame to the nodes that this one follows and to its followers,
+  /// and, from a reader, to the other readers. If each node forwards what is
+  /// new to it, all nodes receive it.
+  void forward(const PeerFrame &Frame);
+
   void onTimer();
 
   /// Periodic work, every PollInterval.
@@ -123,6 +128,9 @@
   void sendDueRequests(Instant Now);
   /// Sends the notices that are due to followers and readers.
   void announce(Instant Now);
+  void sendToFollowers(const PeerFrame &Frame);
+  /// Sends to the readers that do not follow this node.
+  void sendToOtherReaders(const PeerFrame &Frame);
   /// Requests updates from a random node, and from a node that has connected to
   /// this one.
   void requestFromRandomPeer();
--- a/packages/gateway/tests/SimulatedFleet.h
+++ b/packages/gateway/tests/SimulatedFleet.h
@@ -44,6 +44,8 @@
   void start();
   void receive(const std::string &From, const PeerFrame &Frame);
   void addRecord(const NodeRecord &Other);
+  /// Forwards \p Reports if one of them is new to the node.
+  void addCrashes(const PeerCrashes &Reports);
   void applyVersion(std::uint64_t Version);
   /// Reads the store unless a read is open or reading is paused.
   void readStore();
@@ -55,6 +57,8 @@
 
   NodeRecord Record;
   NodeDirectory Directory;
+  /// Ids of the reported crashes.
+  std::set<std::uint64_t> Crashes;
   std::uint64_t Version = 0;
   /// When the node applied its current version.
   Instant AppliedAt;
@@ -202,6 +206,8 @@
   int StoreCalls = 0;
   /// Node records sent to nodes of another zone.
   std::size_t CrossZoneRecords = 0;
+  /// Sent frames with crash reports.
+  int CrashFrames = 0;
 };
 
 inline SimulatedNode::SimulatedNode(SimulatedFleet &Owner, NodeRecord Value)
@@ -249,6 +255,14 @@
     Disseminator->onStateChanged();
 }
 
+inline void SimulatedNode::addCrashes(const PeerCrashes &Reports) {
+  bool AnyNew = false;
+  for (const CrashNotice &Notice : Reports.Notices)
+    AnyNew |= Crashes.insert(Notice.Crash).second;
+  if (AnyNew)
+    Disseminator->forward(Reports);
+}
+
 inline void SimulatedNode::readStore() {
   if (!Alive)
     return;
@@ -341,6 +355,8 @@
                        [this, Name] { UnreachableNodes.insert(Name); });
     return;
   }
+  if (std::holds_alternative<PeerCrashes>(Frame))
+    ++Owner.CrashFrames;
   if (const auto *Update = std::get_if<PeerUpdate>(&Frame))
     if (Target->Record.Zone != Record.Zone)
       Owner.CrossZoneRecords += Update->Members.size();
@@ -370,6 +386,8 @@
     applyVersion(Update->Configuration);
     for (const MemberUpdate &Item : Update->Members)
       addRecord(*NodeRecord::parse(Item.Record));
+  } else if (const auto *Reports = std::get_if<PeerCrashes>(&Frame)) {
+    addCrashes(*Reports);
   }
 }
 
--- a/packages/gateway/tests/UpdateDisseminatorTest.cpp
+++ b/packages/gateway/tests/UpdateDisseminatorTest.cpp
@@ -17,6 +17,9 @@
 constexpr Duration ApplyTimeLimit = Duration::seconds(2);
 /// The same for nodes whose calls the store rejects.
 constexpr Duration ApplyTimeLimitWithoutStore = Duration::seconds(7);
+/// Time limit until a crash report is known everywhere: clients repeat a
+/// request after about a second.
+constexpr Duration CrashReportTimeLimit = Duration::millis(500);
 
 } // namespace
 
@@ -167,3 +170,37 @@
   cr_assert_leq(Fleet.CrossZoneRecords, 300U * 6, "%zu records",
                 Fleet.CrossZoneRecords);
 }
+
+// Guards against a request that crashes one backend server after the other,
+// because the nodes that see the crashes have no connection to each other.
+Test(UpdateDisseminator, crashReportsReachAllNodes) {
+  for (const int Nodes : {2, 13, 91, 300}) {
+    SimulatedFleet Fleet(Nodes, 3);
+    Fleet.run(Duration::seconds(4));
+    SimulatedNode &Reporter =
+        Fleet.nodeInOrder("zone-0", static_cast<std::size_t>(Nodes / 3 - 1));
+    Reporter.addCrashes({{{1, 7, Duration()}}});
+    Fleet.run(CrashReportTimeLimit);
+    for (const auto &[Name, Item] : Fleet.Nodes)
+      cr_assert(Item->Crashes.contains(7), "%d nodes: unknown to %s", Nodes,
+                Name.c_str());
+    // Each of the followed nodes, followers and readers gets a report once from
+    // each of its neighbours.
+    cr_assert_leq(Fleet.CrashFrames, Nodes * 4 + 30, "%d nodes: %d frames",
+                  Nodes, Fleet.CrashFrames);
+  }
+}
+
+// The same while the readers of a zone have just stopped.
+Test(UpdateDisseminator, crashReportsPassStoppedReaders) {
+  SimulatedFleet Fleet(91, 3);
+  Fleet.run(Duration::seconds(4));
+  Fleet.nodeInOrder("zone-1", 0).Alive = false;
+  Fleet.nodeInOrder("zone-1", 1).Alive = false;
+  Fleet.run(Duration::seconds(3));
+  Fleet.nodeInOrder("zone-0", 20).addCrashes({{{1, 7, Duration()}}});
+  Fleet.run(CrashReportTimeLimit);
+  for (const auto &[Name, Item] : Fleet.Nodes)
+    cr_assert(!Item->Alive || Item->Crashes.contains(7), "unknown to %s",
+              Name.c_str());
+}
