Pass on that a completed run has cleared a request

What callers saw: a request that was only running beside two crashes of different servers was refused for ten minutes, although it had been served in between.

Cause: only the node beside the server that completed the run cleared the request. Its report was sent with the next crash, or was discarded with those of other nodes. A node that had received the crash by a longer way ignored a clearance, because the crash seemed later to it than the clearance.

Change: clearances are passed on with the node's next tick, like crash reports, and ages may differ by one second.

--- a/packages/decision/camphorpin/src/Crash/CrashGuard.cpp
+++ b/packages/decision/camphorpin/src/Crash/CrashGuard.cpp
@@ -5,6 +5,14 @@
 
 namespace camphorpin {
 
+namespace {
+
+/// Ages of reports leave out the time on the way, so the same crash seems
+/// earlier on one node than on another by up to this.
+constexpr Duration MaxTransitTime = Duration::seconds(1);
+
+} // namespace
+
 CrashDecision CrashGuard::start(std::uint64_t RunId, std::uint64_t Fingerprint,
                                 std::uint8_t CrashCount, Instant Now) {
   assert(!Running.contains(RunId) && "the run has already started");
@@ -81,7 +89,7 @@
   const auto Found = Suspects.find(Report.Fingerprint);
   if (Found == Suspects.end() || Found->second.Cleared ||
       mustRefuse(Report.Fingerprint, Now) ||
-      CrashTime < Found->second.LastCrash)
+      CrashTime + MaxTransitTime < Found->second.LastCrash)
     return;
   Found->second.Cleared = true;
   Found->second.TransmissionsLeft = Options.Transmissions;
--- a/packages/decision/tests/CrashTest.cpp
+++ b/packages/decision/tests/CrashTest.cpp
@@ -217,6 +217,23 @@
   cr_assert_eq(Reports[1].Fingerprint, CrashingRequest);
 }
 
+// A node that got the report of a crash late, or by way of others, must accept
+// that a completed run has cleared the request.
+Test(Crash, clearanceHoldsThoughTheCrashWasReportedLate) {
+  CrashGuard Guard(ProcessId{HostAddress{1, 1}, 1}, CrashOptions());
+  const Instant Now = Instant::fromMillis(5000);
+  Guard.onReport({CrashingRequest, 77, Duration()}, Now);
+  Guard.onReport({CrashingRequest, 0, Duration::millis(30)},
+                 Now + Duration::millis(10));
+  cr_assert_eq(Guard.crashCount(CrashingRequest, Now), 0);
+  // A clearance of an earlier crash does not clear a later one.
+  Guard.onReport({CrashingRequest, 78, Duration()}, Now + Duration::seconds(5));
+  Guard.onReport({CrashingRequest, 0, Duration::seconds(5)},
+                 Now + Duration::seconds(5));
+  cr_assert_eq(Guard.crashCount(CrashingRequest, Now + Duration::seconds(5)),
+               1);
+}
+
 // The same report must not count as a second crash, and a refusal must end.
 Test(Crash, reportsAreCountedOnceAndExpire) {
   CrashGuard Guard(ProcessId{HostAddress{1, 1}, 1}, CrashOptions());
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
@@ -411,6 +411,8 @@
   DeparturesOfPeers.expire(Time.now());
   Store.update();
   Disseminator.tick();
+  // Runs that have completed since the last tick clear suspicions.
+  forwardCrashes();
   if (Time.now() - LastReload >= ReloadInterval)
     reload(/*Requested=*/false);
 }
