Count a crash whose server accepts connections again

What callers would see: a request that crashes servers is never refused at a node that notices the loss of its run only when the server is back.

Cause: a lost run counted as a crash only if a connection that the node tried afterwards was refused. A node that was suspended or slow meanwhile, or a server that starts again at once, gives no crash at all.

Change: a run is also counted if another incarnation of the server, which had not announced that it leaves, is noticed within 5 s after the loss, or was noticed before it: by a report of the server, or by its statement that it is another one (421). Until then the run does not count as running.

Measured: BackendProxy/replacedServerHasCrashedThoughItAcceptsConnections fails on and passes with this; lostRunOfALivingOrLeavingServerIsNoCrash guards lost answers and announced ends (passes before and after).

--- a/packages/decision/camphorpin/src/Crash/CrashGuard.cpp
+++ b/packages/decision/camphorpin/src/Crash/CrashGuard.cpp
@@ -41,13 +41,10 @@
 }
 
 void CrashGuard::end(std::uint64_t RunId, bool Completed, Instant Now) {
-  const auto Found = Running.find(RunId);
-  if (Found == Running.end())
-    return;
-  const std::uint64_t Fingerprint = Found->second.Fingerprint;
-  Running.erase(Found);
-  if (!Completed)
+  const std::optional<Run> Record = take(RunId);
+  if (!Record || !Completed)
     return;
+  const std::uint64_t Fingerprint = Record->Fingerprint;
   const auto Entry = Suspects.find(Fingerprint);
   // A request with MaxCrashes crashes stays refused until its crashes expire: a
   // run that was already in progress elsewhere does not show that the crashed
@@ -65,11 +62,27 @@
 }
 
 void CrashGuard::onRunLost(std::uint64_t RunId, Instant Now) {
-  const auto Found = Running.find(RunId);
-  if (Found == Running.end())
-    return;
-  addCrash(Found->second.Fingerprint, crashIdFor(Found->second), Now);
-  Running.erase(Found);
+  const std::optional<Run> Record = take(RunId);
+  if (Record)
+    addCrash(Record->Fingerprint, crashIdFor(*Record), Now);
+}
+
+void CrashGuard::onRunUndecided(std::uint64_t RunId) {
+  const std::optional<Run> Record = take(RunId);
+  if (Record)
+    Undecided[RunId] = *Record;
+}
+
+std::optional<CrashGuard::Run> CrashGuard::take(std::uint64_t RunId) {
+  for (std::map<std::uint64_t, Run> *Records : {&Running, &Undecided}) {
+    const auto Found = Records->find(RunId);
+    if (Found == Records->end())
+      continue;
+    const Run Result = Found->second;
+    Records->erase(Found);
+    return Result;
+  }
+  return std::nullopt;
 }
 
 void CrashGuard::onBackendCrash(Instant Now) {
--- a/packages/decision/camphorpin/src/Crash/CrashGuard.h
+++ b/packages/decision/camphorpin/src/Crash/CrashGuard.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -45,7 +46,7 @@
 /// crashes at most MaxCrashes + P backend servers.
 ///
 /// Bounds: CrashOptions::MaxSuspects fingerprints and one record for each
-/// running request.
+/// running or undecided request.
 class CrashGuard {
 public:
   CrashGuard(const ProcessId &Self, const CrashOptions &Options)
@@ -79,6 +80,11 @@
   /// for this run. Runs that were in progress together are lost in one crash.
   void onRunLost(std::uint64_t RunId, Instant Now);
 
+  /// The connection of one run was lost before its answer, and it is not known
+  /// yet whether the backend server has crashed. The run no longer counts as
+  /// running; onRunLost() or end() decides.
+  void onRunUndecided(std::uint64_t RunId);
+
   void onReport(const CrashReport &Report, Instant Now);
 
   /// \returns up to \p Limit reports to forward, least often forwarded first.
@@ -108,6 +114,8 @@
     std::uint64_t EarlierCrashes = 0;
   };
 
+  /// Removes the record of a run that is running or undecided.
+  std::optional<Run> take(std::uint64_t RunId);
   /// \returns the id of the first crash after the start of \p Record.
   std::uint64_t crashIdFor(const Run &Record);
   Suspect *findOrInsert(std::uint64_t Fingerprint);
@@ -122,6 +130,7 @@
   std::uint64_t DetectedCrashes = 0;
   std::map<std::uint64_t, Suspect> Suspects;
   std::map<std::uint64_t, Run> Running;
+  std::map<std::uint64_t, Run> Undecided;
 };
 
 } // namespace camphorpin
--- a/packages/gateway/camphorpin/src/Gateway/BackendProxy.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/BackendProxy.cpp
@@ -114,8 +114,11 @@
   const bool Changed = Tracker.onReport(Report, Time.now());
   if (Tracker.current().Id != Before.Id)
     Pool.clear();
-  if (!Tracker.current().sameIncarnation(Before))
+  if (!Tracker.current().sameIncarnation(Before)) {
     Admission.onNewBackend();
+    if (!Before.Id.empty() && Before.Phase == BackendPhase::Ready)
+      Detector.onServerReplaced();
+  }
   if (Report.Id == Tracker.current().Id)
     UnreachableUntil = Instant();
   reportDepartures();
@@ -290,7 +293,7 @@
   if (Result.Outcome == ExchangeOutcome::Complete)
     Pool.release(Item.Connection);
   if (Result.Outcome == ExchangeOutcome::ConnectionLost)
-    Detector.onRunLost(RunId);
+    Detector.onRunLost(RunId, Item.StartTime);
   else
     Detector.end(RunId, Answer.Outcome == CallOutcome::Answered);
   finish(RunId, std::move(Answer));
@@ -312,6 +315,9 @@
     if (Answer.Outcome == CallOutcome::Shed &&
         Result.Response.result_int() == 421) {
       // Another backend server answers at this address.
+      const BackendReport &Current = Tracker.current();
+      if (Item.Backend == Current.Id && Current.Phase == BackendPhase::Ready)
+        Detector.onServerReplaced();
       Tracker.onIdentityMismatch(Item.Backend);
       if (StatusListener)
         StatusListener();
--- a/packages/gateway/camphorpin/src/Gateway/CrashDetector.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/CrashDetector.cpp
@@ -15,6 +15,10 @@
 /// Reports for a node that connects. A fleet that restarts opens many
 /// connections at once.
 constexpr std::size_t MaxKnownReports = 256;
+/// Time after the loss of a run in which another incarnation of the backend
+/// server shows that it has crashed: a suspended node receives the next report
+/// of the server within about two seconds.
+constexpr Duration ReplacementPeriod = Duration::seconds(5);
 
 PeerCrashes noticesOf(std::span<const CrashReport> Reports) {
   PeerCrashes Result;
@@ -37,8 +41,8 @@
   Guard.end(RunId, Completed, Time.now());
 }
 
-void CrashDetector::onRunLost(std::uint64_t RunId) {
-  LostRuns.push_back(RunId);
+void CrashDetector::onRunLost(std::uint64_t RunId, Instant Started) {
+  LostRuns.push_back({RunId, Started, Time.now()});
   if (!ProbeInProgress)
     probeBackend();
 }
@@ -55,15 +59,33 @@
 }
 
 void CrashDetector::onProbed(bool Refused) {
-  const Instant Now = Time.now();
-  const std::vector<std::uint64_t> Runs = std::exchange(LostRuns, {});
-  for (const std::uint64_t RunId : Runs) {
-    if (Refused)
-      Guard.onRunLost(RunId, Now);
-    else
-      Guard.end(RunId, /*Completed=*/false, Now);
+  std::vector<LostRun> Crashed;
+  for (const LostRun &Run : std::exchange(LostRuns, {})) {
+    // A run that began later may have been sent to the present incarnation.
+    const bool OnEarlierServer = Replaced && Run.Started < *Replaced;
+    if (Refused || OnEarlierServer) {
+      Crashed.push_back(Run);
+      continue;
+    }
+    Guard.onRunUndecided(Run.RunId);
+    UndecidedRuns.push_back(Run);
   }
-  if (Refused && OnCrash)
+  if (Refused || !Crashed.empty())
+    onCrash(Crashed);
+}
+
+void CrashDetector::onServerReplaced() {
+  Replaced = Time.now();
+  const std::vector<LostRun> Runs = std::exchange(UndecidedRuns, {});
+  if (!Runs.empty())
+    onCrash(Runs);
+}
+
+void CrashDetector::onCrash(std::span<const LostRun> Runs) {
+  const Instant Now = Time.now();
+  for (const LostRun &Run : Runs)
+    Guard.onRunLost(Run.RunId, Now);
+  if (OnCrash)
     OnCrash(Runs.size(), takeReports());
 }
 
@@ -81,4 +103,15 @@
   return noticesOf(Guard.takeReports(MaxReports, Time.now()));
 }
 
+void CrashDetector::tick() {
+  const Instant Now = Time.now();
+  Guard.tick(Now);
+  std::erase_if(UndecidedRuns, [this, Now](const LostRun &Run) {
+    if (Now - Run.Lost < ReplacementPeriod)
+      return false;
+    Guard.end(Run.RunId, /*Completed=*/false, Now);
+    return true;
+  });
+}
+
 } // namespace camphorpin
--- a/packages/gateway/camphorpin/src/Gateway/CrashDetector.h
+++ b/packages/gateway/camphorpin/src/Gateway/CrashDetector.h
@@ -6,6 +6,8 @@
 #include "camphorpin/src/Http/EventLoop.h"
 
 #include <functional>
+#include <optional>
+#include <span>
 #include <vector>
 
 namespace camphorpin {
@@ -16,7 +18,10 @@
 ///
 /// When the connection of a run is lost, a new connection to the backend server
 /// is attempted. If the new connection is refused, the server is assumed to
-/// have crashed, and the run becomes a suspect.
+/// have crashed, and the run becomes a suspect. The same holds if another
+/// incarnation of the server, whose start nothing has announced, is noticed
+/// within some seconds: the server may accept connections again before this
+/// node, which may have been suspended, has tried to connect.
 class CrashDetector {
 public:
   /// Receives the number of runs lost in a crash and the reports for the other
@@ -39,7 +44,12 @@
   void end(std::uint64_t RunId, bool Completed);
 
   /// The connection of the run was lost before it was answered.
-  void onRunLost(std::uint64_t RunId);
+  /// \param Started when the request was sent.
+  void onRunLost(std::uint64_t RunId, Instant Started);
+
+  /// Another incarnation of the backend server has replaced one that had not
+  /// announced that it leaves.
+  void onServerReplaced();
 
   /// \returns the known crashes, for a node that may not have received the
   /// reports. Their number is bounded; requests that are refused come first.
@@ -57,13 +67,22 @@
   }
 
   /// Periodic work, at least once a second.
-  void tick() { Guard.tick(Time.now()); }
+  void tick();
 
 private:
+  /// \brief A run whose connection was lost.
+  struct LostRun {
+    std::uint64_t RunId = 0;
+    Instant Started;
+    Instant Lost;
+  };
+
   /// Attempts a connection to the backend server.
   void probeBackend();
   /// \param Refused the connection was refused.
   void onProbed(bool Refused);
+  /// The backend server has crashed with \p Runs in progress.
+  void onCrash(std::span<const LostRun> Runs);
 
   EventLoop &Loop;
   const Clock &Time;
@@ -71,7 +90,11 @@
   CrashGuard Guard;
   Listener OnCrash;
   /// Runs whose connection was lost since the last probe.
-  std::vector<std::uint64_t> LostRuns;
+  std::vector<LostRun> LostRuns;
+  /// Lost runs after which the backend server accepted a connection.
+  std::vector<LostRun> UndecidedRuns;
+  /// When the latest replacement of the backend server was noticed.
+  std::optional<Instant> Replaced;
   bool ProbeInProgress = false;
 };
 
--- a/packages/gateway/tests/BackendProxyTest.cpp
+++ b/packages/gateway/tests/BackendProxyTest.cpp
@@ -1,7 +1,9 @@
 #include "GatewayFixture.h"
 
 #include <boost/asio/write.hpp>
+#include <chrono>
 #include <criterion/criterion.h>
+#include <thread>
 
 using namespace camphorpin;
 using namespace camphorpin::test;
@@ -106,7 +108,44 @@
     return Result;
   }
 
-  PeerAnswer run(const std::string &Id, std::uint64_t Fingerprint = 1) {
+  /// Starts a run, whose connection the server closes, and calls \p Meanwhile
+  /// before the node notices.
+  /// \returns the reported crashes.
+  PeerCrashes crashesAfterLostRun(std::uint64_t Fingerprint,
+                                  const std::function<void()> &Meanwhile,
+                                  const std::function<void()> &Later) {
+    PeerCrashes Result;
+    Proxy.setCrashListener(
+        [&Result](const PeerCrashes &Crashes) { Result = Crashes; });
+    bool Ended = false;
+    Proxy.submit(call("lost", Fingerprint), [&](const PeerAnswer &Answer) {
+      Ended = true;
+      cr_assert_eq(Answer.verdict(), Verdict::MayHaveRun);
+    });
+    // Time passes between the start of the run and the loss.
+    std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    Meanwhile();
+    runUntil(Loop, Duration::seconds(2), [&] { return Ended; });
+    // The attempt to connect succeeds.
+    runUntil(Loop, Duration::millis(50), [] { return false; });
+    Later();
+    Proxy.setCrashListener({});
+    return Result;
+  }
+
+  void report(const std::string &Id, std::uint64_t Sequence,
+              BackendPhase Phase = BackendPhase::Ready) {
+    BackendReport Report;
+    Report.Id = Id;
+    Report.Service = "shop";
+    Report.Address = Backend.Address.toString();
+    Report.Slots = 4;
+    Report.Sequence = Sequence;
+    Report.Phase = Phase;
+    Proxy.onReport(Report);
+  }
+
+  static PeerCall call(const std::string &Id, std::uint64_t Fingerprint) {
     PeerCall Call;
     Call.Fingerprint = Fingerprint;
     Call.Head = "GET /x HTTP/1.1\r\nHost: h\r\n";
@@ -116,8 +155,13 @@
     Call.Idempotent = true;
     Call.TimeLeft = Duration::millis(400);
     Call.Objective = Duration::seconds(1);
+    return Call;
+  }
+
+  PeerAnswer run(const std::string &Id, std::uint64_t Fingerprint = 1) {
     std::optional<PeerAnswer> Result;
-    Proxy.submit(Call, [&](PeerAnswer Answer) { Result = std::move(Answer); });
+    Proxy.submit(call(Id, Fingerprint),
+                 [&](PeerAnswer Answer) { Result = std::move(Answer); });
     runUntil(Loop, Duration::seconds(2), [&] { return Result.has_value(); });
     cr_assert(Result.has_value());
     return *Result;
@@ -281,3 +325,39 @@
   cr_assert(Fixture.Proxy.isCrashSuspect(Crashing));
   cr_assert_not(Fixture.Proxy.isCrashSuspect(Unrelated));
 }
+
+// A crashed server may accept connections again before a node that was
+// suspended has tried to connect. Its crashes would never be counted.
+Test(BackendProxy, replacedServerHasCrashedThoughItAcceptsConnections) {
+  constexpr std::uint64_t Crashing = 4711;
+  const auto Nothing = [] {};
+  for (const bool ReportedFirst : {false, true}) {
+    ProxyFixture Fixture({"close"});
+    const auto Replace = [&] { Fixture.report("b2", 1); };
+    const PeerCrashes Reported =
+        ReportedFirst ? Fixture.crashesAfterLostRun(Crashing, Replace, Nothing)
+                      : Fixture.crashesAfterLostRun(Crashing, Nothing, Replace);
+    cr_assert_eq(Reported.Notices.size(), 1, "reported first: %d",
+                 ReportedFirst);
+    cr_assert_eq(Reported.Notices.front().Fingerprint, Crashing);
+  }
+}
+
+// A lost answer must not make a suspect of its request, nor must a server that
+// ends as announced.
+Test(BackendProxy, lostRunOfALivingOrLeavingServerIsNoCrash) {
+  constexpr std::uint64_t Unrelated = 4712;
+  const auto Nothing = [] {};
+  ProxyFixture Living({"close"});
+  cr_assert(Living
+                .crashesAfterLostRun(Unrelated, Nothing,
+                                     [&] { Living.report("b1", 2); })
+                .Notices.empty());
+  ProxyFixture Leaving({"close"});
+  const auto Leave = [&] {
+    Leaving.report("b1", 2, BackendPhase::Draining);
+    Leaving.report("b2", 1);
+  };
+  cr_assert(
+      Leaving.crashesAfterLostRun(Unrelated, Nothing, Leave).Notices.empty());
+}
