core, policy, wire, logclient: mend what readers stumbled over

Three messages say more: a chart that is not valid JSON, the number of ranks, and the depth of nesting.

--- a/packages/core/camphorpin/src/Core/Duration.h
+++ b/packages/core/camphorpin/src/Core/Duration.h
@@ -10,8 +10,8 @@
 /// \class Duration
 /// \brief A signed duration with a resolution of one microsecond.
 ///
-/// Whole milliseconds are too coarse, because added latency is measured in
-/// fractions of a millisecond.
+/// Whole milliseconds are too coarse: the latency that a node adds to a call is
+/// a fraction of a millisecond.
 class Duration {
 public:
   constexpr Duration() = default;
--- a/packages/core/camphorpin/src/Core/Name.h
+++ b/packages/core/camphorpin/src/Core/Name.h
@@ -11,7 +11,8 @@
 
 /// \class Name
 /// \brief A strongly typed string identifier: names of different kinds are
-/// different types and cannot be mixed up.
+/// different types and cannot be mixed up. The text is not validated; see
+/// isValidName().
 template <class Kind> class Name {
 public:
   Name() = default;
--- a/packages/core/camphorpin/src/Core/RefusalReason.h
+++ b/packages/core/camphorpin/src/Core/RefusalReason.h
@@ -8,7 +8,11 @@
 namespace camphorpin {
 
 /// \brief The reason why a request got no answer from a backend server.
+///
+/// Nodes send each other the numeric values: new ones are appended, and
+/// reasonFromCode() names the last one.
 enum class RefusalReason : std::uint8_t {
+  /// The request was not refused.
   None,
   /// The request is malformed or names an unknown service or operation.
   BadRequest,
@@ -33,9 +37,11 @@
   BackendFailed,
   /// The connection to the other node failed or timed out.
   PeerFailed,
-  /// The home of the key is changing, or the state of the key is not known yet.
+  /// The home of the key, which is the node that stores its state and decides
+  /// whether its request may run, is changing, or that state is not known yet.
   HomeChanging,
-  /// The node's view of the log is too old to run non-idempotent requests.
+  /// The node has not read the platform's append-only log recently enough to
+  /// run non-idempotent requests.
   LogSilent,
   /// A request with this key has run, and its answer is no longer stored.
   AnswerExpired,
--- a/packages/core/camphorpin/src/Core/RequestContext.h
+++ b/packages/core/camphorpin/src/Core/RequestContext.h
@@ -25,8 +25,8 @@
   CallerName Caller;
   camphorpin::Rank Rank;
   bool Idempotent = false;
-  /// No earlier send of this key can have reached another node. Only then may
-  /// a node that is not the home of the key answer "not-run".
+  /// True if no earlier attempt with this key can have reached another node. If
+  /// false, only the home of the key may answer "not-run".
   bool FirstSend = false;
   /// Time since the end-to-end request arrived at its ingress node.
   Duration Age;
@@ -40,8 +40,8 @@
   /// Number of backend server crashes during which a request with this
   /// fingerprint was running.
   std::uint8_t CrashCount = 0;
-  /// Epoch of the home set from which the sender selected the home of the key;
-  /// 0 for an idempotent call.
+  /// Epoch of the set of nodes from which the sender selected the home of the
+  /// key; 0 for an idempotent call.
   std::uint64_t HomeEpoch = 0;
   /// Hash of service, operation, caller and body.
   std::uint64_t Fingerprint = 0;
--- a/packages/core/camphorpin/src/Core/RequestKey.cpp
+++ b/packages/core/camphorpin/src/Core/RequestKey.cpp
@@ -71,7 +71,7 @@
   writeLittleEndian(Source.next(), std::span(Key.Bytes).first<8>());
   writeLittleEndian(Source.next(), std::span(Key.Bytes).last<8>());
   Key.setTimestamp(static_cast<std::uint64_t>(WallTime.wholeMillis()));
-  Key.setVersion();
+  Key.setVersionAndVariant();
   return Key;
 }
 
@@ -89,7 +89,7 @@
   writeLittleEndian(camphorpin::stableHash(HashInput, 2),
                     std::span(Key.Bytes).last<8>());
   std::copy_n(Bytes.begin(), TimestampBytes, Key.Bytes.begin());
-  Key.setVersion();
+  Key.setVersionAndVariant();
   return Key;
 }
 
@@ -128,7 +128,7 @@
   }
 }
 
-void RequestKey::setVersion() {
+void RequestKey::setVersionAndVariant() {
   Bytes[6] = static_cast<std::uint8_t>(0x70U | (Bytes[6] & 0x0FU));
   Bytes[8] = static_cast<std::uint8_t>(0x80U | (Bytes[8] & 0x3FU));
 }
--- a/packages/core/camphorpin/src/Core/RequestKey.h
+++ b/packages/core/camphorpin/src/Core/RequestKey.h
@@ -65,7 +65,7 @@
 
 private:
   void setTimestamp(std::uint64_t Millis);
-  void setVersion();
+  void setVersionAndVariant();
 
   std::array<std::uint8_t, Size> Bytes{};
 };
--- a/packages/core/camphorpin/src/Core/StateChart.cpp
+++ b/packages/core/camphorpin/src/Core/StateChart.cpp
@@ -28,7 +28,8 @@
   const nlohmann::json Root =
       nlohmann::json::parse(Json, nullptr, false, /*ignore_comments=*/true);
   if (!Root.is_object())
-    return StateChartError{"the chart is not a JSON object"};
+    return StateChartError{
+        "the chart is not valid JSON, or its root is not an object"};
   try {
     StateChart Chart;
     Chart.States = Root.at("states").get<std::vector<std::string>>();
--- a/packages/core/camphorpin/src/Core/Verdict.h
+++ b/packages/core/camphorpin/src/Core/Verdict.h
@@ -8,6 +8,9 @@
 namespace camphorpin {
 
 /// \brief Whether a request was executed by a backend server.
+///
+/// Nodes send each other the numeric values: new ones are appended, and
+/// verdictFromCode() names the last one.
 enum class Verdict : std::uint8_t {
   /// The request ran to completion.
   Ran,
--- a/packages/core/tests/CoreTest.cpp
+++ b/packages/core/tests/CoreTest.cpp
@@ -19,6 +19,8 @@
 
 Test(RequestKey, rejectsTextThatIsNotUuidVersion7) {
   cr_assert_not(RequestKey::parse(""));
+  // Version 4, another variant, a digit that is not hexadecimal, and a digit in
+  // place of a dash.
   cr_assert_not(RequestKey::parse("9b2d0f5c-8c1f-4b6e-9f3a-0123456789ab"));
   cr_assert_not(RequestKey::parse("018f0f5c-8c1f-7b6e-0f3a-0123456789ab"));
   cr_assert_not(RequestKey::parse("018f0f5c-8c1f-7b6e-9f3a-0123456789ag"));
@@ -51,7 +53,9 @@
     cr_assert_not(HostAddress::parse(Text).has_value());
 }
 
-Test(Verdict, namesRoundTrip) {
+// Verdicts and reasons arrive in headers: a name that does not parse back would
+// lose the promise that a request has not run.
+Test(Verdict, namesOfVerdictsAndReasonsParseBack) {
   for (Verdict Value : {Verdict::Ran, Verdict::NotRun, Verdict::MayHaveRun})
     cr_assert(parseVerdict(toString(Value)) == Value);
   cr_assert_not(parseVerdict("maybe").has_value());
@@ -59,6 +63,8 @@
   cr_assert(parseRefusalReason("shed") == RefusalReason::Shed);
 }
 
+// A failed push must leave the element with the caller, and a closed queue must
+// still give out what it holds.
 Test(BoundedQueue, rejectsPushWhenFullAndPreservesOrder) {
   BoundedQueue<std::unique_ptr<int>> Ring(2);
   cr_assert(Ring.push(std::make_unique<int>(1)));
--- a/packages/logclient/camphorpin/src/LogClient/LogReply.cpp
+++ b/packages/logclient/camphorpin/src/LogClient/LogReply.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-nlohmann::json parseObject(std::string_view Json) {
+nlohmann::json parseJson(std::string_view Json) {
   return nlohmann::json::parse(Json, nullptr, /*allow_exceptions=*/false);
 }
 
@@ -34,12 +34,12 @@
 } // namespace
 
 std::optional<LogOffset> parseAppendReply(std::string_view Json) {
-  return parseOffset(parseObject(Json), "offset");
+  return parseOffset(parseJson(Json), "offset");
 }
 
 std::optional<LogBatch> parseReadReply(std::string_view Json, LogOffset From,
                                        std::size_t Max) {
-  const nlohmann::json Root = parseObject(Json);
+  const nlohmann::json Root = parseJson(Json);
   const std::optional<LogOffset> First = parseOffset(Root, "first");
   const std::optional<LogOffset> Next = parseOffset(Root, "next");
   if (!First || !Next || *Next < *First)
--- a/packages/logclient/camphorpin/src/LogClient/LogReply.h
+++ b/packages/logclient/camphorpin/src/LogClient/LogReply.h
@@ -13,8 +13,8 @@
 std::optional<LogOffset> parseAppendReply(std::string_view Json);
 
 /// Parses the reply to a read. Validates the types, the number and order of the
-/// records, and that the offsets match the request, so that a faulty reply can
-/// neither move a reader back nor make it skip retained records.
+/// records, and that their offsets lie between the requested one and the next.
+/// Whether the next offset moves the reader back is left to the caller.
 /// \param From the requested offset.
 /// \param Max the requested number of records.
 /// \returns the records, or nothing if the reply is malformed.
--- a/packages/logclient/camphorpin/src/LogClient/PlatformLog.h
+++ b/packages/logclient/camphorpin/src/LogClient/PlatformLog.h
@@ -58,8 +58,7 @@
 struct LogReadError {
   enum class Cause : std::uint8_t {
     /// No connection, no complete reply within the limits of time and size, or
-    /// an
-    /// error status.
+    /// an error status.
     Unavailable,
     /// The reply violates the protocol; all of it was discarded.
     Malformed,
@@ -77,7 +76,7 @@
 /// \code
 /// const boost::leaf::result<LogBatch> Batch = Log.read(Next, 100);
 /// if (Batch)
-///   fold(Batch->Records);
+///   apply(Batch->Records);
 /// \endcode
 /// The error object of read() is a LogReadError, for boost::leaf::try_handle_*.
 class PlatformLog {
@@ -89,9 +88,9 @@
   virtual AppendOutcome append(std::string_view Record) = 0;
 
   /// Reads records whose offset is at least \p From. If the log no longer
-  /// retains \p From, reading starts at the first retained record. \param Max
-  /// maximum number of records to return, greater than zero. \returns the
-  /// records, or a LogReadError.
+  /// retains \p From, reading starts at the first retained record.
+  /// \param Max maximum number of records to return, greater than zero.
+  /// \returns the records, or a LogReadError.
   virtual boost::leaf::result<LogBatch> read(LogOffset From,
                                              std::size_t Max) = 0;
 };
--- a/packages/logclient/tests/HttpPlatformLogTest.cpp
+++ b/packages/logclient/tests/HttpPlatformLogTest.cpp
@@ -84,8 +84,8 @@
   cr_assert_eq(Batch->Records[1].Body, "{\"x\":1}");
 }
 
-/// Guards against malformed replies that move a reader back, make it skip
-/// records, crash it or consume unbounded memory.
+/// Guards against replies with wrong types, offsets out of range, records given
+/// twice or too many records, which could crash a reader or fill its memory.
 Test(HttpPlatformLog, rejectsMalformedReadReplies) {
   StubLogServer Log;
   const std::string Head = R"({"first":3,"next":8,"records":[)";
@@ -116,7 +116,7 @@
 
 /// Guards against reporting an append as Unavailable when the record may be in
 /// the log, which would let an operator submit a change twice.
-Test(HttpPlatformLog, reportsOnlyCertainFailuresAsUnavailable) {
+Test(HttpPlatformLog, reportsUnavailableOnlyIfDefinitelyNotAppended) {
   StubLogServer Log;
   HttpPlatformLog Client(Log.settings());
   Log.Body = R"({"offset":41})";
@@ -149,6 +149,7 @@
 /// log was established.
 Test(HttpPlatformLog, reportsConnectionFailureAsUnavailable) {
   HttpLogSettings Settings;
+  // The port of a stopped server refuses connections.
   {
     StubLogServer Log;
     Settings = Log.settings();
--- a/packages/policy/camphorpin/src/Policy/JsonReader.cpp
+++ b/packages/policy/camphorpin/src/Policy/JsonReader.cpp
@@ -44,7 +44,7 @@
     const bool TooDeep = Depth > MaxDepth;
     if (TooDeep && !ReportedDepth)
       Errors.push_back({PolicyFault::Syntax, "", "", "nested too deeply",
-                        "at most 16 levels"});
+                        "at most " + std::to_string(MaxDepth) + " levels"});
     ReportedDepth |= TooDeep;
     return !TooDeep;
   }
--- a/packages/policy/camphorpin/src/Policy/JsonReader.h
+++ b/packages/policy/camphorpin/src/Policy/JsonReader.h
@@ -19,7 +19,8 @@
 
 /// \class JsonReader
 /// \brief Reads the fields of a JSON object and reports each invalid field with
-/// its path. Fields that were never requested are reported as unknown.
+/// its path. reportUnknownFields() reports the fields that were never
+/// requested.
 class JsonReader {
 public:
   /// \param Value the object; any other type is reported as an error.
@@ -28,6 +29,7 @@
   JsonReader(const nlohmann::json &Value, std::string Path,
              PolicyErrors &Errors);
 
+  /// Marks the field as known.
   /// \returns the field, or null if it is missing. A missing field is reported
   /// if \p Required is set.
   const nlohmann::json *find(std::string_view Field, bool Required);
--- a/packages/policy/camphorpin/src/Policy/MeshPolicy.h
+++ b/packages/policy/camphorpin/src/Policy/MeshPolicy.h
@@ -38,9 +38,10 @@
   /// How long a node stores keys, and the largest age of a key whose request
   /// may run.
   Duration KeyRetention = Duration::seconds(3600);
-  /// Largest age of a home's view of the log at which it still runs
-  /// non-idempotent requests. A takeover without the home and its mirror has to
-  /// wait as long.
+  /// The home of a key stops running non-idempotent requests when its last
+  /// successful read of the platform's log is older than this. If neither the
+  /// home nor its replica can be reached, another node waits this long before
+  /// it takes over the key.
   Duration LogSilenceBound = Duration::seconds(12 * 3600);
   /// Weights of callers within a rank. The default weight is 1.
   std::map<CallerName, std::uint32_t> CallerShares;
--- a/packages/policy/camphorpin/src/Policy/PolicyCheck.cpp
+++ b/packages/policy/camphorpin/src/Policy/PolicyCheck.cpp
@@ -32,6 +32,7 @@
   PolicyErrors check() {
     for (const auto &Entry : Operations)
       checkCalls(Entry.first, *Entry.second);
+    // Fills LongestChains and reports cycles.
     for (const auto &Entry : Operations)
       longestChainFrom(Entry.first);
     checkChainLengths();
@@ -70,8 +71,9 @@
   }
 
   /// Depth-first search with memoization. A call that closes a cycle is
-  /// reported and not followed. \returns the number of calls in the longest
-  /// chain that starts with a call of \p Target.
+  /// reported and not followed.
+  /// \returns the number of calls in the longest chain that starts with the
+  /// call to \p Target, including that call.
   std::size_t longestChainFrom(const CallTarget &Target) {
     const auto Known = LongestChains.find(Target);
     if (Known != LongestChains.end())
@@ -79,25 +81,26 @@
     const auto Found = Operations.find(Target);
     if (Found == Operations.end())
       return 0;
-    Path.push_back(Target);
+    ActiveChain.push_back(Target);
     std::size_t Longest = 0;
     for (const CallTarget &Callee : Found->second->Calls) {
-      if (std::find(Path.begin(), Path.end(), Callee) != Path.end())
+      if (std::find(ActiveChain.begin(), ActiveChain.end(), Callee) !=
+          ActiveChain.end())
         reportCycle(Callee);
       else
         Longest = std::max(Longest, longestChainFrom(Callee));
     }
-    Path.pop_back();
+    ActiveChain.pop_back();
     LongestChains[Target] = Longest + 1;
     return Longest + 1;
   }
 
   void reportCycle(const CallTarget &Start) {
     std::string Text;
-    const auto First = std::find(Path.begin(), Path.end(), Start);
-    for (auto Entry = First; Entry != Path.end(); ++Entry)
+    const auto First = std::find(ActiveChain.begin(), ActiveChain.end(), Start);
+    for (auto Entry = First; Entry != ActiveChain.end(); ++Entry)
       Text += toString(*Entry) + " -> ";
-    report(Path.back(), ".calls", "the cycle " + Text + toString(Start),
+    report(ActiveChain.back(), ".calls", "the cycle " + Text + toString(Start),
            "a call graph without cycles");
   }
 
@@ -125,7 +128,8 @@
   const MeshPolicy &Mesh;
   std::map<CallTarget, const OperationPolicy *> Operations;
   std::map<CallTarget, std::size_t> LongestChains;
-  std::vector<CallTarget> Path;
+  /// The calls from the first operation of the search to the present one.
+  std::vector<CallTarget> ActiveChain;
   PolicyErrors Errors;
 };
 
@@ -139,8 +143,8 @@
                       std::move(Found), std::move(Allowed)});
   };
   if (Policy.Ranks.empty() || Policy.Ranks.size() > MaxRanks)
-    Report("ranks", "a list of " + std::to_string(Policy.Ranks.size()),
-           "a list of 1 to " + std::to_string(MaxRanks));
+    Report("ranks", std::to_string(Policy.Ranks.size()) + " ranks",
+           "1 to " + std::to_string(MaxRanks) + " ranks");
   double FloorSum = 0;
   std::set<std::string> Names;
   for (std::size_t Index = 0; Index < Policy.Ranks.size(); ++Index) {
--- a/packages/policy/camphorpin/src/Policy/PolicyJson.cpp
+++ b/packages/policy/camphorpin/src/Policy/PolicyJson.cpp
@@ -214,10 +214,10 @@
          Reader.integer("connections", 1, detail::MaxSlots, true));
   assign(Policy.QueueLimit, Reader.integer("queueLimit", 0, detail::MaxSlots));
   assign(Policy.CancelLowerRanks, Reader.boolean("cancelLowerRanks"));
-  const std::optional<std::int64_t> Silence = Reader.integer(
+  const std::optional<std::int64_t> LogSilenceBoundMs = Reader.integer(
       "logSilenceBoundMs", detail::MinRetentionMs, detail::MaxRetentionMs);
-  if (Silence)
-    Policy.LogSilenceBound = Duration::millis(*Silence);
+  if (LogSilenceBoundMs)
+    Policy.LogSilenceBound = Duration::millis(*LogSilenceBoundMs);
   readOperations(Reader, Policy, Mesh, Errors);
   Reader.reportUnknownFields();
   if (!Errors.empty())
--- a/packages/policy/camphorpin/src/Policy/PolicyLimits.h
+++ b/packages/policy/camphorpin/src/Policy/PolicyLimits.h
@@ -5,7 +5,7 @@
 
 namespace camphorpin::detail {
 
-/// Upper bound of MeshPolicy::MaxHops. The design target is chains of 11 calls.
+/// Upper bound of MeshPolicy::MaxHops, well above the design target of 11.
 inline constexpr std::int64_t MaxHopsUpperBound = 64;
 /// Upper bound of MeshPolicy::ExtraAttempts. The number of executions by the
 /// last service of a chain grows with it, so a larger value would leave the
--- a/packages/policy/camphorpin/src/PolicyBuilder/PolicyBuilder.cpp
+++ b/packages/policy/camphorpin/src/PolicyBuilder/PolicyBuilder.cpp
@@ -42,17 +42,19 @@
 }
 
 OperationRef
-PolicyBuilder::idempotent(ServiceRef Service, NameLiteral Name, Rank Urgency,
-                          Duration Deadline,
+PolicyBuilder::idempotent(ServiceRef Service, NameLiteral Name,
+                          Rank OperationRank, Duration Deadline,
                           std::initializer_list<OperationRef> Calls) {
-  return addOperation(Service, Name, {Urgency, true, Deadline, {}}, Calls);
+  return addOperation(Service, Name, {OperationRank, true, Deadline, {}},
+                      Calls);
 }
 
 OperationRef
-PolicyBuilder::nonIdempotent(ServiceRef Service, NameLiteral Name, Rank Urgency,
-                             Duration Deadline,
+PolicyBuilder::nonIdempotent(ServiceRef Service, NameLiteral Name,
+                             Rank OperationRank, Duration Deadline,
                              std::initializer_list<OperationRef> Calls) {
-  return addOperation(Service, Name, {Urgency, false, Deadline, {}}, Calls);
+  return addOperation(Service, Name, {OperationRank, false, Deadline, {}},
+                      Calls);
 }
 
 OperationRef
--- a/packages/policy/camphorpin/src/PolicyBuilder/PolicyBuilder.h
+++ b/packages/policy/camphorpin/src/PolicyBuilder/PolicyBuilder.h
@@ -61,7 +61,8 @@
                          const MeshLimits &Limits = {})
       : PolicyBuilder(Ranks.specs(), Limits) {}
 
-  /// Sets the weight of a caller within its rank. The default is 1.
+  /// Sets the weight of a caller among the requests of a rank. It is the same
+  /// for all ranks; the default is 1.
   PolicyBuilder &callerShare(NameLiteral Caller, std::uint32_t Weight);
 
   /// Defines a service.
@@ -70,17 +71,18 @@
   /// Defines an operation that may be executed more than once.
   /// \param Deadline default and maximum of the deadline that a caller may set.
   /// \param Calls the operations that this operation calls.
-  OperationRef idempotent(ServiceRef Service, NameLiteral Name, Rank Urgency,
-                          Duration Deadline,
+  OperationRef idempotent(ServiceRef Service, NameLiteral Name,
+                          Rank OperationRank, Duration Deadline,
                           std::initializer_list<OperationRef> Calls = {});
 
   /// Defines an operation that is executed at most once per key.
-  OperationRef nonIdempotent(ServiceRef Service, NameLiteral Name, Rank Urgency,
-                             Duration Deadline,
+  OperationRef nonIdempotent(ServiceRef Service, NameLiteral Name,
+                             Rank OperationRank, Duration Deadline,
                              std::initializer_list<OperationRef> Calls = {});
 
   /// \returns the policies, or all errors that can only be detected at run
-  /// time.
+  /// time. A duplicate definition is reported alone, without the checks between
+  /// operations.
   std::variant<PolicySet, PolicyErrors> build() const;
 
 private:
--- a/packages/policy/tests/PolicyBuilderTest.cpp
+++ b/packages/policy/tests/PolicyBuilderTest.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-template <int Percent> constexpr bool makesShare() {
+template <int Percent> constexpr bool shareCompiles() {
   return requires {
     typename std::bool_constant<(Share(Percent / 100.0), true)>;
   };
@@ -16,9 +16,9 @@
 
 // The constructor of Share is consteval, so a share out of range does not
 // compile.
-static_assert(makesShare<50>());
-static_assert(!makesShare<150>());
-static_assert(!makesShare<-10>());
+static_assert(shareCompiles<50>());
+static_assert(!shareCompiles<150>());
+static_assert(!shareCompiles<-10>());
 
 constexpr RankTable Ranks(RankSpec("urgent", Share(0.02)),
                           RankSpec("lookup", Share(0.01), Share(0.8)));
@@ -43,7 +43,7 @@
   cr_assert_eq(toJson(std::get<PolicySet>(Parsed)), Text);
 }
 
-Test(PolicyBuilder, reportsErrorsBetweenDocuments) {
+Test(PolicyBuilder, reportsErrorsBetweenOperations) {
   PolicyBuilder Builder(Ranks, {.MaxHops = 1});
   const ServiceRef Lots = Builder.service("lots", {});
   const OperationRef Reserve = Builder.nonIdempotent(
@@ -54,6 +54,8 @@
   cr_assert(std::holds_alternative<PolicyErrors>(Built));
   // The callee has a longer deadline, and the chain is longer than maxHops.
   cr_assert_eq(std::get<PolicyErrors>(Built).size(), 2);
+  // A duplicate definition is reported alone, without the checks between
+  // operations.
   Builder.service("lots", {});
   cr_assert_eq(std::get<PolicyErrors>(Builder.build()).size(), 1);
 }
--- a/packages/policy/tests/PolicyJsonTest.cpp
+++ b/packages/policy/tests/PolicyJsonTest.cpp
@@ -43,6 +43,7 @@
   return false;
 }
 
+/// \param Next the index of the called service; -1 for none.
 ServicePolicy serviceInChain(int Index, int Next, std::int64_t DeadlineMs) {
   ServicePolicy Policy;
   Policy.Service = ServiceName("s" + std::to_string(Index));
@@ -64,6 +65,7 @@
   cr_assert_eq(Orders.Operations.at(OperationName("status")).Rank.index(), 1);
   const std::string Canonical = toJson(Orders, mesh());
   cr_assert_eq(Canonical, toJson(service(Canonical), mesh()));
+  // Keys are sorted, so the alphabetically first one follows the brace.
   cr_assert_eq(Canonical.find("\"cancelLowerRanks\":false"), 1);
 }
 
@@ -129,7 +131,7 @@
     Many.Ranks.push_back({"r" + std::to_string(Index), 0, 1});
   cr_assert(
       hasError(checkMeshPolicy(Many), PolicyFault::Inconsistent, "ranks"));
-  // Sums of floors may exceed 1 by a rounding error, as with ten floors of 0.1.
+  // Floors that sum to exactly 1 are accepted.
   Many.Ranks.resize(8);
   for (RankPolicy &Rank : Many.Ranks)
     Rank.Floor = 0.125;
@@ -139,31 +141,35 @@
 Test(PolicyCheck, checksCallGraphAcrossDocuments) {
   MeshPolicy Mesh = mesh();
   Mesh.MaxHops = 3;
+  // A call to an operation that no document defines.
   const std::vector<ServicePolicy> Unknown = {serviceInChain(0, 1, 1000)};
   cr_assert(hasError(checkPolicies(Mesh, Unknown), PolicyFault::UnknownName,
                      "operations.run.calls[0]"));
+  // A chain of three calls, as many as are allowed.
   std::vector<ServicePolicy> Chain = {serviceInChain(0, 1, 1000),
                                       serviceInChain(1, 2, 900),
                                       serviceInChain(2, -1, 900)};
   cr_assert(checkPolicies(Mesh, Chain).empty());
+  // One call more than allowed.
   Chain[2] = serviceInChain(2, 3, 900);
   Chain.push_back(serviceInChain(3, -1, 900));
   const PolicyErrors TooLong = checkPolicies(Mesh, Chain);
   cr_assert_eq(TooLong.size(), 1);
   cr_assert_eq(TooLong[0].Found, std::string("a chain of 4 calls"));
+  // A cycle, and a callee with a longer deadline than its caller.
   Chain[3] = serviceInChain(3, 1, 901);
   const PolicyErrors Cyclic = checkPolicies(Mesh, Chain);
   cr_assert(
       hasError(Cyclic, PolicyFault::Inconsistent, "operations.run.calls"));
   cr_assert(
       hasError(Cyclic, PolicyFault::Inconsistent, "operations.run.calls[0]"),
-      "a callee's deadline of 901 ms exceeds its caller's of 900 ms");
+      "a callee's deadline above its caller's must be reported");
 }
 
 // Guards against crashes and hangs on arbitrary input: the parser must return
 // errors, or a policy whose canonical text round-trips.
 Test(PolicyJson, parserHandlesRandomlyEditedDocuments) {
-  cr_assert(rc::check("damaged documents", [] {
+  cr_assert(rc::check("randomly edited documents", [] {
     std::string Text(OrdersText);
     const int EditCount = *rc::gen::inRange(1, 4);
     for (int Count = 0; Count < EditCount; ++Count) {
--- a/packages/wire/camphorpin/src/Wire/ClaimCodec.cpp
+++ b/packages/wire/camphorpin/src/Wire/ClaimCodec.cpp
@@ -9,6 +9,7 @@
 /// Maximum number of entries in a page. Nodes send at most
 /// ClaimOptions::PageEntries, which is 256.
 constexpr std::uint32_t MaxEntries = 4096;
+/// Maximum number of processes whose claims have a cutoff.
 constexpr std::uint32_t MaxCutoffs = 4096;
 
 using EntryListBuilder = capnp::List<wire::ClaimEntry>::Builder;
--- a/packages/wire/camphorpin/src/Wire/ClaimCodec.h
+++ b/packages/wire/camphorpin/src/Wire/ClaimCodec.h
@@ -20,7 +20,7 @@
                 const ClaimMessage &Message);
 
 /// \returns the message, or nothing if its type is unknown or one of its lists
-/// is longer than any node sends.
+/// exceeds its maximum length.
 std::optional<AddressedClaim> readClaim(wire::Claim::Reader Source);
 
 } // namespace camphorpin
--- a/packages/wire/camphorpin/src/Wire/Codec.cpp
+++ b/packages/wire/camphorpin/src/Wire/Codec.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-/// Received durations are limited to this magnitude, so that sums cannot
+/// A context with a duration beyond this is rejected, so that sums cannot
 /// overflow.
 constexpr Duration MaxDuration = Duration::seconds(7 * 24 * 3600);
 
@@ -34,6 +34,7 @@
   return Ticks >= -MaxDuration.ticks() && Ticks <= MaxDuration.ticks();
 }
 
+/// \param Text empty for a response.
 bool isSupportedMethod(std::string_view Text) {
   return Text.empty() || Text == "GET" || Text == "POST";
 }
@@ -156,12 +157,14 @@
 }
 
 std::optional<Verdict> verdictFromCode(std::uint8_t Code) {
+  // The last enumerator.
   if (Code > static_cast<std::uint8_t>(Verdict::MayHaveRun))
     return std::nullopt;
   return static_cast<Verdict>(Code);
 }
 
 std::optional<RefusalReason> reasonFromCode(std::uint8_t Code) {
+  // The last enumerator.
   if (Code > static_cast<std::uint8_t>(RefusalReason::NodeBusy))
     return std::nullopt;
   return static_cast<RefusalReason>(Code);
--- a/packages/wire/camphorpin/src/Wire/Codec.h
+++ b/packages/wire/camphorpin/src/Wire/Codec.h
@@ -9,9 +9,12 @@
 
 namespace camphorpin {
 
-/// The write functions fill a builder. The read functions validate every field
-/// and return nothing if a value is out of range; Cap'n Proto itself checks
-/// lengths and pointers.
+/// \file
+/// \brief Conversions of the parts that several messages share. The write
+/// functions fill a builder. readKey() and readProcess() accept every value;
+/// the other read functions return nothing if a value is out of range. Cap'n
+/// Proto itself checks lengths and pointers.
+
 void writeKey(wire::Key::Builder Target, const RequestKey &Value);
 RequestKey readKey(wire::Key::Reader Source);
 
@@ -21,6 +24,7 @@
 void writeContext(wire::Context::Builder Target, const RequestContext &Value);
 std::optional<RequestContext> readContext(wire::Context::Reader Source);
 
+/// Writes at most MaxHeaderFields headers; further ones are left out.
 void writePayload(wire::Payload::Builder Target, const Payload &Value);
 
 /// \returns the payload, or nothing if the method is unsupported, there are
--- a/packages/wire/camphorpin/src/Wire/ConfigurationCodec.cpp
+++ b/packages/wire/camphorpin/src/Wire/ConfigurationCodec.cpp
@@ -46,6 +46,8 @@
   void operator()(const RecordsReply &Value) {
     wire::RecordsReply::Builder Out = Target.initRecordsReply();
     writeReading(Out.initReading(), Value.Reading);
+    // Without a range, the sender no longer holds all records from the
+    // requested offset.
     Out.setComplete(Value.Range.has_value());
     if (!Value.Range)
       return;
--- a/packages/wire/camphorpin/src/Wire/ConfigurationCodec.h
+++ b/packages/wire/camphorpin/src/Wire/ConfigurationCodec.h
@@ -12,7 +12,7 @@
                         const ConfigurationMessage &Message);
 
 /// \returns the message, or nothing if its type is unknown, it contains an
-/// invalid name, or one of its lists is longer than any node sends.
+/// invalid name, or one of its lists exceeds its maximum length.
 std::optional<ConfigurationMessage>
 readConfiguration(wire::Configuration::Reader Source);
 
--- a/packages/wire/camphorpin/src/Wire/GossipCodec.cpp
+++ b/packages/wire/camphorpin/src/Wire/GossipCodec.cpp
@@ -96,7 +96,8 @@
   return true;
 }
 
-bool readSync(wire::Gossip::Reader Source, GossipMessage &Message) {
+bool readDigestsAndBuckets(wire::Gossip::Reader Source,
+                           GossipMessage &Message) {
   if (Source.getDigests().size() > MaxBuckets ||
       Source.getBuckets().size() > MaxBuckets)
     return false;
@@ -134,7 +135,7 @@
   Message.Target = {Gossip.getTarget().getIp(), Gossip.getTarget().getPort()};
   Message.Reading = {Gossip.getNextOffset(), Gossip.getReadingAgeMs()};
   if (!readDeltas(Gossip, Message) || !readZones(Gossip, Message) ||
-      !readSync(Gossip, Message))
+      !readDigestsAndBuckets(Gossip, Message))
     return std::nullopt;
   return Message;
 }
--- a/packages/wire/tests/WireTest.cpp
+++ b/packages/wire/tests/WireTest.cpp
@@ -139,7 +139,7 @@
 // must return for any input, and accepted values must be within their limits.
 Test(Wire, decoderHandlesCorruptedDatagrams) {
   const std::vector<std::byte> Valid = encodeDatagram(sampleGossip());
-  const bool Passed = rc::check("damaged datagrams", [&Valid] {
+  const bool Passed = rc::check("corrupted datagrams", [&Valid] {
     std::vector<std::byte> Data = Valid;
     const int Changes = *rc::gen::inRange(1, 6);
     for (int Change = 0; Change < Changes; ++Change) {
@@ -185,20 +185,22 @@
   writeConfiguration(Message, Sent);
   cr_assert_not(readConfiguration(Message.asReader()).has_value());
 
+  // Bodies of records are binary and may contain NUL.
   writeConfiguration(
       Message, RecordsReply{RecordRange{8, {{7, std::string("x\0y", 3)}}}, {}});
   const std::optional<ConfigurationMessage> Records =
       readConfiguration(Message.asReader());
   cr_assert(std::get<RecordsReply>(*Records).Range->Records ==
             (std::vector<RawRecord>{{7, std::string("x\0y", 3)}}));
+  // An unknown digest must not arrive as 0.
   writeConfiguration(Message, DigestReply{5, std::nullopt});
   const std::optional<ConfigurationMessage> Digest =
       readConfiguration(Message.asReader());
   cr_assert_not(std::get<DigestReply>(*Digest).Digest.has_value());
 }
 
-// Guards rolling upgrades: adjacent versions must interoperate, and versions
-// without a common one must not connect.
+// Guards rolling upgrades: adjacent versions must interoperate, and nodes
+// without a common protocol version must not connect.
 Test(Wire, negotiatesVersionsNAndNMinusOne) {
   cr_assert_eq(negotiateVersion(NewestProtocolVersion, OldestProtocolVersion),
                NewestProtocolVersion);
