--- a/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
@@ -1,5 +1,7 @@
 #include "camphorpin/src/Gateway/Gateway.h"
 
+#include "camphorpin/src/Gateway/ClientLimits.h"
+
 #include <algorithm>
 #include <csignal>
 #include <random>
@@ -20,20 +22,6 @@
 /// node not ready twice; the delay keeps the loss of capacity during a rolling
 /// restart short.
 constexpr Duration BackendDrainDelay = Duration::millis(2000);
-/// Part of the node's memory for frames of other nodes that have been received
-/// in part or are not sent yet.
-constexpr std::size_t FrameMemoryDivisor = 8;
-/// Parts of the node's descriptors for connections of callers, of other nodes,
-/// and to each of the addresses for reports, readiness and metrics. The rest is
-/// for the connections that the node opens.
-constexpr std::size_t CallerDescriptorDivisor = 2;
-constexpr std::size_t PeerDescriptorDivisor = 4;
-constexpr std::size_t ControlDescriptorDivisor = 32;
-/// Bytes that are held for clients of each of the addresses for reports,
-/// readiness and metrics.
-constexpr std::size_t ControlBudgetBytes = std::size_t(1) << 20U;
-/// Largest body on these addresses. A report has a few hundred bytes.
-constexpr std::size_t MaxControlBodyBytes = std::size_t(64) << 10U;
 /// Time after the start of a drain from which new requests are refused: they
 /// might not end within the stop grace.
 constexpr Duration OutboundDrainDelay = Duration::millis(2800);
@@ -135,24 +123,11 @@
       Store(Loop, Time, RandomSource, Settings, Protocol, Log, Disseminator,
             *this),
       Signals(Loop, SIGTERM, SIGINT, SIGHUP), TickTimer(Loop) {
-  limitClients();
-}
-
-void Gateway::limitClients() {
-  const std::size_t Descriptors = Settings.descriptorLimit();
-  CallServer.setByteBudget(Proxy.messageBudget());
-  CallServer.setMaxConnections(Descriptors / CallerDescriptorDivisor);
-  Peers.setByteBudget(
-      std::make_shared<ByteBudget>(Settings.MemoryBytes / FrameMemoryDivisor));
-  Peers.setMaxConnections(Descriptors / PeerDescriptorDivisor);
-  RequestLimits Limits;
-  Limits.BodyBytes = MaxControlBodyBytes;
-  for (AsyncHttpServer *Server :
-       {&ReadyServer, &ReportServer, &MetricsServer}) {
-    Server->setLimits(Limits);
-    Server->setByteBudget(std::make_shared<ByteBudget>(ControlBudgetBytes));
-    Server->setMaxConnections(Descriptors / ControlDescriptorDivisor);
-  }
+  const ClientLimits Limits(Settings);
+  Limits.limitCallers(CallServer, Proxy.messageBudget());
+  Limits.limitPeers(Peers);
+  for (AsyncHttpServer *Server : {&ReadyServer, &ReportServer, &MetricsServer})
+    Limits.limitControl(*Server);
 }
 
 std::string Gateway::start() {
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.h
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.h
@@ -55,8 +55,6 @@
   void onRecords(StoreFeed Feed,
                  const std::vector<StoreRecord> &Records) override;
 
-  /// Bounds what the clients of each address can make the node hold.
-  void limitClients();
   void addNode(const NodeRecord &Record);
   /// Replaces \p Other, a record under the name of this node, if it supersedes
   /// the node's own: it comes from an earlier process, which started before the
