Send crash reports outside of the handling of other messages

By reading: a report was passed on from within the handler of its frame, and a crash that an answer shows was reported from within the handling of the answer. Sending may replace a connection to a node that has moved, also the one of that frame. Both are posted to the loop now.

--- a/packages/gateway/camphorpin/src/Gateway/CrashDetector.h
+++ b/packages/gateway/camphorpin/src/Gateway/CrashDetector.h
@@ -18,10 +18,11 @@
 ///
 /// When the connection of a run is lost, a new connection to the backend server
 /// is attempted. If the new connection is refused, the server is assumed to
-/// have crashed, and the run becomes a suspect. The same holds if another
-/// incarnation of the server, whose start nothing has announced, is noticed
-/// within some seconds: the server may accept connections again before this
-/// node, which may have been suspended, has tried to connect.
+/// have crashed, and the run becomes a suspect. The server may also accept
+/// connections again before this node, which may have been suspended, has tried
+/// to connect. The same is therefore assumed if another incarnation of the
+/// server is noticed within some seconds and the earlier one had not announced
+/// that it leaves.
 class CrashDetector {
 public:
   /// Receives the number of runs lost in a crash and the reports for the other
--- a/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
+++ b/packages/gateway/camphorpin/src/Gateway/Gateway.cpp
@@ -3,6 +3,7 @@
 #include "camphorpin/src/Gateway/ClientLimits.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <csignal>
 #include <random>
 #include <utility>
@@ -144,8 +145,11 @@
     return Error;
   Proxy.setStatusListener([this] { Peers.broadcastStatus(); });
   Proxy.setCrashListener([this](const PeerCrashes &Crashes) {
-    Peers.broadcast(Crashes);
-    Network.broadcast(Crashes);
+    // Later, because an answer or a report may be in progress here.
+    boost::asio::post(Loop, [this, Crashes] {
+      Peers.broadcast(Crashes);
+      Network.broadcast(Crashes);
+    });
   });
   Log.write(LogEvent::NodeStarted,
             {{"address", Settings.PeerAddress.toString()},
@@ -290,7 +294,8 @@
 
 void Gateway::onCrashes(const PeerCrashes &Crashes) {
   Proxy.addCrashes(Crashes);
-  forwardCrashes();
+  // Later, because sending may replace the connection of this frame.
+  boost::asio::post(Loop, [this] { forwardCrashes(); });
 }
 
 void Gateway::forwardCrashes() {
